Lay out the workspace: state, protocol, coordination, transport and programs

Cause: nothing stood yet. The layers are crates so that the compiler keeps their direction; the node's events and effects are the one interface that the daemon and the simulation share. The two baselines are whole, the product's own policy follows.

--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions and agreement of lifthollow.
+//!
+//! Nothing in this crate does I/O or reads a clock: events and the time come
+//! in, effects go out. The daemon and the simulation run the same code.
+//!
+//! [`node::Node`] is the whole of one process. It composes, in this order:
+//!
+//! 1. [`fleet`]: which table is in force and which servers exist;
+//! 2. [`outbound`]: calls from local callers to servers of other services;
+//! 3. [`inbound`]: attempts from other nodes to the back end beside this node.
+//!
+//! [`baseline`] holds the ordinary policies that lifthollow is compared with.
+
+pub mod baseline;
+pub mod fleet;
+pub mod inbound;
+pub mod node;
+pub mod outbound;
+pub mod policy;
+pub mod view;
+
+pub use node::{Node, NodeEffect, NodeEvent, NodeSettings};
+pub use policy::PolicyKind;
+pub use view::View;
--- /dev/null
+++ b/crates/coordination/src/node.rs
@@ -0,0 +1,187 @@
+//! One lifthollow process: fleet, outbound and inbound decisions composed.
+
+use std::time::Duration;
+
+use lifthollow_protocol::LoadReport;
+use lifthollow_state::{NodeId, ServiceName, Side, Timestamp, Zone};
+
+use crate::baseline::{FixedInbound, FixedOutbound};
+use crate::fleet::{Fleet, FleetEffect, FleetEvent};
+use crate::inbound::{InboundEffect, InboundEvent, InboundPolicy};
+use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy};
+use crate::policy::PolicyKind;
+use crate::view::View;
+
+/// What a node knows of itself from its settings.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The address other nodes reach it at.
+    pub node: NodeId,
+    /// Its data centre.
+    pub side: Side,
+    /// Its failure domain.
+    pub zone: Zone,
+    /// The services whose back ends stand beside it.
+    pub services: Vec<ServiceName>,
+    /// The decisions it runs.
+    pub policy: PolicyKind,
+    /// Seed of every random choice the node makes.
+    pub seed: u64,
+}
+
+/// Everything that can happen to a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeEvent {
+    /// Calls of local callers.
+    Outbound(OutboundEvent),
+    /// Attempts for the back end beside the node.
+    Inbound(InboundEvent),
+    /// The platform and other nodes.
+    Fleet(FleetEvent),
+    /// The time asked for with [`Node::next_wake`] has come.
+    Wake,
+}
+
+/// Everything a node can want done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeEffect {
+    /// For the caller's side.
+    Outbound(OutboundEffect),
+    /// For the server's side.
+    Inbound(InboundEffect),
+    /// For the platform and other nodes.
+    Fleet(FleetEffect),
+}
+
+/// A wake this much later than asked for means that the process was paused.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(500);
+/// A node wakes at least this often, so that it notices pauses.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// One process of lifthollow.
+pub struct Node {
+    settings: NodeSettings,
+    fleet: Fleet,
+    outbound: Box<dyn OutboundPolicy>,
+    inbound: Box<dyn InboundPolicy>,
+    last_handled: Option<Timestamp>,
+}
+
+impl Node {
+    /// A node that knows nothing yet but its settings.
+    pub fn new(settings: NodeSettings) -> Self {
+        let (outbound, inbound) = policies(&settings);
+        Node {
+            settings,
+            fleet: Fleet::default(),
+            outbound,
+            inbound,
+            last_handled: None,
+        }
+    }
+
+    /// The settings the node was made with.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.settings
+    }
+
+    /// The table in force and the servers known.
+    pub fn view(&self) -> &View {
+        self.fleet.view()
+    }
+
+    /// The load of a local service, to be sent with every answer.
+    pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
+        self.inbound.load(now, service)
+    }
+
+    /// Attempts queued or running beside this node.
+    pub fn in_progress(&self) -> usize {
+        self.inbound.in_progress()
+    }
+
+    /// When [`NodeEvent::Wake`] is wanted next, at the latest.
+    pub fn next_wake(&self, now: Timestamp) -> Timestamp {
+        let wakes = [
+            self.fleet.next_wake(),
+            self.outbound.next_wake(),
+            self.inbound.next_wake(),
+            Some(now + HEARTBEAT_INTERVAL),
+        ];
+        wakes.into_iter().flatten().min().unwrap_or(now)
+    }
+
+    /// Takes in one event and appends what is to be done to `effects`.
+    pub fn handle(&mut self, now: Timestamp, event: NodeEvent, effects: &mut Vec<NodeEffect>) {
+        self.notice_pause(now, effects);
+        match event {
+            NodeEvent::Outbound(event) => self.handle_outbound(now, event, effects),
+            NodeEvent::Inbound(event) => self.handle_inbound(now, event, effects),
+            NodeEvent::Fleet(event) => self.handle_fleet(now, event, effects),
+            NodeEvent::Wake => self.wake(now, effects),
+        }
+    }
+
+    /// A long gap between events means that the process did not run meanwhile,
+    /// because it wakes at least every [`HEARTBEAT_INTERVAL`].
+    fn notice_pause(&mut self, now: Timestamp, effects: &mut Vec<NodeEffect>) {
+        let previous = self.last_handled.replace(now);
+        let gap = previous.map_or(Duration::ZERO, |previous| now - previous);
+        if gap <= HEARTBEAT_INTERVAL + PAUSE_THRESHOLD {
+            return;
+        }
+        let paused_for = gap;
+        self.handle_inbound(now, InboundEvent::Resumed { paused_for }, effects);
+        self.handle_outbound(now, OutboundEvent::Resumed { paused_for }, effects);
+    }
+
+    fn wake(&mut self, now: Timestamp, effects: &mut Vec<NodeEffect>) {
+        self.handle_fleet(now, FleetEvent::Wake, effects);
+        self.handle_inbound(now, InboundEvent::Wake, effects);
+        self.handle_outbound(now, OutboundEvent::Wake, effects);
+    }
+
+    fn handle_outbound(
+        &mut self,
+        now: Timestamp,
+        event: OutboundEvent,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        let mut outbound_effects = Vec::new();
+        self.outbound
+            .handle(now, self.fleet.view(), event, &mut outbound_effects);
+        effects.extend(outbound_effects.into_iter().map(NodeEffect::Outbound));
+    }
+
+    fn handle_inbound(
+        &mut self,
+        now: Timestamp,
+        event: InboundEvent,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        let mut inbound_effects = Vec::new();
+        self.inbound
+            .handle(now, self.fleet.view(), event, &mut inbound_effects);
+        effects.extend(inbound_effects.into_iter().map(NodeEffect::Inbound));
+    }
+
+    fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
+        let mut fleet_effects = Vec::new();
+        self.fleet.handle(now, event, &mut fleet_effects);
+        effects.extend(fleet_effects.into_iter().map(NodeEffect::Fleet));
+    }
+}
+
+fn policies(settings: &NodeSettings) -> (Box<dyn OutboundPolicy>, Box<dyn InboundPolicy>) {
+    let side = settings.side;
+    match settings.policy {
+        PolicyKind::Passthrough => (
+            Box::new(FixedOutbound::passthrough()),
+            Box::new(FixedInbound::passthrough(side)),
+        ),
+        PolicyKind::StaticLimits | PolicyKind::Lifthollow => (
+            Box::new(FixedOutbound::static_limits()),
+            Box::new(FixedInbound::static_limits(side)),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `lifthollowctl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `lifthollowd`.
+
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,10 @@
+//! Typed messages between lifthollow processes and their minicbor encoding.
+//!
+//! [`answer`] says how an attempt ended, [`load`] what a server reports about
+//! its own load with every answer.
+
+pub mod answer;
+pub mod load;
+
+pub use answer::{AttemptResult, RefusalReason};
+pub use load::{AdmissionLevel, LoadReport};
--- /dev/null
+++ b/crates/protocol/src/load.rs
@@ -0,0 +1,53 @@
+//! What a server reports about its own load with every answer.
+
+use minicbor::{Decode, Encode};
+
+use lifthollow_state::{Priority, PriorityClass};
+
+/// The lowest priority that a server admits, as one number: the class times
+/// 128 plus the user priority. Zero admits everything.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[cbor(transparent)]
+pub struct AdmissionLevel(#[n(0)] pub u16);
+
+const USER_LEVELS: u16 = 128;
+
+impl AdmissionLevel {
+    /// Admits everything.
+    pub const OPEN: AdmissionLevel = AdmissionLevel(0);
+
+    /// The level at which `priority` is the lowest that is admitted.
+    pub fn of(priority: Priority) -> Self {
+        let class = match priority.class {
+            PriorityClass::Sheddable => 0,
+            PriorityClass::Normal => 1,
+            PriorityClass::Critical => 2,
+        };
+        AdmissionLevel(class * USER_LEVELS + u16::from(priority.user).min(USER_LEVELS - 1))
+    }
+
+    /// Whether a call of `priority` is admitted.
+    pub fn admits(self, priority: Priority) -> bool {
+        AdmissionLevel::of(priority) >= self
+    }
+}
+
+/// Load of one service on one server, as its own node sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct LoadReport {
+    /// Calls running at the back end.
+    #[n(0)]
+    pub in_flight: u32,
+    /// Calls waiting in the node's queue.
+    #[n(1)]
+    pub queued: u32,
+    /// Calls the node lets run at once now.
+    #[n(2)]
+    pub limit: u32,
+    /// Lowest priority admitted by the server or by services it needs.
+    #[n(3)]
+    pub admission_level: AdmissionLevel,
+    /// The server takes no new work.
+    #[n(4)]
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/sim/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `lifthollow-sim`.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `lifthollow-standin`.
+
+fn main() {}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,19 @@
+//! Values that every layer of lifthollow shares: identities, time, the table
+//! and the records of requests.
+//!
+//! Nothing here does I/O, reads a clock or decides anything. It is the lowest
+//! layer: `state` <- `protocol` <- `coordination` <- `transport` <- programs.
+
+pub mod directory;
+pub mod identity;
+pub mod request;
+pub mod table;
+pub mod time;
+
+pub use directory::{Directory, Server, ServerState};
+pub use identity::{Incarnation, NodeId, ServiceName, Side, Zone};
+pub use request::{
+    IdempotencyKey, Priority, PriorityClass, RequestContext, RequestId, RetryAllowance,
+};
+pub use table::{Table, TableRow, TableVersion};
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/state/src/table.rs
@@ -0,0 +1,111 @@
+//! The operators' table: one row per service and side.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::{PriorityClass, ServiceName, Side};
+
+/// Which edition of the table is meant.
+///
+/// Versions are totally ordered: by the number operators write, then by the
+/// digest of the content, so that two tables published by mistake under one
+/// number have the same order on every node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TableVersion {
+    /// The number in the table file; operators raise it with every change.
+    pub number: u64,
+    /// Digest of the canonical form of all rows.
+    pub digest: u64,
+}
+
+/// What operators set for one service on one side.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRow {
+    /// The service.
+    pub service: ServiceName,
+    /// The data centre.
+    pub side: Side,
+    /// Share of the service's calls that go to this side, relative to the other.
+    pub weight: u32,
+    /// Ceiling of calls that run at once on each server.
+    pub max_in_flight: u32,
+    /// Ceiling of calls that wait at each server.
+    pub max_queue: u32,
+    /// Ceiling of connections to each server's back end.
+    pub max_connections: u32,
+    /// Class of calls that state none.
+    pub class: PriorityClass,
+    /// Whether a call without an idempotency key may be run again.
+    pub repeatable: bool,
+    /// Time that a call without a stated deadline may take.
+    pub deadline: Duration,
+}
+
+/// A complete, checked table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    version: TableVersion,
+    rows: BTreeMap<(ServiceName, Side), TableRow>,
+}
+
+impl Table {
+    /// A table of `rows` under the number `number`; a later row for the same
+    /// service and side replaces an earlier one.
+    pub fn new(number: u64, rows: impl IntoIterator<Item = TableRow>) -> Self {
+        let rows: BTreeMap<_, _> = rows
+            .into_iter()
+            .map(|row| ((row.service.clone(), row.side), row))
+            .collect();
+        let digest = digest_of(&rows);
+        Table {
+            version: TableVersion { number, digest },
+            rows,
+        }
+    }
+
+    /// The table's version.
+    pub fn version(&self) -> TableVersion {
+        self.version
+    }
+
+    /// The row of a service on a side.
+    pub fn row(&self, service: &ServiceName, side: Side) -> Option<&TableRow> {
+        self.rows.get(&(service.clone(), side))
+    }
+
+    /// The first row found for a service, the old side's first.
+    pub fn any_row(&self, service: &ServiceName) -> Option<&TableRow> {
+        Side::ALL
+            .into_iter()
+            .find_map(|side| self.row(service, side))
+    }
+
+    /// All rows, ordered by service and side.
+    pub fn rows(&self) -> impl Iterator<Item = &TableRow> {
+        self.rows.values()
+    }
+}
+
+fn digest_of(rows: &BTreeMap<(ServiceName, Side), TableRow>) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for row in rows.values() {
+        hasher.update(canonical_form(row).as_bytes());
+    }
+    hasher.digest()
+}
+
+/// One row as a line of text that does not depend on how the file was written.
+fn canonical_form(row: &TableRow) -> String {
+    format!(
+        "{},{},{},{},{},{},{},{},{}\n",
+        row.service,
+        row.side,
+        row.weight,
+        row.max_in_flight,
+        row.max_queue,
+        row.max_connections,
+        row.class,
+        row.repeatable,
+        row.deadline.as_millis()
+    )
+}
