Simulate both meshes on a virtual clock with the real nodes

Change: crates/sim runs one coordination::Node on every machine over the event queue and clock of simcore.

--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,15 @@
+//! Deterministic simulation of a mesh on a virtual clock.
+//!
+//! The simulation runs the same [`lifthollow_coordination::Node`] as the daemon,
+//! one on every machine. Everything around it is modelled: [`mesh`] says what
+//! exists, [`scenario`] what disturbs it, [`world`] how it all behaves,
+//! [`observe`] checks what must always hold, [`measure`] computes the figures.
+//! The event queue and the virtual clock are those of the `simcore` library.
+
+pub mod commands;
+pub mod measure;
+pub mod mesh;
+pub mod observe;
+pub mod random;
+pub mod scenario;
+pub mod world;
--- /dev/null
+++ b/crates/sim/src/scenario/file.rs
@@ -0,0 +1,351 @@
+//! The scenario file as written, and its check against a mesh.
+
+use std::time::Duration;
+
+use lifthollow_state::Side;
+use serde::Deserialize;
+
+use super::{Fault, FaultKind, LeaveNotice, Scenario, ScenarioFinding, TableColumn, Target};
+use crate::mesh::{KindIndex, Mesh, ServiceIndex};
+
+const DEFAULT_DURATION_SECONDS: f64 = 60.0;
+const DEFAULT_LOAD: f64 = 0.5;
+pub(super) const DEFAULT_WEIGHTS: [u32; 2] = [50, 50];
+const LONGEST_SECONDS: f64 = 86_400.0;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ScenarioFile {
+    duration_seconds: Option<f64>,
+    load: Option<f64>,
+    weights: Option<[u32; 2]>,
+    #[serde(default)]
+    fault: Vec<toml::Spanned<FaultEntry>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultEntry {
+    kind: String,
+    at: f64,
+    #[serde(rename = "for")]
+    lasts: Option<f64>,
+    target: Option<TargetEntry>,
+    from: Option<TargetEntry>,
+    to: Option<TargetEntry>,
+    factor: Option<f64>,
+    rate: Option<f64>,
+    requests: Option<Vec<String>>,
+    repeats: Option<u32>,
+    timeout_factor: Option<f64>,
+    warm_up_seconds: Option<f64>,
+    healthy: Option<bool>,
+    one_way: Option<bool>,
+    period_seconds: Option<f64>,
+    column: Option<String>,
+    value: Option<u32>,
+    service: Option<String>,
+    to_side: Option<String>,
+    steps: Option<u32>,
+    interval_seconds: Option<f64>,
+    down_seconds: Option<f64>,
+    told: Option<String>,
+}
+
+#[derive(Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TargetEntry {
+    service: Option<String>,
+    side: Option<String>,
+    zone: Option<u16>,
+    server: Option<u16>,
+    #[serde(default)]
+    entry: bool,
+}
+
+/// Reads and checks a scenario for a mesh. All findings come back together.
+pub fn parse_scenario(
+    file_name: &str,
+    name: &str,
+    text: &str,
+    mesh: &Mesh,
+) -> Result<Scenario, Vec<ScenarioFinding>> {
+    let file: ScenarioFile = toml::from_str(text).map_err(|error| {
+        vec![ScenarioFinding {
+            place: place(file_name, text, error.span().map(|span| span.start)),
+            message: error.message().to_owned(),
+        }]
+    })?;
+    let mut check = Check {
+        mesh,
+        file_name,
+        place: file_name.to_owned(),
+        findings: Vec::new(),
+    };
+    let scenario = check.scenario(name, text, &file);
+    if check.findings.is_empty() {
+        Ok(scenario)
+    } else {
+        Err(check.findings)
+    }
+}
+
+fn place(file_name: &str, text: &str, offset: Option<usize>) -> String {
+    let offset = offset.unwrap_or(0).min(text.len());
+    let line = text[..offset].matches('\n').count() + 1;
+    format!("{file_name}:{line}")
+}
+
+/// The check of one file; collects findings and goes on.
+struct Check<'a> {
+    mesh: &'a Mesh,
+    file_name: &'a str,
+    place: String,
+    findings: Vec<ScenarioFinding>,
+}
+
+impl Check<'_> {
+    fn finding(&mut self, message: impl Into<String>) {
+        self.findings.push(ScenarioFinding {
+            place: self.place.clone(),
+            message: message.into(),
+        });
+    }
+
+    fn scenario(&mut self, name: &str, text: &str, file: &ScenarioFile) -> Scenario {
+        let seconds = file.duration_seconds.unwrap_or(DEFAULT_DURATION_SECONDS);
+        let duration = self.seconds("duration_seconds", seconds);
+        let load = file.load.unwrap_or(DEFAULT_LOAD);
+        if !(load > 0.0 && load <= 10.0) {
+            self.finding("`load` must be above 0 and at most 10");
+        }
+        let weights = file.weights.unwrap_or(DEFAULT_WEIGHTS);
+        if weights == [0, 0] {
+            self.finding("`weights` must not both be 0");
+        }
+        let mut faults = Vec::new();
+        for entry in &file.fault {
+            self.place = place(self.file_name, text, Some(entry.span().start));
+            faults.extend(self.fault(duration, entry.get_ref()));
+        }
+        Scenario {
+            name: name.to_owned(),
+            duration,
+            load,
+            weights,
+            faults,
+        }
+    }
+
+    fn fault(&mut self, duration: Duration, entry: &FaultEntry) -> Option<Fault> {
+        let at = self.seconds("at", entry.at);
+        if at >= duration {
+            self.finding("`at` lies after the scenario's end");
+        }
+        let lasts = entry.lasts.map(|seconds| self.seconds("for", seconds));
+        let kind = self.kind(entry)?;
+        Some(Fault { at, lasts, kind })
+    }
+
+    fn kind(&mut self, entry: &FaultEntry) -> Option<FaultKind> {
+        let target = self.target(entry.target.as_ref());
+        let kind = match entry.kind.as_str() {
+            "slow" => FaultKind::Slow {
+                target,
+                factor: self.factor(entry.factor),
+            },
+            "errors" => FaultKind::Errors {
+                target,
+                rate: self.rate(entry.rate),
+            },
+            "surge" => FaultKind::Surge {
+                kinds: self.request_kinds(entry.requests.as_deref()),
+                factor: self.factor(entry.factor),
+            },
+            "hard-retry" => FaultKind::HardRetry {
+                repeats: self.required("repeats", entry.repeats),
+                timeout_factor: entry.timeout_factor.unwrap_or(1.0),
+            },
+            "cold" => FaultKind::Cold {
+                target,
+                factor: self.factor(entry.factor),
+                warm_up: self.required_seconds("warm_up_seconds", entry.warm_up_seconds),
+            },
+            "gone" => FaultKind::Gone { target },
+            "kill" => FaultKind::Kill { target },
+            "silent" => FaultKind::Silent { target },
+            "health" => FaultKind::Health {
+                target,
+                healthy: self.required("healthy", entry.healthy),
+            },
+            "pause" => FaultKind::Pause { target },
+            "loss" => FaultKind::Loss {
+                from: self.target(entry.from.as_ref()),
+                to: self.target(entry.to.as_ref()),
+                rate: self.rate(entry.rate),
+            },
+            "cut" => FaultKind::Cut {
+                from: self.target(entry.from.as_ref()),
+                to: self.target(entry.to.as_ref()),
+                one_way: entry.one_way.unwrap_or(false),
+            },
+            "config-down" => FaultKind::ConfigDown,
+            "config-stale" => FaultKind::ConfigStale,
+            "config-flap" => FaultKind::ConfigFlap {
+                period: self.required_seconds("period_seconds", entry.period_seconds),
+            },
+            "cell" => self.cell(entry, target),
+            "migrate" => self.migrate(entry),
+            "rolling-stop" => self.rolling_stop(entry, target),
+            unknown => {
+                self.finding(format!("`kind` is unknown: `{unknown}`"));
+                return None;
+            }
+        };
+        Some(kind)
+    }
+
+    fn cell(&mut self, entry: &FaultEntry, target: Target) -> FaultKind {
+        let column = match entry.column.as_deref() {
+            Some("weight") => TableColumn::Weight,
+            Some("max_in_flight") => TableColumn::MaxInFlight,
+            Some("max_queue") => TableColumn::MaxQueue,
+            _ => {
+                self.finding("`column` must be `weight`, `max_in_flight` or `max_queue`");
+                TableColumn::Weight
+            }
+        };
+        FaultKind::Cell {
+            target,
+            column,
+            value: self.required("value", entry.value),
+        }
+    }
+
+    fn migrate(&mut self, entry: &FaultEntry) -> FaultKind {
+        FaultKind::Migrate {
+            service: entry.service.as_deref().and_then(|name| self.service(name)),
+            to: self.side(entry.to_side.as_deref()).unwrap_or(Side::New),
+            steps: self.required("steps", entry.steps).max(1),
+        }
+    }
+
+    fn rolling_stop(&mut self, entry: &FaultEntry, target: Target) -> FaultKind {
+        let told = match entry.told.as_deref() {
+            None | Some("node") => LeaveNotice::Node,
+            Some("list") => LeaveNotice::List,
+            Some(_) => {
+                self.finding("`told` must be `node` or `list`");
+                LeaveNotice::Node
+            }
+        };
+        FaultKind::RollingStop {
+            target,
+            interval: self.required_seconds("interval_seconds", entry.interval_seconds),
+            down: self.required_seconds("down_seconds", entry.down_seconds),
+            told,
+        }
+    }
+
+    fn target(&mut self, entry: Option<&TargetEntry>) -> Target {
+        let Some(entry) = entry else {
+            return Target::default();
+        };
+        let service = entry.service.as_deref().and_then(|name| self.service(name));
+        let side = entry.side.as_deref().and_then(|name| self.side(Some(name)));
+        if entry
+            .zone
+            .is_some_and(|zone| zone >= self.mesh.zones_per_side)
+        {
+            self.finding("`zone` is beyond the mesh's zones, which count from 0");
+        }
+        if let (Some(service), Some(server)) = (service, entry.server)
+            && server >= self.mesh.service(service).servers_per_side
+        {
+            self.finding("`server` is beyond the service's servers, which count from 0");
+        }
+        Target {
+            service,
+            side,
+            zone: entry.zone,
+            server: entry.server,
+            entry: entry.entry,
+        }
+    }
+
+    /// A service by name, or by its place: `deepest` is the one that most call
+    /// trees end in, `first` and `last` are the ends of the mesh's list.
+    fn service(&mut self, name: &str) -> Option<ServiceIndex> {
+        let found = match name {
+            "first" => Some(ServiceIndex(0)),
+            "last" => Some(ServiceIndex(self.mesh.services.len() - 1)),
+            "deepest" => Some(self.mesh.deepest_service()),
+            name => self.mesh.service_by_name(name),
+        };
+        if found.is_none() {
+            self.finding(format!("the mesh has no service `{name}`"));
+        }
+        found
+    }
+
+    fn side(&mut self, name: Option<&str>) -> Option<Side> {
+        let parsed = name?.parse();
+        if parsed.is_err() {
+            self.finding("a side is `old` or `new`");
+        }
+        parsed.ok()
+    }
+
+    /// Kinds by name, or by class: `critical`, `normal`, `sheddable`.
+    fn request_kinds(&mut self, names: Option<&[String]>) -> Vec<KindIndex> {
+        let mut kinds = Vec::new();
+        for name in names.unwrap_or_default() {
+            let found = self.mesh.kinds_by_name_or_class(name);
+            if found.is_empty() {
+                self.finding(format!(
+                    "the mesh has no kind or class of requests `{name}`"
+                ));
+            }
+            kinds.extend(found);
+        }
+        kinds
+    }
+
+    fn factor(&mut self, factor: Option<f64>) -> f64 {
+        let factor = self.required("factor", factor);
+        if !(factor > 0.0 && factor <= 1_000.0) {
+            self.finding("`factor` must be above 0 and at most 1000");
+        }
+        factor
+    }
+
+    fn rate(&mut self, rate: Option<f64>) -> f64 {
+        let rate = self.required("rate", rate);
+        if !(0.0..=1.0).contains(&rate) {
+            self.finding("`rate` must lie between 0 and 1");
+        }
+        rate
+    }
+
+    fn required<T: Default>(&mut self, field: &str, value: Option<T>) -> T {
+        if value.is_none() {
+            self.finding(format!("`{field}` is missing"));
+        }
+        value.unwrap_or_default()
+    }
+
+    fn required_seconds(&mut self, field: &str, value: Option<f64>) -> Duration {
+        let seconds = self.required(field, value);
+        self.seconds(field, seconds)
+    }
+
+    fn seconds(&mut self, field: &str, seconds: f64) -> Duration {
+        if !(0.0..=LONGEST_SECONDS).contains(&seconds) {
+            self.finding(format!(
+                "`{field}` must lie between 0 and {LONGEST_SECONDS}"
+            ));
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(seconds)
+    }
+}
--- /dev/null
+++ b/crates/sim/src/world/inbound_effects.rs
@@ -0,0 +1,210 @@
+//! Attempts at their server's node: handed in, run, answered and cancelled.
+
+use lifthollow_coordination::NodeEvent;
+use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, RunResult};
+use lifthollow_coordination::outbound::AttemptAnswer;
+use lifthollow_protocol::AttemptResult;
+use lifthollow_state::{RetryAllowance, Timestamp};
+
+use super::backend::Connection;
+use super::event::WorldEvent;
+use super::ids::{MachineIndex, WireId};
+use super::records::{Run, RunPhase};
+use super::{CLOCK_TICK, LOOPBACK_DELAY, World};
+use crate::observe::Observation;
+
+impl World {
+    pub(super) fn attempt_arrives(&mut self, wire: WireId) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let server = record.server;
+        let mut attempt = record.attempt.clone();
+        attempt.context.deadline = self.machine(server).local(attempt.context.deadline);
+        let id = wire.inbound();
+        let event = InboundEvent::AttemptArrived { id, attempt };
+        self.feed_node(server, NodeEvent::Inbound(event));
+    }
+
+    pub(super) fn attempt_cancelled(&mut self, wire: WireId) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let server = record.server;
+        let id = wire.inbound();
+        let event = InboundEvent::AttemptCancelled { id };
+        self.feed_node(server, NodeEvent::Inbound(event));
+        let has_run = self
+            .attempts
+            .get(&wire)
+            .is_some_and(|record| record.run.is_some());
+        if !has_run {
+            self.close_server(wire);
+        }
+    }
+
+    pub(super) fn apply_inbound(&mut self, index: MachineIndex, effect: InboundEffect) {
+        match effect {
+            InboundEffect::Run { id, deadline } => {
+                self.begin_run(index, WireId::from_inbound(id), deadline);
+            }
+            InboundEffect::Answer { id, result } => {
+                self.answer_attempt(index, WireId::from_inbound(id), result);
+            }
+            InboundEffect::CancelRun { id } => {
+                let wire = WireId::from_inbound(id);
+                self.observe_cancelled_run(index, wire);
+                self.schedule(WorldEvent::RunCancelled { wire }, LOOPBACK_DELAY);
+            }
+        }
+    }
+
+    fn observe_cancelled_run(&mut self, machine: MachineIndex, wire: WireId) {
+        let now = self.now();
+        let wanted = self
+            .attempts
+            .get(&wire)
+            .is_some_and(|record| record.caller_open && now < record.attempt.context.deadline);
+        self.observe(Observation::RunCancelled { machine, wanted });
+    }
+
+    fn begin_run(&mut self, index: MachineIndex, wire: WireId, local_deadline: Timestamp) {
+        let deadline = self.machine(index).global(local_deadline);
+        let connection_cost = self.mesh.connection_cost;
+        let Some(record) = self.attempts.get_mut(&wire) else {
+            return;
+        };
+        let Some(back_end) = self.machines[index.0].back_end.as_mut() else {
+            return;
+        };
+        let connection = back_end.connect();
+        record.run = Some(Run {
+            phase: RunPhase::Connecting,
+            epoch: 0,
+            deadline,
+            open_calls: Vec::new(),
+            connected: connection != Connection::Refused,
+            work_since: Timestamp::ZERO,
+        });
+        let class = record.attempt.context.priority.class;
+        let service = self
+            .mesh
+            .kind(record.kind)
+            .visit(record.operation.visit)
+            .service;
+        self.observe(Observation::RunAdmitted {
+            machine: index,
+            service,
+            class,
+        });
+        match connection {
+            Connection::Reused => self.schedule(WorldEvent::RunArrives { wire }, LOOPBACK_DELAY),
+            Connection::Opened => {
+                let delay = LOOPBACK_DELAY + self.service_times.around(connection_cost);
+                self.schedule(WorldEvent::RunArrives { wire }, delay);
+            }
+            Connection::Refused => self.refuse_run(wire),
+        }
+    }
+
+    /// The back end's answer reaches the node beside it.
+    pub(super) fn run_answered(&mut self, wire: WireId, result: RunResult) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let server = record.server;
+        let id = wire.inbound();
+        let event = InboundEvent::RunAnswered { id, result };
+        self.feed_node(server, NodeEvent::Inbound(event));
+    }
+
+    pub(super) fn run_closed(&mut self, wire: WireId) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let server = record.server;
+        let id = wire.inbound();
+        self.feed_node(server, NodeEvent::Inbound(InboundEvent::RunClosed { id }));
+        self.close_answer(wire);
+        self.close_server(wire);
+    }
+
+    /// The end of the answer follows its head to the caller's node.
+    fn close_answer(&mut self, wire: WireId) {
+        let now = self.now();
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let completed = matches!(record.answered, Some(AttemptResult::Completed { .. }));
+        if !completed || !record.caller_open {
+            return;
+        }
+        let (caller, server, head) = (record.caller, record.server, record.head_arrives);
+        if let Some(delay) = self.network.stream_delay(server, caller) {
+            let event = WorldEvent::AttemptClosed {
+                wire,
+                complete: true,
+            };
+            self.schedule_at(event, (now + delay).max(head + CLOCK_TICK));
+        }
+    }
+
+    fn answer_attempt(&mut self, index: MachineIndex, wire: WireId, result: AttemptResult) {
+        let now = self.now();
+        let Some(record) = self.attempts.get_mut(&wire) else {
+            return;
+        };
+        record.answered = Some(result);
+        let unspent = record.ledger;
+        let (caller, class) = (record.caller, record.attempt.context.priority.class);
+        let service_name = record.attempt.service.clone();
+        let ran = record.run.is_some();
+        let service = self
+            .mesh
+            .kind(record.kind)
+            .visit(record.operation.visit)
+            .service;
+        if let AttemptResult::NotRun { reason, .. } = result {
+            self.recorder.refused(class);
+            self.observe(Observation::AttemptRefused {
+                machine: index,
+                service,
+                class,
+                reason,
+            });
+        }
+        let machine = self.machine(index);
+        let load = machine.node.load(machine.local(now), &service_name);
+        let answer = AttemptAnswer {
+            result,
+            load: Some(load),
+            unspent,
+        };
+        if let Some(delay) = self.network.stream_delay(index, caller) {
+            if let Some(record) = self.attempts.get_mut(&wire) {
+                record.head_arrives = now + delay;
+            }
+            self.schedule(WorldEvent::AttemptAnswered { wire, answer }, delay);
+        }
+        if !ran {
+            self.close_server(wire);
+        }
+    }
+
+    /// Takes half of what an attempt's ledger holds, rounded up, for a nested call.
+    pub(super) fn lend_allowance(&mut self, wire: WireId) -> RetryAllowance {
+        let Some(record) = self.attempts.get_mut(&wire) else {
+            return RetryAllowance(0);
+        };
+        let lent = record.ledger.0.div_ceil(2);
+        record.ledger.0 -= lent;
+        RetryAllowance(lent)
+    }
+
+    /// Puts what a nested call did not spend back into the ledger.
+    pub(super) fn return_allowance(&mut self, wire: WireId, unspent: RetryAllowance) {
+        if let Some(record) = self.attempts.get_mut(&wire) {
+            record.ledger.0 = record.ledger.0.saturating_add(unspent.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/src/world/outbound_effects.rs
@@ -0,0 +1,295 @@
+//! Attempts on the network: sent, answered, closed and cancelled.
+
+use lifthollow_coordination::NodeEvent;
+use lifthollow_coordination::inbound::Attempt;
+use lifthollow_coordination::outbound::{
+    AttemptAnswer, AttemptId, CallAnswer, CallId, OutboundEffect, OutboundEvent,
+};
+use lifthollow_protocol::{AttemptResult, RefusalReason};
+use lifthollow_state::{NodeId, RequestContext, RetryAllowance, Timestamp};
+
+use super::World;
+use super::event::{ClientAnswer, WorldEvent};
+use super::ids::{MachineIndex, WireId};
+use super::records::{AttemptRecord, CallOrigin};
+use crate::observe::{Observation, Told};
+
+impl World {
+    pub(super) fn apply_outbound(&mut self, index: MachineIndex, effect: OutboundEffect) {
+        match effect {
+            OutboundEffect::Dispatch {
+                call,
+                attempt,
+                server,
+                context,
+            } => self.dispatch_attempt(index, call, attempt, server, context),
+            OutboundEffect::Cancel { attempt } => self.cancel_attempt(index, attempt),
+            OutboundEffect::Answer {
+                call,
+                answer,
+                unspent,
+            } => self.answer_call(call, answer, unspent),
+        }
+    }
+
+    fn dispatch_attempt(
+        &mut self,
+        index: MachineIndex,
+        call: CallId,
+        attempt_id: AttemptId,
+        server: NodeId,
+        context: RequestContext,
+    ) {
+        self.next_wire += 1;
+        let wire = WireId(self.next_wire);
+        let Some(record) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let first = record.attempts.is_empty();
+        record.attempts.push(wire);
+        record.open_attempts += 1;
+        let service = record.service;
+        let operation = record.operation;
+        let class = record.call.context.priority.class;
+        let (kind, client_attempt) = (record.kind, record.client_attempt);
+        let service_name = record.call.service.clone();
+        let body_digest = record.operation.request.0;
+        self.recorder.attempt_sent(service, operation, first);
+        self.observe(Observation::AttemptSent {
+            machine: index,
+            service,
+            class,
+            operation,
+            first,
+        });
+        let Some(server) = self.by_address.get(&server).copied() else {
+            return;
+        };
+        let caller = self.machine(index);
+        let global_deadline = caller.global(context.deadline);
+        let attempt_record = AttemptRecord {
+            caller: index,
+            attempt_id,
+            call,
+            server,
+            operation,
+            kind,
+            client_attempt,
+            ledger: context.allowance,
+            attempt: Attempt {
+                service: service_name,
+                context: RequestContext {
+                    deadline: global_deadline,
+                    ..context
+                },
+                from: caller.spec.node,
+                body_digest,
+            },
+            caller_open: true,
+            server_open: true,
+            answered: None,
+            head_arrives: Timestamp::ZERO,
+            run: None,
+        };
+        self.attempts.insert(wire, attempt_record);
+        self.attempts_by_caller.insert((index, attempt_id), wire);
+        if let Some(delay) = self.network.stream_delay(index, server) {
+            self.schedule(WorldEvent::AttemptArrives { wire }, delay);
+        }
+    }
+
+    fn cancel_attempt(&mut self, index: MachineIndex, attempt: AttemptId) {
+        let Some(wire) = self.attempts_by_caller.get(&(index, attempt)).copied() else {
+            return;
+        };
+        if let Some(call) = self.attempts.get(&wire).map(|record| record.call) {
+            self.attempt_is_over(call);
+        }
+        self.close_caller(wire);
+    }
+
+    /// A call's node no longer waits for one of its attempts.
+    fn attempt_is_over(&mut self, call: CallId) {
+        let now = self.now();
+        if let Some(record) = self.calls.get_mut(&call) {
+            record.open_attempts = record.open_attempts.saturating_sub(1);
+            record.idle_since = now;
+        }
+    }
+
+    /// The caller's node no longer waits for an attempt; the server learns it
+    /// unless it has finished.
+    pub(super) fn close_caller(&mut self, wire: WireId) {
+        let Some(record) = self.attempts.get_mut(&wire) else {
+            return;
+        };
+        if !record.caller_open {
+            return;
+        }
+        record.caller_open = false;
+        let (caller, server) = (record.caller, record.server);
+        self.attempts_by_caller.remove(&(caller, record.attempt_id));
+        if record.server_open
+            && let Some(delay) = self.network.stream_delay(caller, server)
+        {
+            self.schedule(WorldEvent::AttemptCancelled { wire }, delay);
+        }
+        self.forget_attempt_if_over(wire);
+    }
+
+    /// The server's node will not act on an attempt any more.
+    pub(super) fn close_server(&mut self, wire: WireId) {
+        if let Some(record) = self.attempts.get_mut(&wire) {
+            record.server_open = false;
+        }
+        self.forget_attempt_if_over(wire);
+    }
+
+    fn forget_attempt_if_over(&mut self, wire: WireId) {
+        let over = self
+            .attempts
+            .get(&wire)
+            .is_some_and(|record| !record.caller_open && !record.server_open);
+        if over {
+            self.attempts.remove(&wire);
+        }
+    }
+
+    pub(super) fn attempt_answered(&mut self, wire: WireId, answer: AttemptAnswer) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        if !record.caller_open {
+            return;
+        }
+        let (caller, attempt, call) = (record.caller, record.attempt_id, record.call);
+        self.attempt_is_over(call);
+        let event = OutboundEvent::AttemptAnswered { attempt, answer };
+        self.feed_node(caller, NodeEvent::Outbound(event));
+    }
+
+    fn answer_call(&mut self, call: CallId, answer: CallAnswer, unspent: RetryAllowance) {
+        let now = self.now();
+        let Some(record) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let origin = record.origin;
+        let told = Told::from(&answer);
+        let observation = Observation::CallAnswered {
+            call,
+            machine: record.machine,
+            service: record.service,
+            class: record.call.context.priority.class,
+            attempts: record.attempts.len() as u32,
+            told,
+        };
+        let refused = told != Told::Complete;
+        if refused && record.open_attempts == 0 {
+            let delay = now.saturating_since(record.idle_since);
+            self.recorder.refusal_delay(delay);
+        }
+        self.observe(observation);
+        if let CallOrigin::Run { wire, .. } = origin {
+            self.return_allowance(wire, unspent);
+        }
+        match answer {
+            CallAnswer::Deliver { attempt } => self.deliver_answer(call, attempt),
+            CallAnswer::NotRun { retry_after, .. } | CallAnswer::Unknown { retry_after, .. } => {
+                let Some(record) = self.calls.get(&call).cloned() else {
+                    return;
+                };
+                let retry_after_millis = retry_after.as_millis() as u64;
+                self.tell_origin(&record, call, ClientAnswer::GivenUp { retry_after_millis });
+                self.forget_call(call);
+            }
+        }
+    }
+
+    /// Passes an attempt's answer on; its other attempts are dropped.
+    fn deliver_answer(&mut self, call: CallId, attempt: AttemptId) {
+        let Some(record) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let wire = self
+            .attempts_by_caller
+            .get(&(record.machine, attempt))
+            .copied();
+        record.delivering = wire;
+        let others: Vec<WireId> = record
+            .attempts
+            .iter()
+            .copied()
+            .filter(|other| Some(*other) != wire)
+            .collect();
+        others
+            .into_iter()
+            .for_each(|other| self.close_caller(other));
+    }
+
+    pub(super) fn attempt_closed(&mut self, wire: WireId, complete: bool) {
+        let Some(attempt_record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let (call, caller) = (attempt_record.call, attempt_record.caller);
+        let attempt = attempt_record.attempt_id;
+        let body_of = attempt_record.operation;
+        let success = attempt_record.answered == Some(AttemptResult::Completed { success: true });
+        let Some(record) = self.calls.get(&call).cloned() else {
+            return self.close_caller(wire);
+        };
+        if record.delivering != Some(wire) {
+            return;
+        }
+        let event = OutboundEvent::AttemptClosed { attempt, complete };
+        self.feed_node(caller, NodeEvent::Outbound(event));
+        let answer = if complete {
+            ClientAnswer::Complete {
+                success,
+                body_of,
+                whole: true,
+            }
+        } else {
+            ClientAnswer::Broken
+        };
+        self.tell_origin(&record, call, answer);
+        self.forget_call(call);
+    }
+
+    /// The connection to a server broke under an attempt.
+    pub(super) fn reset_attempt(&mut self, wire: WireId, arrived: bool) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let result = if arrived {
+            AttemptResult::Unknown {
+                reason: RefusalReason::AnswerLost,
+            }
+        } else {
+            AttemptResult::NotRun {
+                reason: RefusalReason::ConnectionFailed,
+                retry_after: std::time::Duration::ZERO,
+            }
+        };
+        let answered = record.answered.is_some();
+        let (caller, server, lent) = (record.caller, record.server, record.ledger);
+        // Allowance that was lent to a server which may have spent it is lost.
+        let unspent = if arrived { RetryAllowance(0) } else { lent };
+        let Some(delay) = self.network.stream_delay(server, caller) else {
+            return;
+        };
+        let event = if answered {
+            WorldEvent::AttemptClosed {
+                wire,
+                complete: false,
+            }
+        } else {
+            let answer = AttemptAnswer {
+                result,
+                load: None,
+                unspent,
+            };
+            WorldEvent::AttemptAnswered { wire, answer }
+        };
+        self.schedule(event, delay);
+    }
+}
