Read, check, write, compare and edit the table's CSV

Cause: the table was a value without a file format; operators' input could not be read. Change: `table::parse` checks a file in full and returns every finding with file, row and column; `to_csv` writes the canonical form, `TableDifference` lists rows and cells that differ, `table::edit` makes the next version and keeps the bytes of all other records. The digest is taken over the canonical rows as written. Known limit: a file cut exactly at the end of a record is a valid, shorter table; the transfer's length has to be checked by whoever fetches it.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,12 +5,14 @@
 //! layer: `state` <- `protocol` <- `coordination` <- `transport` <- programs.
 
 pub mod directory;
+pub mod finding;
 pub mod identity;
 pub mod request;
 pub mod table;
 pub mod time;
 
 pub use directory::{Directory, Server, ServerState};
+pub use finding::{Finding, Findings, Place};
 pub use identity::{Incarnation, NodeId, ServiceName, Side, Zone};
 pub use request::{
     IdempotencyKey, Priority, PriorityClass, RequestContext, RequestId, RetryAllowance,
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table/mod.rs
@@ -1,10 +1,55 @@
 //! The operators' table: one row per service and side.
+//!
+//! The file is CSV: a first record `lifthollow-table,NUMBER`, a header with the
+//! names of all [`Column`]s in any order, then one record per service and side.
+
+mod cell;
+mod check;
+mod column;
+mod difference;
+mod document;
+mod edit;
+mod write;
 
 use std::collections::BTreeMap;
+use std::fmt;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use crate::finding::Findings;
 use crate::{PriorityClass, ServiceName, Side};
 
+pub use cell::MAX_SERVICE_NAME_LENGTH;
+pub use column::{
+    Column, DEADLINE_MS_BOUNDS, MAX_CONNECTIONS_BOUNDS, MAX_IN_FLIGHT_BOUNDS, MAX_QUEUE_BOUNDS,
+    WEIGHT_BOUNDS,
+};
+pub use difference::{CellChange, TableDifference};
+pub use document::{MAX_CELLS, MAX_FILE_BYTES, MAX_RECORDS};
+pub use edit::{CellEdit, EditedFile, edit};
+
+/// The first cell of every table file.
+pub const FILE_MARK: &str = "lifthollow-table";
+
+/// Bounds of the number of a version: what spreadsheets keep exactly.
+pub const NUMBER_BOUNDS: RangeInclusive<u64> = 1..=999_999_999_999_999;
+
+/// Reads and checks a table's file in full. `file_name` is used in the places
+/// of findings only.
+pub fn parse(file_name: &str, bytes: &[u8]) -> Result<Table, Findings> {
+    let mut findings = Findings::default();
+    let document = document::Document::read(file_name, bytes, &mut findings);
+    if document.records.is_empty() && !findings.is_empty() {
+        return Err(findings);
+    }
+    let table = check::check(&document, &mut findings);
+    if findings.is_empty() {
+        return Ok(table);
+    }
+    findings.sort();
+    Err(findings)
+}
+
 /// Which edition of the table is meant.
 ///
 /// Versions are totally ordered: by the number operators write, then by the
@@ -18,6 +63,13 @@
     pub digest: u64,
 }
 
+/// `NUMBER (DIGEST)`, the digest in hexadecimal.
+impl fmt::Display for TableVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ({:016x})", self.number, self.digest)
+    }
+}
+
 /// What operators set for one service on one side.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableRow {
@@ -89,23 +141,7 @@
 fn digest_of(rows: &BTreeMap<(ServiceName, Side), TableRow>) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
     for row in rows.values() {
-        hasher.update(canonical_form(row).as_bytes());
+        hasher.update(row.to_csv_line().as_bytes());
     }
     hasher.digest()
 }
-
-/// One row as a line of text that does not depend on how the file was written.
-fn canonical_form(row: &TableRow) -> String {
-    format!(
-        "{},{},{},{},{},{},{},{},{}\n",
-        row.service,
-        row.side,
-        row.weight,
-        row.max_in_flight,
-        row.max_queue,
-        row.max_connections,
-        row.class,
-        row.repeatable,
-        row.deadline.as_millis()
-    )
-}
--- /dev/null
+++ b/crates/state/src/table/write.rs
@@ -0,0 +1,18 @@
+//! Writing a table as CSV.
+
+use super::{Column, FILE_MARK, Table};
+
+impl Table {
+    /// The table as a CSV file in the canonical form: columns in their usual
+    /// order, rows by service and side, lines ended by `\n`.
+    pub fn to_csv(&self) -> String {
+        let number = self.version().number;
+        let mut text = format!("{FILE_MARK},{number}\n");
+        text.push_str(&Column::ALL.map(Column::as_str).join(","));
+        text.push('\n');
+        for row in self.rows() {
+            text.push_str(&row.to_csv_line());
+        }
+        text
+    }
+}
