Read and check the settings of lifthollowd

Cause: the daemon had no settings. Change: `settings::load` reads a TOML file and overrides it by flags; every fault of both is reported together with its line and character or its flag. Unknown keys, values of a wrong type, own ports that collide and addresses that nobody could connect to are faults. The check of service names and the bounded numbers moved from the table to `identity` and `finding`, since both inputs use them. Before: none. After: 8 tests of lifthollow-daemon and 21 of lifthollow-state pass.

--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,3 @@
+//! The parts of `lifthollowd`, one lifthollow node.
+
+pub mod settings;
--- a/crates/state/src/finding.rs
+++ b/crates/state/src/finding.rs
@@ -1,6 +1,8 @@
 //! Faults found in operators' input, each with its place, reported together.
 
-use std::fmt;
+use std::fmt::{self, Display};
+use std::ops::RangeInclusive;
+use std::str::FromStr;
 use std::sync::Arc;
 
 /// Where in the input a fault was found. Rows and columns count from 1.
@@ -126,3 +128,25 @@
     let mark = if is_cut { "..." } else { "" };
     format!("`{shown}{mark}`")
 }
+
+/// The message for text that is none of the values `fault` describes.
+pub fn unknown(text: &str, fault: impl Display) -> String {
+    format!("{} is not valid: {fault}", quoted(text))
+}
+
+/// Reads a whole number inside its bounds; the error is a finding's message.
+pub fn bounded_number<T>(text: &str, bounds: &RangeInclusive<T>) -> Result<T, String>
+where
+    T: FromStr + PartialOrd + Display,
+{
+    let is_digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    match text.parse::<T>() {
+        Ok(value) if is_digits && bounds.contains(&value) => Ok(value),
+        _ => Err(format!(
+            "{} is not a whole number from {} to {}",
+            quoted(text),
+            bounds.start(),
+            bounds.end()
+        )),
+    }
+}
--- a/crates/state/src/identity.rs
+++ b/crates/state/src/identity.rs
@@ -57,12 +57,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation(pub u64);
 
+/// Longest name of a service, characters.
+pub const MAX_SERVICE_NAME_LENGTH: usize = 64;
+
 /// The name of a service as operators write it in the table.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceName(Arc<str>);
 
 impl ServiceName {
-    /// A name; the table's check decides which names are acceptable.
+    /// A name that is known to be acceptable; text from outside is read with
+    /// [`FromStr`].
     pub fn new(name: &str) -> Self {
         ServiceName(Arc::from(name))
     }
@@ -73,6 +77,30 @@
     }
 }
 
+impl FromStr for ServiceName {
+    type Err = InvalidServiceName;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_letter_or_digit = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
+        let starts_well = text.bytes().next().is_some_and(is_letter_or_digit);
+        let is_plain = text
+            .bytes()
+            .all(|byte| is_letter_or_digit(byte) || matches!(byte, b'-' | b'_' | b'.'));
+        if starts_well && is_plain && text.len() <= MAX_SERVICE_NAME_LENGTH {
+            return Ok(ServiceName::new(text));
+        }
+        Err(InvalidServiceName)
+    }
+}
+
+/// The text can't be the name of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "a service name is 1 to {MAX_SERVICE_NAME_LENGTH} of a-z, 0-9, `-`, `_` and `.`, \
+     beginning with a letter or digit"
+)]
+pub struct InvalidServiceName;
+
 impl fmt::Display for ServiceName {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(&self.0)
--- a/crates/state/src/table/check.rs
+++ b/crates/state/src/table/check.rs
@@ -6,7 +6,7 @@
 use super::cell;
 use super::document::{Document, Record};
 use super::{Column, FILE_MARK, NUMBER_BOUNDS, Table, TableRow};
-use crate::finding::{Findings, quoted};
+use crate::finding::{Findings, bounded_number, quoted};
 use crate::{ServiceName, Side};
 
 /// Checks a document and builds its table. Every fault is added to `findings`;
@@ -74,7 +74,7 @@
             return 0;
         }
         self.cells_beyond(record, 2);
-        match cell::number(record.cell(1), &NUMBER_BOUNDS) {
+        match bounded_number(record.cell(1), &NUMBER_BOUNDS) {
             Ok(number) => number,
             Err(fault) => {
                 self.add(record, 1, format!("the table's number: {fault}"));
--- a/crates/state/src/table/mod.rs
+++ b/crates/state/src/table/mod.rs
@@ -19,7 +19,6 @@
 use crate::finding::Findings;
 use crate::{PriorityClass, ServiceName, Side};
 
-pub use cell::MAX_SERVICE_NAME_LENGTH;
 pub use column::{
     Column, DEADLINE_MS_BOUNDS, MAX_CONNECTIONS_BOUNDS, MAX_IN_FLIGHT_BOUNDS, MAX_QUEUE_BOUNDS,
     WEIGHT_BOUNDS,
--- a/crates/state/tests/table_properties.rs
+++ b/crates/state/tests/table_properties.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lifthollow_state::identity::MAX_SERVICE_NAME_LENGTH;
 use lifthollow_state::table::{
     self, CellEdit, Column, DEADLINE_MS_BOUNDS, MAX_CONNECTIONS_BOUNDS, MAX_IN_FLIGHT_BOUNDS,
     MAX_QUEUE_BOUNDS, NUMBER_BOUNDS, Table, TableDifference, TableRow, WEIGHT_BOUNDS,
@@ -32,7 +33,7 @@
 
 fn any_name(generator: &mut Gen) -> ServiceName {
     let first = generator.choose(b"abz09").copied().unwrap();
-    let length = usize::arbitrary(generator) % table::MAX_SERVICE_NAME_LENGTH;
+    let length = usize::arbitrary(generator) % MAX_SERVICE_NAME_LENGTH;
     let rest = (0..length).map(|_| generator.choose(b"az09-_.").copied().unwrap());
     let bytes: Vec<u8> = std::iter::once(first).chain(rest).collect();
     ServiceName::new(std::str::from_utf8(&bytes).unwrap())
