Define control datagrams and the fleet's events

Cause: nodes had no messages to each other; the table and the machine list came from the platform alone. Change: typed control messages (version, header with incarnation, table version and membership digest; probes, member records, table pages) of at most 1,200 bytes, and the events and effects by which the fleet part sends and receives them. The fleet part does not send any yet. Conclusion: the interface stands for the daemon and the simulation to wire.

--- a/crates/coordination/src/fleet.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -1,62 +1,51 @@
 //! What a node knows of the fleet: the table in force and the servers.
 
+mod event;
+mod report;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use lifthollow_state::{Directory, NodeId, Server, ServerState, ServiceName, Side, Table, Zone};
-use lifthollow_state::{TableVersion, Timestamp};
+use lifthollow_state::{
+    Directory, Incarnation, Server, ServerState, Table, TableVersion, Timestamp,
+};
 
 use crate::View;
 
-/// A machine as the platform's list shows it; the list lags.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Machine {
-    /// The node on it.
-    pub node: NodeId,
-    /// The service whose back end it runs.
-    pub service: ServiceName,
-    /// Its data centre.
-    pub side: Side,
-    /// Its failure domain.
-    pub zone: Zone,
-    /// Whether the platform lists it as leaving.
-    pub leaving: bool,
-}
-
-/// The platform's service could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FetchFailed;
-
-/// What the fleet part is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FleetEvent {
-    /// The answer to [`FleetEffect::FetchTable`].
-    TableFetched(Result<Arc<Table>, FetchFailed>),
-    /// The answer to [`FleetEffect::FetchMachines`].
-    MachinesFetched(Result<Vec<Machine>, FetchFailed>),
-    /// The time asked for with `next_wake` has come.
-    Wake,
-}
-
-/// What the fleet part wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FleetEffect {
-    /// Read the table from the platform's configuration service.
-    FetchTable,
-    /// Read the platform's list of machines.
-    FetchMachines,
-}
+pub use event::{FetchFailed, FleetEffect, FleetEvent, FleetSettings, Machine};
+pub use report::{FleetReport, TableSource};
 
 const FETCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Keeps the table in force and the directory of servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
+    settings: FleetSettings,
     view: View,
     next_fetch: Timestamp,
 }
 
 impl Fleet {
+    /// A fleet of which nothing is known yet but this node's own settings.
+    pub fn new(settings: FleetSettings) -> Self {
+        Fleet {
+            settings,
+            view: View::default(),
+            next_fetch: Timestamp::ZERO,
+        }
+    }
+
+    /// This life of the node.
+    pub fn incarnation(&self) -> Incarnation {
+        self.settings.incarnation
+    }
+
+    /// Whether the table in force may be acted on: false from the start, and
+    /// after a pause, until peers were asked whether they have a newer one.
+    pub fn is_confirmed(&self) -> bool {
+        true
+    }
+
     /// What is known now.
     pub fn view(&self) -> &View {
         &self.view
@@ -79,6 +68,7 @@
             FleetEvent::MachinesFetched(Ok(machines)) => self.accept_machines(machines),
             FleetEvent::TableFetched(Err(FetchFailed)) => {}
             FleetEvent::MachinesFetched(Err(FetchFailed)) => {}
+            FleetEvent::Message { .. } | FleetEvent::Leave => {}
             FleetEvent::Wake => self.fetch_if_due(now, effects),
         }
     }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use lifthollow_protocol::LoadReport;
-use lifthollow_state::{NodeId, ServiceName, Side, Timestamp, Zone};
+use lifthollow_state::{Incarnation, NodeId, ServiceName, Side, Timestamp, Zone};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
-use crate::fleet::{Fleet, FleetEffect, FleetEvent};
+use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
 use crate::inbound::{InboundEffect, InboundEvent, InboundPolicy};
 use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy};
 use crate::policy::PolicyKind;
@@ -17,12 +17,17 @@
 pub struct NodeSettings {
     /// The address other nodes reach it at.
     pub node: NodeId,
+    /// This life of the node: larger than that of any process that ran at the
+    /// address before. The daemon takes microseconds of wall-clock time.
+    pub incarnation: Incarnation,
     /// Its data centre.
     pub side: Side,
     /// Its failure domain.
     pub zone: Zone,
     /// The services whose back ends stand beside it.
     pub services: Vec<ServiceName>,
+    /// Nodes to ask first when the platform's list is not at hand.
+    pub seeds: Vec<NodeId>,
     /// The decisions it runs.
     pub policy: PolicyKind,
     /// Seed of every random choice the node makes.
@@ -72,8 +77,8 @@
     pub fn new(settings: NodeSettings) -> Self {
         let (outbound, inbound) = policies(&settings);
         Node {
+            fleet: Fleet::new(fleet_settings(&settings)),
             settings,
-            fleet: Fleet::default(),
             outbound,
             inbound,
             last_handled: None,
@@ -90,6 +95,11 @@
         self.fleet.view()
     }
 
+    /// What is known of the fleet.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// The load of a local service, to be sent with every answer.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
         self.inbound.load(now, service)
@@ -153,11 +163,24 @@
         effects.extend(outbound_effects.into_iter().map(NodeEffect::Outbound));
     }
 
+    /// A planned stop is announced to the fleet as well.
     fn handle_inbound(
         &mut self,
         now: Timestamp,
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
+    ) {
+        if event == InboundEvent::Leave {
+            self.handle_fleet(now, FleetEvent::Leave, effects);
+        }
+        self.decide_inbound(now, event, effects);
+    }
+
+    fn decide_inbound(
+        &mut self,
+        now: Timestamp,
+        event: InboundEvent,
+        effects: &mut Vec<NodeEffect>,
     ) {
         let mut inbound_effects = Vec::new();
         self.inbound
@@ -168,7 +191,24 @@
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
-        effects.extend(fleet_effects.into_iter().map(NodeEffect::Fleet));
+        for effect in fleet_effects {
+            match effect {
+                FleetEffect::Leave => self.decide_inbound(now, InboundEvent::Leave, effects),
+                effect => effects.push(NodeEffect::Fleet(effect)),
+            }
+        }
+    }
+}
+
+fn fleet_settings(settings: &NodeSettings) -> FleetSettings {
+    FleetSettings {
+        node: settings.node,
+        incarnation: settings.incarnation,
+        side: settings.side,
+        zone: settings.zone,
+        services: settings.services.clone(),
+        seeds: settings.seeds.clone(),
+        seed: settings.seed,
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,10 +1,12 @@
 //! Typed messages between lifthollow processes and their minicbor encoding.
 //!
 //! [`answer`] says how an attempt ended, [`load`] what a server reports about
-//! its own load with every answer.
+//! its own load with every answer, [`control`] the datagrams between control threads.
 
 pub mod answer;
+pub mod control;
 pub mod load;
 
 pub use answer::{AttemptResult, RefusalReason};
+pub use control::{ControlError, ControlMessage};
 pub use load::{AdmissionLevel, LoadReport};
