Check, compare and edit tables with lifthollowctl

Cause: operators had no program for the table. Change: `lifthollowctl table check`, `diff` and `set`. Exit codes 0 to 4 are in `--help`. `table::edit` takes a list.

--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,98 @@
+//! The command line of `lifthollowctl`.
+
+use argh::FromArgs;
+
+/// Operators' client of lifthollow: checks, compares and edits tables, and asks
+/// running nodes what they see.
+///
+/// Tables are files of yours; publishing a new version is the platform's job.
+#[derive(FromArgs, Debug)]
+#[argh(
+    example = "Move a tenth of the feeds from the old halls to the new ones:\n  \
+               {command_name} table set table.csv feeds@old weight 90 feeds@new weight 10",
+    error_code(0, "done; for `table diff`, the rows are the same"),
+    error_code(1, "`table diff` found differences"),
+    error_code(2, "the arguments or a table have faults; nothing was changed"),
+    error_code(3, "a node could not be reached, or refused what was asked"),
+    error_code(4, "a file could not be read or written")
+)]
+pub struct Arguments {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Work on table files.
+    Table(TableCommand),
+}
+
+/// Check, compare and edit table files.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "table")]
+pub struct TableCommand {
+    /// what to do with the table
+    #[argh(subcommand)]
+    pub action: TableAction,
+}
+
+/// What to do with a table.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum TableAction {
+    /// Check a file.
+    Check(TableCheck),
+    /// Compare two files.
+    Diff(TableDiff),
+    /// Change one cell.
+    Set(TableSet),
+}
+
+/// Check a table in full and print every finding as FILE:ROW:COLUMN: MESSAGE.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct TableCheck {
+    /// the table (CSV)
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// Compare two tables: `+` is a row that only B has, `-` a row that only A has,
+/// `~` a cell that differs, with its text in A and in B.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "diff")]
+pub struct TableDiff {
+    /// the earlier table (CSV)
+    #[argh(positional)]
+    pub a: String,
+    /// the later table (CSV)
+    #[argh(positional)]
+    pub b: String,
+}
+
+/// Make the next version of a table: raise its number by one and change one cell,
+/// or several cells by further SERVICE@SIDE COLUMN VALUE.
+///
+/// The file is checked in full before and after the change and is replaced in one
+/// step, so that a reader sees the whole old version or the whole new one. Other
+/// rows stay as they are. Two edits of one file at the same time follow each other.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "set",
+    example = "Tighten a limit:\n  {command_name} table.csv top-up@old max_in_flight 6",
+    example = "Move weight in one version:\n  {command_name} table.csv feeds@old weight 80 \
+               feeds@new weight 20"
+)]
+pub struct TableSet {
+    /// the table (CSV)
+    #[argh(positional)]
+    pub file: String,
+    /// cells as SERVICE@SIDE COLUMN VALUE; the columns are weight, max_in_flight,
+    /// max_queue, max_connections, class, repeatable and deadline_ms
+    #[argh(positional, arg_name = "service@side column value")]
+    pub cells: Vec<String>,
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,58 @@
+//! `lifthollowctl`, the operators' client: checks, compares and edits tables,
+//! and asks running nodes what they see.
+
+pub mod arguments;
+pub mod outcome;
+pub mod table;
+
+use std::io::{self, Write};
+
+use argh::FromArgs;
+
+use crate::arguments::{Arguments, Command};
+use crate::outcome::{Outcome, Report};
+
+/// Runs the program with the words of its command line, the first of which is
+/// the program's own name.
+pub fn main_with(words: &[String]) -> Outcome {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["lifthollowctl"], words.get(1..).unwrap_or(&[])) {
+        Ok(arguments) => arguments,
+        Err(exit) => return show_early_exit(&exit),
+    };
+    match run(&arguments.command) {
+        Ok(report) => show(&report),
+        Err(error) => {
+            eprintln!("{error:#}");
+            Outcome::of_error(&error)
+        }
+    }
+}
+
+fn run(command: &Command) -> anyhow::Result<Report> {
+    match command {
+        Command::Table(command) => table::run(&command.action),
+    }
+}
+
+/// Shows the help that was asked for, or what is wrong with the arguments.
+fn show_early_exit(exit: &argh::EarlyExit) -> Outcome {
+    match exit.status {
+        Ok(()) => show(&Report::done(exit.output.trim_end().to_owned())),
+        Err(()) => {
+            eprintln!("{}", exit.output.trim_end());
+            Outcome::InvalidInput
+        }
+    }
+}
+
+/// Prints a report. A reader that stops reading early is no failure.
+fn show(report: &Report) -> Outcome {
+    match writeln!(io::stdout().lock(), "{}", report.text) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+            eprintln!("can't write the report: {error}");
+            Outcome::FileFailed
+        }
+        _ => report.outcome,
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/support/mod.rs
@@ -0,0 +1,82 @@
+//! Runs the program and keeps its files apart from other tests.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// What a run of the program gave.
+pub struct Run {
+    /// Its exit code.
+    pub code: i32,
+    /// Its standard output.
+    pub output: String,
+    /// Its standard error.
+    pub errors: String,
+}
+
+/// Runs `lifthollowctl`.
+pub fn ctl(arguments: &[&str]) -> Run {
+    let output = Command::new(env!("CARGO_BIN_EXE_lifthollowctl"))
+        .args(arguments)
+        .output()
+        .expect("the program starts");
+    Run {
+        code: output.status.code().expect("the program exits by itself"),
+        output: String::from_utf8(output.stdout).expect("output is UTF-8"),
+        errors: String::from_utf8(output.stderr).expect("errors are UTF-8"),
+    }
+}
+
+/// A directory of one test, removed at its end.
+pub struct Directory(PathBuf);
+
+impl Directory {
+    /// An empty directory.
+    pub fn new() -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("lifthollowctl-test-{}-{count}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir(&path).expect("a directory can be made");
+        Directory(path)
+    }
+
+    /// The path of a file in the directory.
+    pub fn path(&self, name: &str) -> String {
+        self.0
+            .join(name)
+            .to_str()
+            .expect("paths are UTF-8")
+            .to_owned()
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, content: &str) -> String {
+        let path = self.path(name);
+        fs::write(&path, content).expect("a file can be written");
+        path
+    }
+
+    /// The names of all files in the directory.
+    pub fn names(&self) -> Vec<String> {
+        let entries = fs::read_dir(&self.0).expect("the directory can be read");
+        let mut names: Vec<String> = entries
+            .map(|entry| {
+                entry
+                    .expect("an entry")
+                    .file_name()
+                    .into_string()
+                    .expect("UTF-8")
+            })
+            .collect();
+        names.sort();
+        names
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -129,7 +129,7 @@
     fn place_of_missing(&self, key: Key) -> Place {
         match self.file_name {
             Some(name) => Place::File(Arc::from(name)),
-            None => Place::Flag(Arc::from(key.flag())),
+            None => Place::Argument(Arc::from(key.flag())),
         }
     }
 
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -135,7 +135,7 @@
 fn value_of(key: Key, text: &str) -> RawValue {
     RawValue {
         text: text.to_owned(),
-        place: Place::Flag(Arc::from(key.flag())),
+        place: Place::Argument(Arc::from(key.flag())),
     }
 }
 
--- a/crates/state/src/finding.rs
+++ b/crates/state/src/finding.rs
@@ -19,8 +19,8 @@
         /// The cell in a table, or the character in a line of text.
         column: usize,
     },
-    /// A flag of the command line, with its dashes.
-    Flag(Arc<str>),
+    /// An argument of the command line, flags with their dashes.
+    Argument(Arc<str>),
 }
 
 impl Place {
@@ -39,7 +39,7 @@
         match self {
             Place::File(file) => formatter.write_str(file),
             Place::Cell { file, row, column } => write!(formatter, "{file}:{row}:{column}"),
-            Place::Flag(flag) => formatter.write_str(flag),
+            Place::Argument(argument) => formatter.write_str(argument),
         }
     }
 }
--- a/crates/state/src/table/edit.rs
+++ b/crates/state/src/table/edit.rs
@@ -1,11 +1,15 @@
-//! Changing one cell of a table's file and leaving the rest as it is.
+//! Changing cells of a table's file and leaving the rest as it is.
 
-use super::check::{Header, check};
+use std::collections::BTreeMap;
+
+use super::check::Header;
 use super::document::{Document, Record};
-use super::{Column, NUMBER_BOUNDS, Table, parse};
-use crate::finding::{Findings, Place, quoted};
+use super::{Column, NUMBER_BOUNDS, Table, parse, read_checked};
+use crate::finding::{Findings, quoted};
 use crate::{ServiceName, Side};
 
+const NUMBER_INDEX: usize = 1;
+
 /// One cell and the text it is to have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CellEdit {
@@ -28,88 +32,125 @@
     pub table: Table,
 }
 
-/// Makes the next version of a table's file: the number raised by one and one
-/// cell changed. All bytes of other records stay as they are.
+/// Makes the next version of a table's file: the number raised by one and some
+/// cells changed. All bytes of other records stay as they are.
 ///
 /// The file is checked in full before the change and after it; `file_name` is
 /// used in the places of findings only.
-pub fn edit(file_name: &str, bytes: &[u8], edit: &CellEdit) -> Result<EditedFile, Findings> {
-    let mut findings = Findings::default();
-    let document = Document::read(file_name, bytes, &mut findings);
-    if !findings.is_empty() {
-        return Err(findings);
+pub fn edit(file_name: &str, bytes: &[u8], edits: &[CellEdit]) -> Result<EditedFile, Findings> {
+    let (document, table) = read_checked(file_name, bytes)?;
+    let mut editor = Editor {
+        header: Header::of(&document.records[1]),
+        document: &document,
+        findings: Findings::default(),
+        changed: BTreeMap::new(),
+    };
+    editor.raise_number(&table);
+    for edit in edits {
+        editor.set(edit);
     }
-    let table = check(&document, &mut findings);
-    if !findings.is_empty() {
-        findings.sort();
-        return Err(findings);
+    if !editor.findings.is_empty() {
+        return Err(editor.findings);
     }
-    let bytes = edited_bytes(&document, bytes, &table, edit)?;
+    let bytes = editor.write(bytes);
     let table = parse(file_name, &bytes)?;
     Ok(EditedFile { bytes, table })
 }
 
-/// The new content of a file whose present content is valid.
-fn edited_bytes(
-    document: &Document,
-    bytes: &[u8],
-    table: &Table,
-    edit: &CellEdit,
-) -> Result<Vec<u8>, Findings> {
-    let next_number = next_number(document, table)?;
-    let [number_record, header_record, rows @ ..] = document.records.as_slice() else {
-        unreachable!("a valid table has a number, a header and rows");
-    };
-    let header = Header::of(header_record);
-    let position = |column| header.index(column).expect("a valid table has all columns");
-    let is_wanted = |record: &&Record| {
-        record.cell(position(Column::Service)) == edit.service.as_str()
-            && record.cell(position(Column::Side)) == edit.side.as_str()
-    };
-    let Some(row) = rows.iter().find(is_wanted) else {
-        let message = format!("no row for `{}@{}`", edit.service, edit.side);
-        return Err(one_finding(document.whole(), message));
-    };
-    let index = position(edit.column);
-    if edit.column.is_key() {
-        let message = format!("`{}` names the row and can't be set", edit.column);
-        return Err(one_finding(document.place(row, index), message));
+/// Changes to a document that is known to be valid.
+struct Editor<'a> {
+    document: &'a Document,
+    header: Header,
+    findings: Findings,
+    /// New texts by index of record and of cell.
+    changed: BTreeMap<usize, BTreeMap<usize, String>>,
+}
+
+impl Editor<'_> {
+    fn raise_number(&mut self, table: &Table) {
+        let number = table.version().number;
+        if number < *NUMBER_BOUNDS.end() {
+            self.change(0, NUMBER_INDEX, (number + 1).to_string());
+            return;
+        }
+        let place = self.document.place(&self.document.records[0], NUMBER_INDEX);
+        let message = format!("the table's number {number} is the largest there is");
+        self.findings.add(place, message);
     }
-    if row.cell(index) == edit.value {
-        let message = format!("`{}` is already {}", edit.column, quoted(&edit.value));
-        return Err(one_finding(document.place(row, index), message));
+
+    fn set(&mut self, edit: &CellEdit) {
+        let CellEdit {
+            service,
+            side,
+            column,
+            value,
+        } = edit;
+        let Some(record_index) = self.find(service, *side) else {
+            let message = format!("no row for `{service}@{side}`");
+            self.findings.add(self.document.whole(), message);
+            return;
+        };
+        let Some(cell_index) = self.header.index(*column) else {
+            return;
+        };
+        let record = &self.document.records[record_index];
+        let fault = if column.is_key() {
+            format!("`{column}` names the row and can't be set")
+        } else if record.cell(cell_index) == value {
+            format!("`{column}` is already {}", quoted(value))
+        } else if self.is_changed(record_index, cell_index) {
+            format!("`{column}` of `{service}@{side}` is set twice")
+        } else {
+            self.change(record_index, cell_index, value.clone());
+            return;
+        };
+        let place = self.document.place(record, cell_index);
+        self.findings.add(place, fault);
     }
-    let mut edited = bytes[..number_record.span.start].to_vec();
-    edited.extend(with_cell(number_record, 1, &next_number.to_string()));
-    edited.extend(&bytes[number_record.span.end..row.span.start]);
-    edited.extend(with_cell(row, index, &edit.value));
-    edited.extend(&bytes[row.span.end..]);
-    Ok(edited)
-}
 
-fn next_number(document: &Document, table: &Table) -> Result<u64, Findings> {
-    let number = table.version().number;
-    if number < *NUMBER_BOUNDS.end() {
-        return Ok(number + 1);
+    /// The index of the record with a service's row for a side.
+    fn find(&self, service: &ServiceName, side: Side) -> Option<usize> {
+        let service_index = self.header.index(Column::Service)?;
+        let side_index = self.header.index(Column::Side)?;
+        self.document.records.iter().position(|record| {
+            record.cell(service_index) == service.as_str()
+                && record.cell(side_index) == side.as_str()
+        })
+    }
+
+    fn is_changed(&self, record_index: usize, cell_index: usize) -> bool {
+        self.changed
+            .get(&record_index)
+            .is_some_and(|cells| cells.contains_key(&cell_index))
     }
-    let place = document.place(&document.records[0], 1);
-    let message = format!("the table's number {number} is the largest there is");
-    Err(one_finding(place, message))
-}
 
-fn one_finding(place: Place, message: String) -> Findings {
-    let mut findings = Findings::default();
-    findings.add(place, message);
-    findings
+    fn change(&mut self, record_index: usize, cell_index: usize, value: String) {
+        let cells = self.changed.entry(record_index).or_default();
+        cells.insert(cell_index, value);
+    }
+
+    /// The new content, from the present one.
+    fn write(&self, bytes: &[u8]) -> Vec<u8> {
+        let mut edited = Vec::with_capacity(bytes.len());
+        let mut copied = 0;
+        for (index, changes) in &self.changed {
+            let record = &self.document.records[*index];
+            edited.extend(&bytes[copied..record.span.start]);
+            edited.extend(with_changes(record, changes));
+            copied = record.span.end;
+        }
+        edited.extend(&bytes[copied..]);
+        edited
+    }
 }
 
-/// A record as a line of CSV without its end, with one cell replaced.
-fn with_cell(record: &Record, index: usize, value: &str) -> Vec<u8> {
-    let mut cells = record.cells.clone();
-    cells[index] = value.to_owned();
+/// A record as a line of CSV without its end, with some cells replaced.
+fn with_changes(record: &Record, changes: &BTreeMap<usize, String>) -> Vec<u8> {
     let mut writer = csv::WriterBuilder::new().from_writer(Vec::new());
-    writer.write_record(&cells).expect("memory can be written");
-    let mut line = writer.into_inner().expect("memory can be written");
-    line.pop();
-    line
+    for (index, cell) in record.cells.iter().enumerate() {
+        let text = changes.get(&index).unwrap_or(cell);
+        writer.write_field(text).expect("memory can be written");
+    }
+    // The writer ends the line only with `write_record`.
+    writer.into_inner().expect("memory can be written")
 }
--- a/crates/state/src/table/mod.rs
+++ b/crates/state/src/table/mod.rs
@@ -16,6 +16,8 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use document::Document;
+
 use crate::finding::Findings;
 use crate::{PriorityClass, ServiceName, Side};
 
@@ -36,14 +38,19 @@
 /// Reads and checks a table's file in full. `file_name` is used in the places
 /// of findings only.
 pub fn parse(file_name: &str, bytes: &[u8]) -> Result<Table, Findings> {
+    read_checked(file_name, bytes).map(|(_, table)| table)
+}
+
+/// A valid file as records and as a table.
+fn read_checked(file_name: &str, bytes: &[u8]) -> Result<(Document, Table), Findings> {
     let mut findings = Findings::default();
-    let document = document::Document::read(file_name, bytes, &mut findings);
+    let document = Document::read(file_name, bytes, &mut findings);
     if document.records.is_empty() && !findings.is_empty() {
         return Err(findings);
     }
     let table = check::check(&document, &mut findings);
     if findings.is_empty() {
-        return Ok(table);
+        return Ok((document, table));
     }
     findings.sort();
     Err(findings)
--- a/crates/state/tests/table_edit.rs
+++ b/crates/state/tests/table_edit.rs
@@ -20,14 +20,14 @@
 }
 
 fn fault_of(edit: &CellEdit) -> String {
-    let findings = table::edit("t.csv", TABLE.as_bytes(), edit);
+    let findings = table::edit("t.csv", TABLE.as_bytes(), std::slice::from_ref(edit));
     findings.expect_err("the edit is refused").to_string()
 }
 
 #[test]
 fn edit_changes_the_number_and_one_record_and_keeps_every_other_byte() {
     let edit = change(Side::Old, Column::Weight, "80");
-    let edited = table::edit("t.csv", TABLE.as_bytes(), &edit).unwrap();
+    let edited = table::edit("t.csv", TABLE.as_bytes(), &[edit]).unwrap();
     let expected = TABLE
         .replace("table,41", "table,42")
         .replace("\"top-up\",old, 90 ,", "top-up,old,80,");
@@ -35,10 +35,40 @@
     assert_eq!(edited.table.version().number, 42);
 }
 
+#[test]
+fn several_cells_change_in_one_version() {
+    let edits = [
+        change(Side::New, Column::Class, "normal"),
+        change(Side::Old, Column::Class, "normal"),
+        change(Side::Old, Column::Weight, "80"),
+    ];
+    let edited = table::edit("t.csv", TABLE.as_bytes(), &edits).unwrap();
+    let before = table::parse("t.csv", TABLE.as_bytes()).unwrap();
+    let difference = TableDifference::between(&before, &edited.table);
+    assert_eq!(difference.after.number, 42);
+    assert_eq!(difference.changed.len(), 3);
+}
+
+#[test]
+fn faults_of_several_edits_are_reported_together() {
+    let edits = [
+        change(Side::New, Column::Weight, "20"),
+        change(Side::New, Column::Weight, "30"),
+        change(Side::Old, Column::Side, "new"),
+    ];
+    let findings = table::edit("t.csv", TABLE.as_bytes(), &edits).unwrap_err();
+    let shown = findings.to_string();
+    assert!(
+        shown.contains("`weight` of `top-up@new` is set twice"),
+        "{shown}"
+    );
+    assert_eq!(findings.len(), 2);
+}
+
 #[test]
 fn edit_of_the_last_record_without_a_line_end_works() {
     let edit = change(Side::New, Column::MaxQueue, "0");
-    let edited = table::edit("t.csv", TABLE.as_bytes(), &edit).unwrap();
+    let edited = table::edit("t.csv", TABLE.as_bytes(), &[edit]).unwrap();
     assert!(
         edited
             .bytes
@@ -83,7 +113,7 @@
 fn edit_is_refused_when_the_numbers_are_used_up() {
     let last = TABLE.replace("table,41", "table,999999999999999");
     let edit = change(Side::Old, Column::Weight, "80");
-    let findings = table::edit("t.csv", last.as_bytes(), &edit).unwrap_err();
+    let findings = table::edit("t.csv", last.as_bytes(), &[edit]).unwrap_err();
     assert!(findings.to_string().contains("is the largest there is"));
 }
 
--- a/crates/state/tests/table_properties.rs
+++ b/crates/state/tests/table_properties.rs
@@ -103,7 +103,12 @@
             column: Column::Weight,
             value: value.to_string(),
         };
-        let edited = table::edit("t.csv", table.0.to_csv().as_bytes(), &edit).unwrap();
+        let edited = table::edit(
+            "t.csv",
+            table.0.to_csv().as_bytes(),
+            std::slice::from_ref(&edit),
+        )
+        .unwrap();
         let difference = TableDifference::between(&table.0, &edited.table);
         difference.after.number == table.0.version().number + 1
             && difference.added.is_empty()
@@ -157,7 +162,7 @@
             column: Column::Weight,
             value: String::new(),
         };
-        table::parse("t.csv", &bytes).is_err() && table::edit("t.csv", &bytes, &edit).is_err()
+        table::parse("t.csv", &bytes).is_err() && table::edit("t.csv", &bytes, &[edit]).is_err()
     }
     check(property as fn(Vec<u8>) -> bool);
 }
