Report what is wrong between rows also beside bad cells; document the table

Cause: writing the operators' page showed that a row with one bad cell was left out of the checks between rows, so a second finding appeared only after the first was mended. The promise is that all are reported together. Change: rows are kept as far as their cells are valid, and the checks between rows use those. check.rs split into header, row and check. The examples of the table's page are run by a test. Before: the page's example of two findings printed one. After: both; the new test a_bad_cell_does_not_hide_what_is_wrong_between_rows fails without the change (the row with bad cells was not a pair at all). 24 tests of lifthollow-state and 10 of lifthollow-ctl pass.

--- a/crates/ctl/tests/table_commands.rs
+++ b/crates/ctl/tests/table_commands.rs
@@ -8,6 +8,8 @@
 use lifthollow_state::table;
 use support::{Directory, ctl};
 
+const PAGE: &str = include_str!("../../../docs/operators/table.md");
+
 const TABLE: &str = "lifthollow-table,41\r\n\
     service,side,weight,max_in_flight,max_queue,max_connections,class,repeatable,deadline_ms\r\n\
     top-up,old,90,8,16,130,critical,no,2000\r\n\
@@ -186,3 +188,36 @@
     assert_eq!((help.code, help.errors.as_str()), (0, ""));
     assert!(help.output.contains("table set"));
 }
+
+/// The lines that the operators' page shows after a text that it contains.
+fn shown_after(text: &str) -> Vec<&'static str> {
+    let (_, rest) = PAGE.split_once(text).expect("the page has the text");
+    let lines = rest.lines().skip(1);
+    lines
+        .take_while(|line| !line.starts_with("```") && !line.starts_with("$ "))
+        .collect()
+}
+
+#[test]
+fn the_examples_of_the_page_give_what_it_shows() {
+    let directory = Directory::new();
+    let text = shown_after("```csv").join("\n");
+    let file = directory.file("table.csv", &text);
+    let words: Vec<&str> = "top-up@old weight 80 top-up@new weight 20"
+        .split(' ')
+        .collect();
+    let set = ctl(&[&["table", "set", &file], &words[..]].concat());
+    let shown = shown_after(&words.join(" "));
+    let printed: Vec<&str> = set.output.lines().collect();
+    // The first line has the digests, about whose digits the page promises nothing.
+    assert_eq!(printed[1..], shown[1..]);
+
+    let broken = text
+        .replace("top-up,old,90,8", "top-up,old,90,0")
+        .replace("new,10,8,16,130,critical", "new,10,8,16,130,normal");
+    let file = directory.file("broken.csv", &broken);
+    let run = ctl(&["table", "check", &file]);
+    let errors = run.errors.replace(&file, "broken.csv");
+    let printed: Vec<&str> = errors.lines().collect();
+    assert_eq!(printed, shown_after("table check broken.csv"));
+}
--- a/crates/state/src/table/column.rs
+++ b/crates/state/src/table/column.rs
@@ -53,10 +53,6 @@
         Column::DeadlineMs,
     ];
 
-    /// The columns that must be the same in both rows of a service.
-    pub const SAME_ON_BOTH_SIDES: [Column; 3] =
-        [Column::Class, Column::Repeatable, Column::DeadlineMs];
-
     /// The word in the table's header.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/state/src/table/edit.rs
+++ b/crates/state/src/table/edit.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use super::check::Header;
 use super::document::{Document, Record};
+use super::header::Header;
 use super::{Column, NUMBER_BOUNDS, Table, parse, read_checked};
 use crate::finding::{Findings, quoted};
 use crate::{ServiceName, Side};
--- a/crates/state/src/table/mod.rs
+++ b/crates/state/src/table/mod.rs
@@ -9,6 +9,8 @@
 mod difference;
 mod document;
 mod edit;
+mod header;
+mod row;
 mod write;
 
 use std::collections::BTreeMap;
--- a/crates/state/tests/table_parse.rs
+++ b/crates/state/tests/table_parse.rs
@@ -159,6 +159,18 @@
     assert!(findings.to_string().contains("already has row 4"));
 }
 
+#[test]
+fn a_bad_cell_does_not_hide_what_is_wrong_between_rows() {
+    let rows = "feeds,old,0,0,32,110,normal,yes,800\n\
+                feeds,new,0,16,-1,110,critical,yes,x\n\
+                feeds,new,1,y,32,110,normal,yes,800\n";
+    let findings = findings_of(file_with(rows));
+    assert_eq!(
+        places(&findings),
+        ["3:3", "3:4", "4:5", "4:7", "4:9", "5:1", "5:4"].map(|place| format!("t.csv:{place}"))
+    );
+}
+
 #[test]
 fn reports_cells_beyond_the_header_and_short_rows() {
     let rows = "feeds,old,90,16,32,110,normal,yes,800,,note\nfeeds,new,10,16\n";
