--- a/crates/state/src/table/mod.rs
+++ b/crates/state/src/table/mod.rs
@@ -9,6 +9,8 @@
 mod difference;
 mod document;
 mod edit;
+mod header;
+mod row;
 mod write;
 
 use std::collections::BTreeMap;
@@ -16,10 +18,11 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use document::Document;
+
 use crate::finding::Findings;
 use crate::{PriorityClass, ServiceName, Side};
 
-pub use cell::MAX_SERVICE_NAME_LENGTH;
 pub use column::{
     Column, DEADLINE_MS_BOUNDS, MAX_CONNECTIONS_BOUNDS, MAX_IN_FLIGHT_BOUNDS, MAX_QUEUE_BOUNDS,
     WEIGHT_BOUNDS,
@@ -37,14 +40,19 @@
 /// Reads and checks a table's file in full. `file_name` is used in the places
 /// of findings only.
 pub fn parse(file_name: &str, bytes: &[u8]) -> Result<Table, Findings> {
+    read_checked(file_name, bytes).map(|(_, table)| table)
+}
+
+/// A valid file as records and as a table.
+fn read_checked(file_name: &str, bytes: &[u8]) -> Result<(Document, Table), Findings> {
     let mut findings = Findings::default();
-    let document = document::Document::read(file_name, bytes, &mut findings);
+    let document = Document::read(file_name, bytes, &mut findings);
     if document.records.is_empty() && !findings.is_empty() {
         return Err(findings);
     }
     let table = check::check(&document, &mut findings);
     if findings.is_empty() {
-        return Ok(table);
+        return Ok((document, table));
     }
     findings.sort();
     Err(findings)
--- a/crates/state/tests/table_properties.rs
+++ b/crates/state/tests/table_properties.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lifthollow_state::identity::MAX_SERVICE_NAME_LENGTH;
 use lifthollow_state::table::{
     self, CellEdit, Column, DEADLINE_MS_BOUNDS, MAX_CONNECTIONS_BOUNDS, MAX_IN_FLIGHT_BOUNDS,
     MAX_QUEUE_BOUNDS, NUMBER_BOUNDS, Table, TableDifference, TableRow, WEIGHT_BOUNDS,
@@ -32,7 +33,7 @@
 
 fn any_name(generator: &mut Gen) -> ServiceName {
     let first = generator.choose(b"abz09").copied().unwrap();
-    let length = usize::arbitrary(generator) % table::MAX_SERVICE_NAME_LENGTH;
+    let length = usize::arbitrary(generator) % MAX_SERVICE_NAME_LENGTH;
     let rest = (0..length).map(|_| generator.choose(b"az09-_.").copied().unwrap());
     let bytes: Vec<u8> = std::iter::once(first).chain(rest).collect();
     ServiceName::new(std::str::from_utf8(&bytes).unwrap())
@@ -102,7 +103,12 @@
             column: Column::Weight,
             value: value.to_string(),
         };
-        let edited = table::edit("t.csv", table.0.to_csv().as_bytes(), &edit).unwrap();
+        let edited = table::edit(
+            "t.csv",
+            table.0.to_csv().as_bytes(),
+            std::slice::from_ref(&edit),
+        )
+        .unwrap();
         let difference = TableDifference::between(&table.0, &edited.table);
         difference.after.number == table.0.version().number + 1
             && difference.added.is_empty()
@@ -156,7 +162,7 @@
             column: Column::Weight,
             value: String::new(),
         };
-        table::parse("t.csv", &bytes).is_err() && table::edit("t.csv", &bytes, &edit).is_err()
+        table::parse("t.csv", &bytes).is_err() && table::edit("t.csv", &bytes, &[edit]).is_err()
     }
     check(property as fn(Vec<u8>) -> bool);
 }
