Add stand-ins for the platform, back ends and clients

Cause: the whole path needs something to run against that keeps an account of its own: a read-only configuration service, back ends and clients. Change: lifthollow-standin platform, backend and load, each a process with system-chosen ports and a control port apart from its service; back ends keep a ledger of what ran, clients check every answer to its last byte. Calls are named in the URL, so that ledgers and clients' records compare whatever nodes do with headers.

--- /dev/null
+++ b/crates/standin/src/backend/control.rs
@@ -0,0 +1,67 @@
+//! The test operator's port of a back end: the ledger and the fault switch.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rouille::{Request, Response};
+
+use super::fault::BackendFault;
+use super::handler::Backend;
+
+/// Longest setting that the control port takes.
+const MAX_BODY_BYTES: u64 = 64 * 1024;
+/// Exit status of a back end that was told to die.
+const DIED: i32 = 70;
+
+/// Starts the control port; returns its address.
+pub fn start(listen: SocketAddr, backend: &Arc<Backend>) -> anyhow::Result<SocketAddr> {
+    let backend = Arc::clone(backend);
+    let server = rouille::Server::new(listen, move |request| {
+        handle(&backend, request).unwrap_or_else(|error| {
+            let text = format!("{error:#}\n");
+            Response::text(text).with_status_code(400)
+        })
+    })
+    .map_err(|error| anyhow::anyhow!("cannot listen at {listen}: {error}"))?;
+    let address = server.server_addr();
+    std::thread::spawn(move || server.run());
+    Ok(address)
+}
+
+fn handle(backend: &Backend, request: &Request) -> anyhow::Result<Response> {
+    match (request.method(), request.url().as_str()) {
+        ("GET", "/ledger") => Ok(json(&backend.ledger.report(&backend.service))?),
+        ("GET", "/totals") => Ok(json(&backend.ledger.totals())?),
+        ("PUT", "/fault") => set_fault(backend, request),
+        ("PUT", "/node") => set_node(backend, request),
+        ("POST", "/die") => std::process::exit(DIED),
+        _ => Ok(Response::empty_404()),
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> anyhow::Result<Response> {
+    let text = serde_json::to_vec(value)?;
+    Ok(Response::from_data("application/json", text))
+}
+
+fn set_fault(backend: &Backend, request: &Request) -> anyhow::Result<Response> {
+    let fault: BackendFault = serde_json::from_str(&read_text(request)?)?;
+    backend.set_fault(fault);
+    Ok(Response::text("ok\n"))
+}
+
+fn set_node(backend: &Backend, request: &Request) -> anyhow::Result<Response> {
+    let node: SocketAddr = read_text(request)?.trim().parse()?;
+    backend.nested.set_node(node);
+    Ok(Response::text("ok\n"))
+}
+
+fn read_text(request: &Request) -> anyhow::Result<String> {
+    let body = request
+        .data()
+        .ok_or_else(|| anyhow::anyhow!("the body was read before"))?;
+    let mut text = String::new();
+    body.take(MAX_BODY_BYTES).read_to_string(&mut text)?;
+    Ok(text)
+}
--- /dev/null
+++ b/crates/standin/src/backend/nested.rs
@@ -0,0 +1,147 @@
+//! Calls that a run makes to other services, through the node beside its back end.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::{HeaderMap, Request, Response, body::Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+
+use super::ledger::Ledger;
+use crate::call::{CallName, CallSpecification};
+use crate::headers;
+
+/// Length of the answers to nested calls.
+const NESTED_ANSWER_BYTES: u64 = 256;
+
+/// A nested call that its caller was told had not run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NestedRefusal {
+    /// The service called.
+    pub service: String,
+    /// The call.
+    pub name: CallName,
+}
+
+/// Makes the nested calls of one back end.
+pub struct NestedCalls {
+    services: Vec<String>,
+    node: Mutex<Option<SocketAddr>>,
+    client: Client<HttpConnector, Empty<Bytes>>,
+    identity: String,
+    runs: AtomicU64,
+}
+
+impl NestedCalls {
+    /// Calls to `services` through `node`; `identity` is unique among back ends.
+    pub fn new(services: Vec<String>, node: Option<SocketAddr>, identity: String) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        NestedCalls {
+            services,
+            node: Mutex::new(node),
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            identity,
+            runs: AtomicU64::new(0),
+        }
+    }
+
+    /// Sets the node through which calls go.
+    pub fn set_node(&self, node: SocketAddr) {
+        *self.lock_node() = Some(node);
+    }
+
+    fn lock_node(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes all nested calls of one run, in order; false at the first that fails.
+    pub async fn make(
+        &self,
+        parent: &CallSpecification,
+        parent_headers: &HeaderMap,
+        ledger: &Ledger,
+    ) -> bool {
+        let run = self.runs.fetch_add(1, Ordering::Relaxed);
+        for service in &self.services {
+            let call = self.specification(parent, service, run);
+            ledger.nested_call(&parent.name);
+            if !self.call(service, call, parent_headers, ledger).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn specification(
+        &self,
+        parent: &CallSpecification,
+        service: &str,
+        run: u64,
+    ) -> CallSpecification {
+        let name = CallName {
+            request: parent.name.request.clone(),
+            attempt: parent.name.attempt,
+            caller: format!("{}/{run}", self.identity),
+        };
+        let key = parent.key.as_ref().map(|key| format!("{key}/{service}"));
+        CallSpecification {
+            name,
+            key,
+            answer_bytes: NESTED_ANSWER_BYTES,
+            pace: Duration::ZERO,
+        }
+    }
+
+    async fn call(
+        &self,
+        service: &str,
+        call: CallSpecification,
+        parent_headers: &HeaderMap,
+        ledger: &Ledger,
+    ) -> bool {
+        let Some(request) = self.request(service, &call, parent_headers) else {
+            return false;
+        };
+        let Ok(response) = self.client.request(request).await else {
+            return false;
+        };
+        if is_not_run(&response) {
+            ledger.nested_refused(NestedRefusal {
+                service: service.to_owned(),
+                name: call.name,
+            });
+        }
+        let success = response.status().is_success();
+        response.into_body().collect().await.is_ok() && success
+    }
+
+    fn request(
+        &self,
+        service: &str,
+        call: &CallSpecification,
+        parent_headers: &HeaderMap,
+    ) -> Option<Request<Empty<Bytes>>> {
+        let node = (*self.lock_node())?;
+        let mut builder = Request::post(format!("http://{node}{}", call.to_path()))
+            .header(headers::SERVICE, service);
+        if let Some(context) = parent_headers.get(headers::CONTEXT) {
+            builder = builder.header(headers::CONTEXT, context);
+        }
+        if let Some(key) = &call.key {
+            builder = builder.header(headers::IDEMPOTENCY_KEY, key);
+        }
+        builder.body(Empty::new()).ok()
+    }
+}
+
+fn is_not_run(response: &Response<Incoming>) -> bool {
+    let outcome = response.headers().get(headers::OUTCOME);
+    outcome.is_some_and(|outcome| outcome.as_bytes() == b"not-run")
+}
--- /dev/null
+++ b/crates/standin/tests/standin/backend.rs
@@ -0,0 +1,141 @@
+//! The stand-in of a back end.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use lifthollow_standin::call::{BadCall, CallName, CallSpecification};
+
+use crate::support::{PATIENCE, Standin};
+
+fn path(request: &str, attempt: u32) -> String {
+    CallSpecification {
+        name: CallName {
+            request: request.to_owned(),
+            attempt,
+            caller: String::new(),
+        },
+        key: Some(format!("key-{request}")),
+        answer_bytes: 100,
+        pace: std::time::Duration::ZERO,
+    }
+    .to_path()
+}
+
+fn call(backend: &Standin, request: &str) -> attohttpc::Response {
+    let url = format!("http://{}{}", backend.address(), path(request, 1));
+    attohttpc::post(url).text("body").send().expect("an answer")
+}
+
+/// Sends a call without waiting for its answer.
+fn send_head(stream: &mut TcpStream, request: &str) {
+    let path = path(request, 1);
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("sends");
+}
+
+/// Waits until the back end's totals are as wanted.
+fn wait_for(backend: &Standin, wanted: impl Fn(&lifthollow_standin::backend::Totals) -> bool) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while !wanted(&backend.ledger().totals) {
+        assert!(
+            std::time::Instant::now() < end,
+            "{:?}",
+            backend.ledger().totals
+        );
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn the_ledger_holds_what_ran() {
+    let backend = Standin::start(&["backend", "--service", "topup", "--service-ms", "1"]);
+    assert_eq!(call(&backend, "a").bytes().expect("answer").len(), 100);
+    call(&backend, "a").bytes().expect("answer");
+    let ledger = backend.ledger();
+    assert_eq!(ledger.service, "topup");
+    assert_eq!(ledger.calls.len(), 1);
+    assert_eq!(ledger.calls[0].runs, 2);
+    assert_eq!(ledger.calls[0].key.as_deref(), Some("key-a"));
+    assert_eq!(ledger.calls[0].body_digests.len(), 1);
+}
+
+#[test]
+fn a_full_back_end_sheds_and_a_closed_connection_frees_its_slot() {
+    let arguments = ["backend", "--service", "s", "--slots", "1", "--queue", "0"];
+    let backend = Standin::start(&[&arguments[..], &["--service-ms", "3600000"]].concat());
+    let mut first = TcpStream::connect(backend.address()).expect("connects");
+    send_head(&mut first, "a");
+    wait_for(&backend, |totals| totals.runs == 1);
+    let shed = call(&backend, "b");
+    assert_eq!(shed.status().as_u16(), 503);
+    assert_eq!(shed.headers()["lifthollow-not-run"], "yes");
+    assert!(shed.headers().contains_key("retry-after"));
+    drop(first);
+    wait_for(&backend, |totals| totals.slot_micros > 0);
+    let totals = backend.ledger().totals;
+    assert_eq!((totals.runs, totals.completed, totals.shed), (1, 0, 1));
+}
+
+#[test]
+fn a_waiting_call_is_shed_at_its_deadline() {
+    let arguments = ["backend", "--service", "s", "--slots", "1"];
+    let backend = Standin::start(&[&arguments[..], &["--service-ms", "3600000"]].concat());
+    let mut first = TcpStream::connect(backend.address()).expect("connects");
+    send_head(&mut first, "a");
+    wait_for(&backend, |totals| totals.runs == 1);
+    let url = format!("http://{}{}", backend.address(), path("b", 1));
+    let shed = attohttpc::post(url)
+        .header("lifthollow-deadline-ms", "5")
+        .send()
+        .expect("an answer");
+    assert_eq!(shed.headers()["lifthollow-not-run"], "yes");
+    assert_eq!(backend.ledger().totals.runs, 1);
+}
+
+#[test]
+fn the_fault_switch_makes_errors_and_cuts_answers() {
+    let backend = Standin::start(&["backend", "--service", "s", "--service-ms", "1"]);
+    backend.put("/fault", r#"{"error_ratio": 1.0}"#);
+    assert_eq!(call(&backend, "a").status().as_u16(), 500);
+    backend.put("/fault", r#"{"cut_ratio": 1.0}"#);
+    let mut stream = TcpStream::connect(backend.address()).expect("connects");
+    send_head(&mut stream, "b");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    assert!(head.contains("content-length: 100"));
+    assert!(!body.is_empty() && body.len() < 100);
+    assert_eq!(backend.ledger().totals.runs, 2);
+    backend.put("/fault", r#"{"draining": true}"#);
+    assert_eq!(call(&backend, "c").headers()["lifthollow-not-run"], "yes");
+    let health = attohttpc::get(format!("http://{}/health", backend.address()));
+    assert_eq!(health.send().expect("health").status().as_u16(), 503);
+}
+
+#[test]
+fn health_that_lies_is_green_while_draining() {
+    let backend = Standin::start(&["backend", "--service", "s", "--reports", "green"]);
+    backend.put("/fault", r#"{"draining": true}"#);
+    let health = attohttpc::get(format!("http://{}/health", backend.address()));
+    assert_eq!(health.send().expect("health").status().as_u16(), 200);
+}
+
+#[test]
+fn a_call_survives_its_path() {
+    let call = CallSpecification {
+        name: CallName {
+            request: "load-1".to_owned(),
+            attempt: 2,
+            caller: "4000/7".to_owned(),
+        },
+        key: None,
+        answer_bytes: 9,
+        pace: std::time::Duration::from_millis(3),
+    };
+    let path = call.to_path();
+    let (_, query) = path.split_once('?').expect("a query");
+    assert_eq!(CallSpecification::from_query(query), Ok(call));
+    let missing = CallSpecification::from_query("request=a");
+    assert_eq!(missing, Err(BadCall::Missing("attempt")));
+}
