--- a/crates/protocol/src/answer.rs
+++ b/crates/protocol/src/answer.rs
@@ -86,23 +86,30 @@
 }
 
 /// How an attempt ended, as far as the one who reports it knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum AttemptResult {
     /// The back end ran the call and answered.
+    #[n(0)]
     Completed {
         /// False if the back end's answer says that it failed (HTTP 5xx).
+        #[n(0)]
         success: bool,
     },
     /// The call did not run and will not: no back end has started it.
+    #[n(1)]
     NotRun {
         /// Why it was refused.
+        #[n(0)]
         reason: RefusalReason,
         /// When the caller may come back.
+        #[n(1)]
         retry_after: Duration,
     },
     /// The call may have run.
+    #[n(2)]
     Unknown {
         /// What went wrong.
+        #[n(0)]
         reason: RefusalReason,
     },
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,9 +1,10 @@
 //! Typed messages between lifthollow processes and their minicbor encoding.
 //!
 //! [`answer`] says how an attempt ended, [`load`] what a server reports about
-//! its own load with every answer.
+//! its own load with every answer, [`frame`] how calls cross between nodes.
 
 pub mod answer;
+pub mod frame;
 pub mod load;
 
 pub use answer::{AttemptResult, RefusalReason};
--- /dev/null
+++ b/crates/transport/src/mux/buffered.rs
@@ -0,0 +1,37 @@
+//! Count of body bytes that a node holds.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Body bytes received and not yet read, over all connections it is given to.
+#[derive(Clone, Debug, Default)]
+pub struct BufferedBytes {
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    now: AtomicUsize,
+    peak: AtomicUsize,
+}
+
+impl BufferedBytes {
+    /// Bytes held now.
+    pub fn now(&self) -> usize {
+        self.counts.now.load(Ordering::Relaxed)
+    }
+
+    /// Most bytes held at any time.
+    pub fn peak(&self) -> usize {
+        self.counts.peak.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn add(&self, bytes: usize) {
+        let now = self.counts.now.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.counts.peak.fetch_max(now, Ordering::Relaxed);
+    }
+
+    pub(super) fn remove(&self, bytes: usize) {
+        self.counts.now.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
