--- /dev/null
+++ b/crates/transport/src/http/server.rs
@@ -0,0 +1,102 @@
+//! The HTTP server for callers.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::http::AnyBody;
+
+/// A caller that does not send the head of its request within this time is
+/// disconnected.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after the system refused to accept a connection (out of descriptors).
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers one request. Its future is dropped when the caller hangs up.
+pub trait CallHandler: Send + Sync + 'static {
+    /// Answers `request`.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<AnyBody>> + Send;
+}
+
+/// Takes connections of callers.
+pub struct CallerServer<H> {
+    handler: Arc<H>,
+    max_header_bytes: usize,
+    stop: watch::Receiver<bool>,
+}
+
+impl<H: CallHandler> CallerServer<H> {
+    /// A server that hands requests to `handler`, until `stop` turns true.
+    pub fn new(handler: Arc<H>, max_header_bytes: usize, stop: watch::Receiver<bool>) -> Self {
+        CallerServer {
+            handler,
+            max_header_bytes,
+            stop,
+        }
+    }
+
+    /// Takes connections until told to stop, then waits until every request in
+    /// progress has been answered.
+    pub async fn run(&self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        let mut stop = self.stop.clone();
+        loop {
+            tokio::select! {
+                _ = stop.wait_for(|stopped| *stopped) => break,
+                accepted = listener.accept() => match accepted {
+                    Ok((socket, _)) => self.spawn(socket, &mut connections),
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                },
+                Some(_) = connections.join_next() => {}
+            }
+        }
+        drop(listener);
+        while connections.join_next().await.is_some() {}
+    }
+
+    fn spawn(&self, socket: TcpStream, connections: &mut JoinSet<io::Result<()>>) {
+        let handler = self.handler.clone();
+        let stop = self.stop.clone();
+        let max_header_bytes = self.max_header_bytes;
+        connections.spawn(async move {
+            socket.set_nodelay(true)?;
+            serve(socket, handler, max_header_bytes, stop).await
+        });
+    }
+}
+
+async fn serve<H: CallHandler>(
+    socket: TcpStream,
+    handler: Arc<H>,
+    max_header_bytes: usize,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(max_header_bytes)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => return result.map_err(io::Error::other),
+        _ = stop.wait_for(|stopped| *stopped) => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await.map_err(io::Error::other)
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,5 +2,13 @@
 //! ends, control datagrams and signals.
 //!
 //! Nothing here decides; the daemon ties it to the decisions.
+//!
+//! - [`mux`]: calls between nodes over long-lived TCP connections;
+//! - [`http`]: callers on one side, back ends on the other;
+//! - [`datagram`]: messages between control threads over UDP;
+//! - [`signals`]: the planned stop.
 
+pub mod datagram;
+pub mod http;
 pub mod mux;
+pub mod signals;
