--- a/crates/transport/src/http/backend.rs
+++ b/crates/transport/src/http/backend.rs
@@ -70,6 +70,9 @@
         let mut request = request;
         loop {
             let mut connection = self.connection().await?;
+            if connection.sender.ready().await.is_err() {
+                continue;
+            }
             let sent = connection.sender.try_send_request(request).await;
             let mut error = match sent {
                 Ok(response) => return Ok(self.with_connection(response, connection)),
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -61,12 +61,12 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// A connection that can be used at once.
+    /// A connection that was still open when last heard of.
     pub(super) fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.lock();
         while let Some(candidate) = idle.pop() {
-            let usable = candidate.connection.sender.is_ready();
-            if usable && candidate.since.elapsed() < MAX_IDLE {
+            let open = !candidate.connection.sender.is_closed();
+            if open && candidate.since.elapsed() < MAX_IDLE {
                 return Some(candidate.connection);
             }
         }
