lifthollowd: one call served end to end through two nodes to a back end

Cause: nothing ran yet; every later measurement needs the whole path. Change: multiplexed TCP between nodes, HTTP towards callers and back ends, the control thread with its channels, the platform's reader, the operators' port, the planned stop.

--- /dev/null
+++ b/crates/daemon/src/control/input.rs
@@ -0,0 +1,95 @@
+//! What the control thread is told, and what it tells the tasks of calls.
+
+use lifthollow_coordination::inbound::{Attempt, InboundEvent, InboundId};
+use lifthollow_coordination::outbound::{Call, CallId, OutboundEffect, OutboundEvent};
+use lifthollow_coordination::{NodeEvent, fleet::FleetEvent};
+use lifthollow_protocol::{AttemptResult, LoadReport};
+use lifthollow_state::{RetryAllowance, Timestamp};
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub enum ControlInput {
+    /// A caller makes a call.
+    CallArrived {
+        /// Its number.
+        id: CallId,
+        /// The call.
+        description: Box<Call>,
+        /// Where the effects for the call go.
+        effects: flume::Sender<OutboundEffect>,
+    },
+    /// Another node sends an attempt.
+    AttemptArrived {
+        /// Its number.
+        id: InboundId,
+        /// The attempt.
+        attempt: Box<Attempt>,
+        /// Where the effects for the attempt go.
+        effects: flume::Sender<AttemptEffect>,
+    },
+    /// Something else happened.
+    Event(NodeEvent),
+    /// The task of an attempt wants no more effects than those decided so far.
+    AttemptReleased {
+        /// The attempt.
+        id: InboundId,
+    },
+    /// A planned stop begins.
+    Leave,
+    /// The thread ends.
+    Stop,
+}
+
+/// What the control thread wants done for an attempt of another node.
+#[derive(Clone, Debug)]
+pub enum AttemptEffect {
+    /// Run it on the back end.
+    Run {
+        /// When the back end should give up.
+        deadline: Timestamp,
+    },
+    /// Answer the caller's node.
+    Answer {
+        /// How the attempt ended.
+        result: AttemptResult,
+        /// The load of this node.
+        load: LoadReport,
+        /// Retries lent with the attempt that were not spent.
+        unspent: RetryAllowance,
+    },
+    /// Tell the back end to give up.
+    CancelRun,
+}
+
+/// Sends messages to the control thread; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ControlHandle(flume::Sender<ControlInput>);
+
+impl ControlHandle {
+    /// A handle and the channel's other end.
+    pub fn channel() -> (ControlHandle, flume::Receiver<ControlInput>) {
+        let (sender, receiver) = flume::unbounded();
+        (ControlHandle(sender), receiver)
+    }
+
+    /// Sends one message. It is lost if the control thread has ended, which only
+    /// happens when the process ends.
+    pub fn send(&self, input: ControlInput) {
+        let _ = self.0.send(input);
+    }
+
+    /// Reports an event of the caller's side.
+    pub fn outbound(&self, event: OutboundEvent) {
+        self.send(ControlInput::Event(NodeEvent::Outbound(event)));
+    }
+
+    /// Reports an event of the server's side.
+    pub fn inbound(&self, event: InboundEvent) {
+        self.send(ControlInput::Event(NodeEvent::Inbound(event)));
+    }
+
+    /// Reports an event of the platform or of other nodes.
+    pub fn fleet(&self, event: FleetEvent) {
+        self.send(ControlInput::Event(NodeEvent::Fleet(event)));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/thread.rs
@@ -0,0 +1,274 @@
+//! The loop of the control thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::RecvTimeoutError;
+use slog::{Logger, info, warn};
+
+use lifthollow_coordination::fleet::{FleetEffect, FleetEvent};
+use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, InboundId};
+use lifthollow_coordination::outbound::{CallAnswer, CallId, OutboundEffect, OutboundEvent};
+use lifthollow_coordination::{Node, NodeEffect, NodeEvent};
+use lifthollow_protocol::{AttemptResult, RefusalReason};
+use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_transport::datagram::DatagramSender;
+
+use crate::clock::Clock;
+use crate::control::router::{Router, Subject};
+use crate::control::{AttemptEffect, ControlInput, ControlSnapshot, SharedState};
+use crate::operators::{Metrics, Outcome, Refusal, RefusalLog, RefusalState};
+use crate::platform::PlatformRequest;
+
+/// How often the state is posted for operators.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What the control thread works with.
+pub struct ControlParts {
+    /// The decisions.
+    pub node: Node,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Where messages come in.
+    pub inputs: flume::Receiver<ControlInput>,
+    /// Where datagrams go out.
+    pub socket: DatagramSender,
+    /// Where the platform's thread is asked to read something.
+    pub platform: flume::Sender<PlatformRequest>,
+    /// Where state is posted.
+    pub shared: Arc<SharedState>,
+    /// Recent refusals, for operators.
+    pub refusals: Arc<RefusalLog>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// The log.
+    pub log: Logger,
+}
+
+/// The control thread's state.
+pub struct ControlThread {
+    parts: ControlParts,
+    router: Router,
+    effects: Vec<NodeEffect>,
+    leaving: bool,
+    next_snapshot: Timestamp,
+}
+
+impl ControlThread {
+    /// A control thread that has handled nothing yet.
+    pub fn new(parts: ControlParts) -> Self {
+        ControlThread {
+            parts,
+            router: Router::default(),
+            effects: Vec::new(),
+            leaving: false,
+            next_snapshot: Timestamp::ZERO,
+        }
+    }
+
+    /// Handles messages until told to stop.
+    pub fn run(mut self) {
+        self.handle(NodeEvent::Wake);
+        loop {
+            let now = self.parts.clock.now();
+            self.post_snapshot_if_due(now);
+            let wake = self.parts.node.next_wake(now).min(self.next_snapshot);
+            let wake = self.parts.clock.instant(wake);
+            match self.parts.inputs.recv_deadline(wake) {
+                Ok(ControlInput::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(input) => self.take_in(input),
+                Err(RecvTimeoutError::Timeout) => self.handle(NodeEvent::Wake),
+            }
+        }
+    }
+
+    fn take_in(&mut self, input: ControlInput) {
+        match input {
+            ControlInput::CallArrived {
+                id,
+                description,
+                effects,
+            } => {
+                let subject = Subject {
+                    service: description.service.clone(),
+                    request: description.context.request,
+                };
+                self.router.add_call(id, subject, effects);
+                let arrived = OutboundEvent::CallArrived {
+                    call: id,
+                    description: *description,
+                };
+                self.handle(NodeEvent::Outbound(arrived));
+            }
+            ControlInput::AttemptArrived {
+                id,
+                attempt,
+                effects,
+            } => {
+                let subject = Subject {
+                    service: attempt.service.clone(),
+                    request: attempt.context.request,
+                };
+                self.router.add_inbound(id, subject, effects);
+                let attempt = *attempt;
+                self.handle(NodeEvent::Inbound(InboundEvent::AttemptArrived {
+                    id,
+                    attempt,
+                }));
+            }
+            ControlInput::Event(event) => self.take_in_event(event),
+            ControlInput::AttemptReleased { id } => self.router.remove_inbound(id),
+            ControlInput::Leave => self.leave(),
+            ControlInput::Stop => {}
+        }
+    }
+
+    fn take_in_event(&mut self, event: NodeEvent) {
+        let cancelled = match &event {
+            NodeEvent::Outbound(OutboundEvent::CallCancelled { call }) => Some(*call),
+            _ => None,
+        };
+        self.handle(event);
+        if let Some(call) = cancelled {
+            self.router.remove_call(call);
+        }
+    }
+
+    fn leave(&mut self) {
+        if self.leaving {
+            return;
+        }
+        self.leaving = true;
+        self.handle(NodeEvent::Fleet(FleetEvent::Leave));
+        self.handle(NodeEvent::Inbound(InboundEvent::Leave));
+    }
+
+    fn handle(&mut self, event: NodeEvent) {
+        let now = self.parts.clock.now();
+        let mut effects = std::mem::take(&mut self.effects);
+        let table_before = self.parts.node.view().table.version();
+        let directory_before = self.parts.node.view().directory.clone();
+        self.parts.node.handle(now, event, &mut effects);
+        let view = self.parts.node.view();
+        let same_directory = Arc::ptr_eq(&view.directory, &directory_before);
+        if view.table.version() != table_before || !same_directory {
+            self.parts.shared.post_view(view.clone());
+        }
+        for effect in effects.drain(..) {
+            self.carry_out(now, effect);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, now: Timestamp, effect: NodeEffect) {
+        match effect {
+            NodeEffect::Outbound(effect) => self.carry_out_outbound(now, effect),
+            NodeEffect::Inbound(effect) => self.carry_out_inbound(now, effect),
+            NodeEffect::Fleet(effect) => self.carry_out_fleet(effect),
+        }
+    }
+
+    fn carry_out_outbound(&mut self, now: Timestamp, effect: OutboundEffect) {
+        if let OutboundEffect::Answer { call, answer, .. } = &effect {
+            self.record_call_refusal(now, *call, answer);
+        }
+        self.router.route_call(effect);
+    }
+
+    fn record_call_refusal(&self, now: Timestamp, call: CallId, answer: &CallAnswer) {
+        let Some(subject) = self.router.call_subject(call) else {
+            return;
+        };
+        let (reason, outcome) = match answer {
+            CallAnswer::Deliver { .. } => return,
+            CallAnswer::NotRun { reason, .. } => (*reason, Outcome::NotRun),
+            CallAnswer::Unknown { reason, .. } => (*reason, Outcome::Unknown),
+        };
+        let view = self.parts.node.view();
+        let state = RefusalState::of_servers(view, &subject.service);
+        self.record_refusal(now, subject, reason, outcome, state);
+    }
+
+    fn record_refusal(
+        &self,
+        now: Timestamp,
+        subject: &Subject,
+        reason: RefusalReason,
+        outcome: Outcome,
+        state: RefusalState,
+    ) {
+        self.parts
+            .metrics
+            .refused(&subject.service, state.place(), reason);
+        self.parts.refusals.add(Refusal {
+            at_seconds: now.as_secs_f64(),
+            service: subject.service.to_string(),
+            request: format!("{:032x}", subject.request.0),
+            outcome: outcome.as_str(),
+            reason: reason.as_str(),
+            state,
+        });
+    }
+
+    fn carry_out_inbound(&mut self, now: Timestamp, effect: InboundEffect) {
+        match effect {
+            InboundEffect::Run { id, deadline } => {
+                self.router
+                    .route_inbound(id, AttemptEffect::Run { deadline });
+            }
+            InboundEffect::CancelRun { id } => {
+                self.router.route_inbound(id, AttemptEffect::CancelRun);
+            }
+            InboundEffect::Answer { id, result } => self.answer_attempt(now, id, result),
+        }
+    }
+
+    fn answer_attempt(&mut self, now: Timestamp, id: InboundId, result: AttemptResult) {
+        let Some(subject) = self.router.inbound_subject(id) else {
+            return;
+        };
+        let load = self.parts.node.load(now, &subject.service);
+        if let AttemptResult::NotRun { reason, .. } = result {
+            let state = RefusalState::of_load(load);
+            self.record_refusal(now, subject, reason, Outcome::NotRun, state);
+        }
+        let effect = AttemptEffect::Answer {
+            result,
+            load,
+            unspent: RetryAllowance(0),
+        };
+        self.router.route_inbound(id, effect);
+    }
+
+    fn carry_out_fleet(&mut self, effect: FleetEffect) {
+        match effect {
+            FleetEffect::FetchTable => self.ask_platform(PlatformRequest::Table),
+            FleetEffect::FetchMachines => self.ask_platform(PlatformRequest::Machines),
+            FleetEffect::Send { to, message } => {
+                let sent = self.parts.socket.send(to, &message);
+                self.parts.metrics.datagram_sent(sent.is_ok());
+            }
+            FleetEffect::Leave => self.leave(),
+            FleetEffect::Report(report) if report.is_warning() => {
+                warn!(self.parts.log, "fleet"; "report" => report.as_str(), "detail" => %report);
+            }
+            FleetEffect::Report(report) => {
+                info!(self.parts.log, "fleet"; "report" => report.as_str(), "detail" => %report);
+            }
+        }
+    }
+
+    fn ask_platform(&self, request: PlatformRequest) {
+        let _ = self.parts.platform.send(request);
+    }
+
+    fn post_snapshot_if_due(&mut self, now: Timestamp) {
+        if now < self.next_snapshot {
+            return;
+        }
+        self.next_snapshot = now + SNAPSHOT_INTERVAL;
+        let calls = self.router.calls();
+        let snapshot = ControlSnapshot::of(&self.parts.node, now, calls, self.leaving);
+        self.parts.shared.post_snapshot(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,322 @@
+//! Starting a node and stopping it as planned.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use lifthollow_coordination::fleet::FleetEvent;
+use lifthollow_coordination::{Node, NodeSettings};
+use lifthollow_state::{Incarnation, NodeId, ServiceName};
+use lifthollow_transport::datagram::{DatagramReceiver, Received};
+use lifthollow_transport::http::{BackendPool, CallerServer};
+use lifthollow_transport::mux::{BufferedBytes, MuxServer, PeerPool};
+
+use crate::clock::Clock;
+use crate::control::{ControlHandle, ControlInput, ControlParts, ControlThread, SharedState};
+use crate::node_sockets::NodeSockets;
+use crate::operators::{Metrics, OperatorsServer, OperatorsState, RefusalLog};
+use crate::platform::PlatformReader;
+use crate::settings::Settings;
+use crate::traffic::attempt::serve_attempts;
+use crate::traffic::{Traffic, TrafficParts};
+
+/// How long a leaving node waits for other nodes to close their connections
+/// after the last call has ended.
+const GOODBYE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often it looks.
+const GOODBYE_POLL: Duration = Duration::from_millis(10);
+/// Connections to a back end before a table says how many there may be.
+const INITIAL_CONNECTIONS: usize = 1;
+
+/// Where a running node listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Other nodes, TCP and UDP.
+    pub node: NodeId,
+    /// Callers, HTTP.
+    pub callers: SocketAddr,
+    /// Operators, HTTP.
+    pub operators: SocketAddr,
+}
+
+/// A running node.
+pub struct Daemon {
+    addresses: Addresses,
+    settings: Settings,
+    log: Logger,
+    runtime: Runtime,
+    traffic: Arc<Traffic>,
+    mux: Arc<MuxServer>,
+    stop_callers: watch::Sender<bool>,
+    callers_ended: tokio::task::JoinHandle<()>,
+    control_thread: JoinHandle<()>,
+    operators: OperatorsServer,
+    buffered: BufferedBytes,
+}
+
+impl Daemon {
+    /// Binds all ports and starts all threads.
+    pub fn start(settings: Settings, log: Logger) -> Result<Daemon> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.call_threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .context("traffic threads")?;
+        let sockets = runtime
+            .block_on(NodeSockets::bind(settings.node))
+            .with_context(|| format!("node's port {}", settings.node))?;
+        let callers = runtime
+            .block_on(TcpListener::bind(settings.callers))
+            .with_context(|| format!("callers' port {}", settings.callers))?;
+        Starting::new(settings, log, runtime, sockets.node)?.run(sockets, callers)
+    }
+
+    /// Where the node listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Body bytes that are held for other nodes' calls.
+    pub fn buffered(&self) -> &BufferedBytes {
+        &self.buffered
+    }
+
+    /// The planned stop: no new work, everything in progress is finished, at the
+    /// latest after the settings' time. True if nothing was cut.
+    pub fn stop(self) -> bool {
+        info!(self.log, "stop_begun"; "in_progress" => self.traffic.in_progress.count());
+        self.traffic.leave();
+        self.traffic.control.send(ControlInput::Leave);
+        let nothing_cut = self.runtime.block_on(self.finish_calls());
+        if !nothing_cut {
+            warn!(self.log, "stop_cut"; "in_progress" => self.traffic.in_progress.count());
+        }
+        self.traffic.control.send(ControlInput::Stop);
+        let _ = self.control_thread.join();
+        self.operators.stop();
+        self.runtime.shutdown_background();
+        info!(self.log, "stopped"; "nothing_cut" => nothing_cut);
+        nothing_cut
+    }
+
+    async fn finish_calls(&self) -> bool {
+        let finished = timeout(self.settings.stop_timeout, async {
+            self.traffic.in_progress.none().await;
+            let _ = self.stop_callers.send(true);
+            while !self.callers_ended.is_finished() {
+                tokio::time::sleep(GOODBYE_POLL).await;
+            }
+        })
+        .await;
+        self.mux.leave();
+        let _ = timeout(GOODBYE_TIMEOUT, async {
+            while self.mux.open_connections() > 0 {
+                tokio::time::sleep(GOODBYE_POLL).await;
+            }
+        })
+        .await;
+        finished.is_ok()
+    }
+}
+
+/// The parts of a node that are made before it runs.
+struct Starting {
+    settings: Settings,
+    log: Logger,
+    runtime: Runtime,
+    node: NodeId,
+    clock: Clock,
+    control: ControlHandle,
+    inputs: flume::Receiver<ControlInput>,
+    shared: Arc<SharedState>,
+    refusals: Arc<RefusalLog>,
+    metrics: Arc<Metrics>,
+    buffered: BufferedBytes,
+}
+
+impl Starting {
+    fn new(settings: Settings, log: Logger, runtime: Runtime, node: NodeId) -> Result<Self> {
+        let (control, inputs) = ControlHandle::channel();
+        Ok(Starting {
+            settings,
+            log,
+            runtime,
+            node,
+            clock: Clock::start(),
+            control,
+            inputs,
+            shared: Arc::default(),
+            refusals: Arc::default(),
+            metrics: Arc::new(Metrics::new()?),
+            buffered: BufferedBytes::default(),
+        })
+    }
+
+    fn run(self, sockets: NodeSockets, callers: TcpListener) -> Result<Daemon> {
+        let operators = self.start_operators()?;
+        let addresses = Addresses {
+            node: self.node,
+            callers: callers.local_addr()?,
+            operators: operators.address(),
+        };
+        let traffic = Arc::new(self.traffic());
+        let mux = self.start_mux(&traffic, sockets.listener);
+        self.start_datagrams(sockets.receiver);
+        let (stop_callers, stop) = watch::channel(false);
+        let server = CallerServer::new(traffic.clone(), self.settings.max_header_bytes, stop);
+        let callers_ended = self.runtime.spawn(async move { server.run(callers).await });
+        let node = Node::new(self.node_settings());
+        let control_thread = self.start_control(node, sockets.sender)?;
+        Ok(Daemon {
+            addresses,
+            settings: self.settings,
+            log: self.log,
+            runtime: self.runtime,
+            traffic,
+            mux,
+            stop_callers,
+            callers_ended,
+            control_thread,
+            operators,
+            buffered: self.buffered,
+        })
+    }
+
+    fn start_operators(&self) -> Result<OperatorsServer> {
+        let state = OperatorsState {
+            shared: self.shared.clone(),
+            refusals: self.refusals.clone(),
+            metrics: self.metrics.clone(),
+            buffered: self.buffered.clone(),
+        };
+        OperatorsServer::start(self.settings.operators, state)
+    }
+
+    fn traffic(&self) -> Traffic {
+        Traffic::new(TrafficParts {
+            clock: self.clock,
+            control: self.control.clone(),
+            shared: self.shared.clone(),
+            peers: PeerPool::new(self.node, self.buffered.clone()),
+            backends: self.backends(),
+            metrics: self.metrics.clone(),
+            buffered_body_bytes: self.settings.buffered_body_bytes,
+            side: self.settings.side,
+            process_nonce: rand::random(),
+        })
+    }
+
+    fn backends(&self) -> BTreeMap<ServiceName, BackendPool> {
+        let max_header_bytes = self.settings.max_header_bytes;
+        let pool = |address| BackendPool::new(address, INITIAL_CONNECTIONS, max_header_bytes);
+        let backends = self.settings.backends.iter();
+        backends
+            .map(|backend| (backend.service.clone(), pool(backend.address)))
+            .collect()
+    }
+
+    fn start_mux(&self, traffic: &Arc<Traffic>, listener: TcpListener) -> Arc<MuxServer> {
+        let (sender, attempts) = flume::unbounded();
+        let mux = Arc::new(MuxServer::new(self.node, sender, self.buffered.clone()));
+        let server = mux.clone();
+        let log = self.log.clone();
+        self.runtime.spawn(async move {
+            if let Err(error) = server.run(listener).await {
+                warn!(log, "node_port_failed"; "error" => %error);
+            }
+        });
+        self.runtime
+            .spawn(serve_attempts(traffic.clone(), attempts));
+        mux
+    }
+
+    fn start_datagrams(&self, receiver: DatagramReceiver) {
+        let control = self.control.clone();
+        let metrics = self.metrics.clone();
+        self.runtime
+            .spawn(receive_datagrams(receiver, control, metrics));
+    }
+
+    fn start_control(
+        &self,
+        node: Node,
+        socket: lifthollow_transport::datagram::DatagramSender,
+    ) -> Result<JoinHandle<()>> {
+        let (platform, requests) = flume::unbounded();
+        let reader = PlatformReader {
+            table: self.settings.platform_table,
+            machines: self.settings.platform_machines,
+            control: self.control.clone(),
+            metrics: self.metrics.clone(),
+            log: self.log.clone(),
+        };
+        std::thread::Builder::new()
+            .name("platform".to_owned())
+            .spawn(move || reader.run(requests))?;
+        let control = ControlThread::new(ControlParts {
+            node,
+            clock: self.clock,
+            inputs: self.inputs.clone(),
+            socket,
+            platform,
+            shared: self.shared.clone(),
+            refusals: self.refusals.clone(),
+            metrics: self.metrics.clone(),
+            log: self.log.clone(),
+        });
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || control.run())?;
+        Ok(thread)
+    }
+
+    fn node_settings(&self) -> NodeSettings {
+        let settings = &self.settings;
+        let backends = settings.backends.iter();
+        let seeds = settings.seed_nodes.iter().copied();
+        NodeSettings {
+            node: self.node,
+            incarnation: Incarnation(microseconds_of_wall_clock()),
+            side: settings.side,
+            zone: settings.zone,
+            services: backends.map(|backend| backend.service.clone()).collect(),
+            seeds: seeds.map(NodeId::from_address).collect(),
+            policy: settings.policy,
+            seed: settings.random_seed.unwrap_or_else(rand::random),
+        }
+    }
+}
+
+/// The wall clock is read once, at the start; it only orders lives of a node.
+fn microseconds_of_wall_clock() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |passed| passed.as_micros() as u64)
+}
+
+async fn receive_datagrams(
+    receiver: DatagramReceiver,
+    control: ControlHandle,
+    metrics: Arc<Metrics>,
+) {
+    loop {
+        match receiver.receive().await {
+            Ok(Received::Message { from, message }) => {
+                metrics.datagram_received(true);
+                control.fleet(FleetEvent::Message { from, message });
+            }
+            Ok(Received::Malformed { .. }) => metrics.datagram_received(false),
+            // An earlier datagram met a closed port; the socket itself is well.
+            Err(_) => {}
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,46 @@
 //! Entry point of `lifthollowd`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use anyhow::Result;
+use slog::{Logger, error, info};
+
+use lifthollow_daemon::daemon::Daemon;
+use lifthollow_daemon::logging;
+use lifthollow_daemon::settings::{self, Flags, Settings};
+use lifthollow_transport::signals::StopSignals;
+
+fn main() -> ExitCode {
+    let flags: Flags = argh::from_env();
+    let settings = match settings::load(&flags) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if flags.check {
+        return ExitCode::SUCCESS;
+    }
+    let (log, _guard) = logging::json_lines(settings.log_level);
+    match run(settings, &log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            error!(log, "failed"; "error" => format!("{failure:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: Settings, log: &Logger) -> Result<()> {
+    let mut signals = StopSignals::register()?;
+    let daemon = Daemon::start(settings, log.clone())?;
+    let addresses = daemon.addresses();
+    info!(log, "listening";
+        "node" => %addresses.node,
+        "callers" => %addresses.callers,
+        "operators" => %addresses.operators);
+    signals.wait();
+    daemon.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/answer.rs
@@ -0,0 +1,108 @@
+//! What callers are answered.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use lifthollow_protocol::RefusalReason;
+use lifthollow_protocol::frame::AnswerHead;
+use lifthollow_transport::http::{AnyBody, header};
+
+use crate::operators::Outcome;
+use crate::traffic::caller_headers::HeaderFaults;
+use crate::traffic::request_body::ReadError;
+
+/// `complete`, `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("lifthollow-outcome");
+/// Why there is no complete answer.
+pub const REASON: HeaderName = HeaderName::from_static("lifthollow-reason");
+/// When to come back, milliseconds.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("lifthollow-retry-after-ms");
+/// The outcome of an answer from a back end.
+pub const COMPLETE: &str = "complete";
+
+/// Reason of a call whose headers have faults.
+const BAD_HEADERS: &str = "bad_headers";
+/// Reason of a keyed call whose body is too large.
+const BODY_TOO_LARGE: &str = "body_too_large";
+/// Reason of a call whose body ended early.
+const BODY_BROKEN: &str = "body_broken";
+
+/// The head of a back end's answer; the body is put in by the caller.
+pub fn delivered(head: &AnswerHead, body: AnyBody) -> Response<AnyBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = header::to_header_map(&head.headers);
+    let outcome = HeaderValue::from_static(COMPLETE);
+    response.headers_mut().insert(OUTCOME, outcome);
+    response
+}
+
+/// The answer to a call that was given up.
+pub fn refused(
+    outcome: Outcome,
+    reason: RefusalReason,
+    retry_after: Duration,
+) -> Response<AnyBody> {
+    let status = match outcome {
+        Outcome::NotRun => not_run_status(reason),
+        Outcome::Unknown => unknown_status(reason),
+    };
+    let mut response = without_answer(status, outcome, reason.as_str(), reason.as_str());
+    let seconds = retry_after.as_millis().div_ceil(1000) as u64;
+    let milliseconds = retry_after.as_millis() as u64;
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    headers.insert(RETRY_AFTER_MS, HeaderValue::from(milliseconds));
+    response
+}
+
+/// The answer to a call whose headers have faults.
+pub fn bad_headers(faults: &HeaderFaults) -> Response<AnyBody> {
+    let text = faults.to_string();
+    without_answer(StatusCode::BAD_REQUEST, Outcome::NotRun, BAD_HEADERS, &text)
+}
+
+/// The answer to a call whose body could not be read.
+pub fn body_not_taken(error: &ReadError) -> Response<AnyBody> {
+    let (status, reason) = match error {
+        ReadError::KeyedTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE),
+        ReadError::Broken(_) => (StatusCode::BAD_REQUEST, BODY_BROKEN),
+    };
+    without_answer(status, Outcome::NotRun, reason, &error.to_string())
+}
+
+fn not_run_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::UnknownService => StatusCode::NOT_FOUND,
+        RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn unknown_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::DeadlineTooShort => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn without_answer(
+    status: StatusCode,
+    outcome: Outcome,
+    reason: &'static str,
+    text: &str,
+) -> Response<AnyBody> {
+    let line = format!("{}\n", text.trim_end());
+    let body = Full::new(Bytes::from(line)).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    headers.insert(REASON, HeaderValue::from_static(reason));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/call.rs
@@ -0,0 +1,256 @@
+//! One call of a local caller, from its request to its answer.
+
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::future::{AbortHandle, Abortable};
+use futures_util::stream::FuturesUnordered;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use lifthollow_coordination::outbound::{
+    AttemptId, Call, CallAnswer, CallId, OutboundEffect, OutboundEvent,
+};
+use lifthollow_protocol::RefusalReason;
+use lifthollow_transport::http::AnyBody;
+use lifthollow_transport::http::server::CallHandler;
+
+use crate::control::{ControlHandle, ControlInput};
+use crate::operators::Outcome;
+use crate::traffic::caller_headers::{self, CallerHeaders};
+use crate::traffic::delivery::deliver;
+use crate::traffic::describe::{describe, request_head};
+use crate::traffic::dispatch::{
+    AttemptOutcome, AttemptResponse, Dispatch, RequestHead, send_attempt,
+};
+use crate::traffic::in_progress::InProgressGuard;
+use crate::traffic::request_body::{self, ReadError, RequestBody};
+use crate::traffic::{Traffic, answer};
+
+/// When a caller may come back to a node that is leaving: long enough for the
+/// client's list of nodes to change.
+const RETRY_AFTER_LEAVING: Duration = Duration::from_secs(1);
+
+impl CallHandler for Traffic {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnyBody> {
+        let in_progress = self.in_progress.enter();
+        match caller_headers::parse(request.headers()) {
+            Ok(headers) => serve(self, headers, request, in_progress).await,
+            Err(faults) => answer::bad_headers(&faults),
+        }
+    }
+}
+
+async fn serve(
+    traffic: Arc<Traffic>,
+    headers: CallerHeaders,
+    request: Request<Incoming>,
+    in_progress: InProgressGuard,
+) -> Response<AnyBody> {
+    let arrived = traffic.clock.now();
+    let parent = headers
+        .context
+        .and_then(|token| traffic.parents.find(token));
+    if traffic.is_leaving() && parent.is_none() {
+        let reason = RefusalReason::Leaving;
+        return answer::refused(Outcome::NotRun, reason, RETRY_AFTER_LEAVING);
+    }
+    let (parts, incoming) = request.into_parts();
+    let body = match read_body(&traffic, &headers, incoming).await {
+        Ok(body) => body,
+        Err(error) => return answer::body_not_taken(&error),
+    };
+    let id = traffic.next_call();
+    let description = describe(&traffic, id, &headers, parent, &body);
+    let head = request_head(&parts, &headers, &body);
+    let service = headers.service;
+    let driver = CallDriver::start(traffic.clone(), id, description, head, body, in_progress);
+    let response = driver.run().await;
+    let outcome = response.headers().get(answer::OUTCOME);
+    let outcome = outcome.and_then(|value| value.to_str().ok());
+    let duration = traffic.clock.now() - arrived;
+    traffic
+        .metrics
+        .answered(&service, outcome.unwrap_or_default(), duration);
+    response
+}
+
+async fn read_body(
+    traffic: &Traffic,
+    headers: &CallerHeaders,
+    incoming: Incoming,
+) -> Result<RequestBody, ReadError> {
+    if headers.idempotency_key.is_some() {
+        return request_body::read_keyed(incoming).await;
+    }
+    request_body::read(incoming, traffic.buffered_body_bytes).await
+}
+
+type AttemptFuture = Abortable<Pin<Box<dyn Future<Output = AttemptOutcome> + Send>>>;
+
+/// Carries out what is decided for one call.
+struct CallDriver {
+    traffic: Arc<Traffic>,
+    effects: flume::Receiver<OutboundEffect>,
+    request: Arc<RequestHead>,
+    body: CallBody,
+    attempts: FuturesUnordered<AttemptFuture>,
+    abort_handles: BTreeMap<AttemptId, AbortHandle>,
+    responses: BTreeMap<AttemptId, AttemptResponse>,
+    hang_up: HangUpGuard,
+    in_progress: InProgressGuard,
+}
+
+/// Reports the caller's hanging up if it is dropped before the answer.
+struct HangUpGuard {
+    call: CallId,
+    control: ControlHandle,
+    answered: bool,
+}
+
+impl Drop for HangUpGuard {
+    fn drop(&mut self) {
+        if !self.answered {
+            let call = self.call;
+            self.control.outbound(OutboundEvent::CallCancelled { call });
+        }
+    }
+}
+
+/// A call's body as it is handed to attempts.
+struct CallBody(Option<RequestBody>);
+
+impl CallBody {
+    /// The body for the next attempt; `None` if it was streamed to an earlier one.
+    fn next(&mut self) -> Option<RequestBody> {
+        match &self.0 {
+            Some(RequestBody::Buffered(bytes)) => Some(RequestBody::Buffered(bytes.clone())),
+            _ => self.0.take(),
+        }
+    }
+}
+
+impl CallDriver {
+    fn start(
+        traffic: Arc<Traffic>,
+        id: CallId,
+        description: Call,
+        request: RequestHead,
+        body: RequestBody,
+        in_progress: InProgressGuard,
+    ) -> Self {
+        let (sender, effects) = flume::unbounded();
+        traffic.control.send(ControlInput::CallArrived {
+            id,
+            description: Box::new(description),
+            effects: sender,
+        });
+        let hang_up = HangUpGuard {
+            call: id,
+            control: traffic.control.clone(),
+            answered: false,
+        };
+        CallDriver {
+            traffic,
+            effects,
+            request: Arc::new(request),
+            body: CallBody(Some(body)),
+            attempts: FuturesUnordered::new(),
+            abort_handles: BTreeMap::new(),
+            responses: BTreeMap::new(),
+            hang_up,
+            in_progress,
+        }
+    }
+
+    async fn run(mut self) -> Response<AnyBody> {
+        loop {
+            tokio::select! {
+                effect = self.effects.recv_async() => match effect {
+                    Ok(OutboundEffect::Dispatch { attempt, server, context, .. }) => {
+                        self.dispatch(Dispatch { attempt, server, context });
+                    }
+                    Ok(OutboundEffect::Cancel { attempt }) => self.cancel(attempt),
+                    Ok(OutboundEffect::Answer { answer, .. }) => return self.answer(answer).await,
+                    // The control thread ends only with the process.
+                    Err(_) => return self.lost(),
+                },
+                Some(outcome) = self.attempts.next(), if !self.attempts.is_empty() => {
+                    if let Ok(outcome) = outcome {
+                        self.answered(outcome);
+                    }
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) {
+        let attempt = dispatch.attempt;
+        let Some(body) = self.body.next() else {
+            return self.report(AttemptOutcome::not_sent(&dispatch));
+        };
+        let traffic = self.traffic.clone();
+        let sending = send_attempt(traffic, self.request.clone(), body, dispatch);
+        let (abort_handle, registration) = AbortHandle::new_pair();
+        self.abort_handles.insert(attempt, abort_handle);
+        self.attempts
+            .push(Abortable::new(Box::pin(sending), registration));
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        self.responses.remove(&attempt);
+        if let Some(abort_handle) = self.abort_handles.remove(&attempt) {
+            abort_handle.abort();
+        }
+    }
+
+    /// An attempt that was given up meanwhile is reported no more.
+    fn answered(&mut self, outcome: AttemptOutcome) {
+        if self.abort_handles.remove(&outcome.attempt).is_some() {
+            self.report(outcome);
+        }
+    }
+
+    fn report(&mut self, outcome: AttemptOutcome) {
+        let AttemptOutcome {
+            attempt,
+            answer,
+            response,
+        } = outcome;
+        if let Some(response) = response {
+            self.responses.insert(attempt, response);
+        }
+        let event = OutboundEvent::AttemptAnswered { attempt, answer };
+        self.traffic.control.outbound(event);
+    }
+
+    async fn answer(mut self, answer: CallAnswer) -> Response<AnyBody> {
+        self.hang_up.answered = true;
+        match answer {
+            CallAnswer::Deliver { attempt } => match self.responses.remove(&attempt) {
+                Some(response) => {
+                    let control = self.traffic.control.clone();
+                    let bodiless = self.request.method == "HEAD";
+                    deliver(control, attempt, response, bodiless, self.in_progress).await
+                }
+                None => self.lost(),
+            },
+            CallAnswer::NotRun {
+                reason,
+                retry_after,
+            } => answer::refused(Outcome::NotRun, reason, retry_after),
+            CallAnswer::Unknown {
+                reason,
+                retry_after,
+            } => answer::refused(Outcome::Unknown, reason, retry_after),
+        }
+    }
+
+    fn lost(&self) -> Response<AnyBody> {
+        let reason = RefusalReason::AnswerLost;
+        answer::refused(Outcome::Unknown, reason, RETRY_AFTER_LEAVING)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/describe.rs
@@ -0,0 +1,138 @@
+//! A caller's request as the policy sees it, and as it crosses to other nodes.
+
+use std::time::Duration;
+
+use hyper::header::{EXPECT, HeaderName};
+use hyper::http::request::Parts;
+use xxhash_rust::xxh3::Xxh3;
+
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::outbound::{Call, CallId};
+use lifthollow_state::{
+    IdempotencyKey, Priority, PriorityClass, RequestContext, RequestId, RetryAllowance, TableRow,
+    Timestamp,
+};
+use lifthollow_transport::http::header;
+
+use crate::traffic::Traffic;
+use crate::traffic::caller_headers::{self, CallerHeaders};
+use crate::traffic::dispatch::RequestHead;
+use crate::traffic::request_body::RequestBody;
+
+/// Deadline of a call of a service that the table does not know.
+const FALLBACK_DEADLINE: Duration = Duration::from_secs(1);
+/// Retries granted to a whole request at its entry.
+const ENTRY_ALLOWANCE: RetryAllowance = RetryAllowance(3);
+
+/// The call for the policy. A call that names a parent which is no longer in
+/// progress here belongs to no request known, and is granted no retries.
+pub fn describe(
+    traffic: &Traffic,
+    id: CallId,
+    headers: &CallerHeaders,
+    parent: Option<(InboundId, RequestContext)>,
+    body: &RequestBody,
+) -> Call {
+    let view = traffic.shared.view();
+    let row = view.table.any_row(&headers.service);
+    let now = traffic.clock.now();
+    let mut context = match &parent {
+        Some((_, parent)) => nested_context(headers, parent, now),
+        None => entry_context(traffic, id, headers, row, now),
+    };
+    context.idempotency_key = headers
+        .idempotency_key
+        .as_ref()
+        .map(|name| IdempotencyKey::from_name(&headers.service, name));
+    let is_keyed = context.idempotency_key.is_some();
+    Call {
+        service: headers.service.clone(),
+        context,
+        parent: parent.map(|(attempt, _)| attempt),
+        repeatable: !is_keyed && row.is_some_and(|row| row.repeatable),
+        replayable: matches!(body, RequestBody::Buffered(_)),
+    }
+}
+
+fn entry_context(
+    traffic: &Traffic,
+    id: CallId,
+    headers: &CallerHeaders,
+    row: Option<&TableRow>,
+    now: Timestamp,
+) -> RequestContext {
+    let request = match &headers.request {
+        Some(name) => RequestId::from_name(name),
+        None => traffic.unnamed_request(id),
+    };
+    let from_table = row.map_or(FALLBACK_DEADLINE, |row| row.deadline);
+    let class = row.map_or(PriorityClass::Normal, |row| row.class);
+    RequestContext {
+        request,
+        deadline: now + headers.deadline.unwrap_or(from_table),
+        priority: Priority {
+            class: headers.class.unwrap_or(class),
+            user: request.user_priority(),
+        },
+        idempotency_key: None,
+        allowance: entry_allowance(headers),
+    }
+}
+
+fn entry_allowance(headers: &CallerHeaders) -> RetryAllowance {
+    let is_first = headers.attempt == 1 && headers.context.is_none();
+    if is_first {
+        ENTRY_ALLOWANCE
+    } else {
+        RetryAllowance(0)
+    }
+}
+
+/// A nested call is never more important than its parent and never outlives it.
+/// Its allowance is lent by the policy, which keeps the parent's ledger.
+fn nested_context(
+    headers: &CallerHeaders,
+    parent: &RequestContext,
+    now: Timestamp,
+) -> RequestContext {
+    let asked = headers.deadline.map(|deadline| now + deadline);
+    let class = headers.class.unwrap_or(parent.priority.class);
+    RequestContext {
+        request: parent.request,
+        deadline: asked.map_or(parent.deadline, |asked| asked.min(parent.deadline)),
+        priority: Priority {
+            class: class.min(parent.priority.class),
+            user: parent.priority.user,
+        },
+        idempotency_key: None,
+        allowance: RetryAllowance(0),
+    }
+}
+
+/// What every attempt of the call sends.
+pub fn request_head(parts: &Parts, headers: &CallerHeaders, body: &RequestBody) -> RequestHead {
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    let leave_out = |name: &HeaderName| caller_headers::is_own(name) || name == EXPECT;
+    RequestHead {
+        service: headers.service.clone(),
+        method: parts.method.as_str().to_owned(),
+        path: path.to_owned(),
+        headers: header::end_to_end(&parts.headers, leave_out),
+        body_digest: body_digest(parts.method.as_str(), path, headers, body),
+    }
+}
+
+/// Zero for calls without an idempotency key.
+fn body_digest(method: &str, path: &str, headers: &CallerHeaders, body: &RequestBody) -> u64 {
+    let (Some(_), RequestBody::Buffered(bytes)) = (&headers.idempotency_key, body) else {
+        return 0;
+    };
+    let mut hasher = Xxh3::new();
+    hasher.update(method.as_bytes());
+    hasher.update(b"\0");
+    hasher.update(path.as_bytes());
+    hasher.update(b"\0");
+    hasher.update(bytes);
+    hasher.digest()
+}
--- a/crates/protocol/src/frame/codec.rs
+++ b/crates/protocol/src/frame/codec.rs
@@ -69,11 +69,7 @@
     finish(buffer, start, 0)
 }
 
-fn encode_data(
-    stream: StreamId,
-    bytes: &Bytes,
-    buffer: &mut BytesMut,
-) -> Result<(), FrameError> {
+fn encode_data(stream: StreamId, bytes: &Bytes, buffer: &mut BytesMut) -> Result<(), FrameError> {
     encode_data_head(stream, bytes.len(), buffer)?;
     buffer.extend_from_slice(bytes);
     Ok(())
--- a/crates/transport/src/datagram.rs
+++ b/crates/transport/src/datagram.rs
@@ -37,36 +37,35 @@
     },
 }
 
-/// The socket of a node's control thread.
-pub struct DatagramSocket {
-    socket: UdpSocket,
-}
+/// Sends messages without ever waiting.
+pub struct DatagramSender(UdpSocket);
 
-impl DatagramSocket {
-    /// Binds the socket.
-    pub fn bind(address: SocketAddrV4) -> io::Result<Self> {
-        let socket = UdpSocket::bind(address)?;
-        Ok(DatagramSocket { socket })
-    }
+/// Receives messages.
+pub struct DatagramReceiver(tokio::net::UdpSocket);
 
-    /// Another handle to the same socket.
-    pub fn try_clone(&self) -> io::Result<Self> {
-        let socket = self.socket.try_clone()?;
-        Ok(DatagramSocket { socket })
-    }
+/// Binds a socket; both ends share it. To be called inside a tokio runtime.
+pub fn bind(address: SocketAddrV4) -> io::Result<(DatagramSender, DatagramReceiver)> {
+    let socket = UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let receiver = tokio::net::UdpSocket::from_std(socket.try_clone()?)?;
+    Ok((DatagramSender(socket), DatagramReceiver(receiver)))
+}
 
+impl DatagramSender {
     /// Sends a message; it may be lost.
     pub fn send(&self, to: NodeId, message: &ControlMessage) -> Result<(), SendError> {
         let datagram = message.encode()?;
-        self.socket.send_to(&datagram, to.address())?;
+        self.0.send_to(&datagram, to.address())?;
         Ok(())
     }
+}
 
+impl DatagramReceiver {
     /// Waits for the next datagram.
-    pub fn receive(&self) -> io::Result<Received> {
+    pub async fn receive(&self) -> io::Result<Received> {
         // One byte more than allowed, so that an oversized datagram is noticed.
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
-        let (length, from) = self.socket.recv_from(&mut buffer)?;
+        let (length, from) = self.0.recv_from(&mut buffer).await?;
         let SocketAddr::V4(address) = from else {
             return Err(io::Error::other("datagram of another address family"));
         };
--- a/crates/transport/src/http/header.rs
+++ b/crates/transport/src/http/header.rs
@@ -24,7 +24,11 @@
     headers
         .iter()
         .filter(|(name, _)| !is_hop_by_hop(name) && !leave_out(name))
-        .filter(|(name, _)| !named_by_connection.iter().any(|option| option == name.as_str()))
+        .filter(|(name, _)| {
+            !named_by_connection
+                .iter()
+                .any(|option| option == name.as_str())
+        })
         .map(|(name, value)| Header {
             name: name.as_str().to_owned(),
             value: value.as_bytes().to_vec(),
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -55,7 +55,7 @@
         let mut stop = self.stop.clone();
         loop {
             tokio::select! {
-                _ = stop.wait_for(|stopped| *stopped) => break,
+                () = stopped(&mut stop) => break,
                 accepted = listener.accept() => match accepted {
                     Ok((socket, _)) => self.spawn(socket, &mut connections),
                     Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -96,7 +96,12 @@
     tokio::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => return result.map_err(io::Error::other),
-        _ = stop.wait_for(|stopped| *stopped) => connection.as_mut().graceful_shutdown(),
+        () = stopped(&mut stop) => connection.as_mut().graceful_shutdown(),
     }
     connection.await.map_err(io::Error::other)
 }
+
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    // A sender that is gone means that the process stops.
+    let _ = stop.wait_for(|stopped| *stopped).await;
+}
--- a/crates/transport/src/mux/body.rs
+++ b/crates/transport/src/mux/body.rs
@@ -130,7 +130,6 @@
         self.events.next().await
     }
 
-
     /// The body has no bytes.
     pub(super) fn end(&mut self) {
         self.ended = true;
--- a/crates/transport/src/mux/client.rs
+++ b/crates/transport/src/mux/client.rs
@@ -77,7 +77,10 @@
         let state = Arc::new(OpenState::default());
         let bodiless = open.bodiless;
         let queue = self.streams.queue();
-        if queue.send_open(stream, Box::new(open), state.clone()).is_err() {
+        if queue
+            .send_open(stream, Box::new(open), state.clone())
+            .is_err()
+        {
             self.streams.remove(stream);
             return Err(AttemptFailure::NotSent);
         }
--- a/crates/transport/src/mux/peers.rs
+++ b/crates/transport/src/mux/peers.rs
@@ -57,10 +57,7 @@
     }
 
     /// The connection to `node`, made now if there is none.
-    pub async fn connection(
-        &self,
-        node: NodeId,
-    ) -> Result<Arc<ClientConnection>, PeerUnavailable> {
+    pub async fn connection(&self, node: NodeId) -> Result<Arc<ClientConnection>, PeerUnavailable> {
         let peer = lock(&self.peers).entry(node).or_default().clone();
         if let Some(connection) = peer.usable() {
             return Ok(connection);
@@ -82,7 +79,10 @@
     /// Nodes to which a usable connection stands.
     pub fn connected(&self) -> usize {
         let peers = lock(&self.peers);
-        peers.values().filter(|peer| peer.usable().is_some()).count()
+        peers
+            .values()
+            .filter(|peer| peer.usable().is_some())
+            .count()
     }
 }
 
--- a/crates/transport/src/mux/queue.rs
+++ b/crates/transport/src/mux/queue.rs
@@ -173,11 +173,7 @@
 }
 
 impl Batch {
-    async fn add(
-        &mut self,
-        queued: Queued,
-        socket: &mut OwnedWriteHalf,
-    ) -> Result<(), WriteError> {
+    async fn add(&mut self, queued: Queued, socket: &mut OwnedWriteHalf) -> Result<(), WriteError> {
         match queued {
             Queued::Frame(frame) => encode_frame(frame, &mut self.buffer)?,
             Queued::Open(stream, open, state) => {
--- a/crates/transport/src/mux/server.rs
+++ b/crates/transport/src/mux/server.rs
@@ -7,9 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
-use lifthollow_protocol::frame::{
-    AnswerHead, Frame, Hello, Open, PROTOCOL_VERSION, StreamId,
-};
+use lifthollow_protocol::frame::{AnswerHead, Frame, Hello, Open, PROTOCOL_VERSION, StreamId};
 use lifthollow_state::NodeId;
 
 use crate::mux::MAX_STREAMS_PER_CONNECTION;
@@ -248,22 +246,13 @@
         parts: StreamParts,
     ) -> IncomingAttempt {
         let streams = &self.streams;
-        let mut body = BodyReceiver::new(
-            stream,
-            streams.clone(),
-            parts.events,
-            parts.unread,
-            false,
-        );
+        let mut body =
+            BodyReceiver::new(stream, streams.clone(), parts.events, parts.unread, false);
         if open.bodiless {
             body.end();
         }
-        let answer_body = BodySender::new(
-            stream,
-            streams.clone(),
-            parts.window,
-            AfterBody::EndStream,
-        );
+        let answer_body =
+            BodySender::new(stream, streams.clone(), parts.window, AfterBody::EndStream);
         let answer = AnswerSender {
             body: answer_body,
             queue: streams.queue().clone(),
