Keep the table and the members of the fleet by messages between nodes

Cause: the table and the list of machines came from the platform alone: a node that could not read the service stayed behind, a fresh node began on a stale answer, and a lagging list was believed. Change: every node knows every member by a compact record ordered by incarnation and status, probes one member every 500 ms (directly, through others, and with pings to the zone that tell a silent member from a silent zone), passes news on with probes and compares all members by 256 bucket digests. The table goes forward only by (number, digest); a change is pushed to four nodes by each that accepts it and pulled by version wherever a contact shows a newer one, as rows changed or in full pages, checked by digest. A fresh or resumed node asks three peers before it acts. A leaving node tells eight others at once and refuses new work itself. The digest of a table is now the sum of its rows' digests, so that a change costs only its rows.

--- a/crates/coordination/src/fleet/event.rs
+++ b/crates/coordination/src/fleet/event.rs
@@ -80,8 +80,6 @@
         /// What it says.
         message: ControlMessage,
     },
-    /// The platform lists this node as leaving: its back end takes no new work.
-    Leave,
     /// Something operators should see in the log.
     Report(FleetReport),
 }
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -1,113 +1,332 @@
 //! What a node knows of the fleet: the table in force and the servers.
+//!
+//! - [`config`]: the table, which only goes forward;
+//! - [`membership`]: which nodes exist and how they stand;
+//! - [`leaving`]: this node's own planned stop;
+//! - [`poll`]: when the platform's service is read.
+//!
+//! Nodes tell each other by datagrams, any of which may be lost. The platform's
+//! service may be down or lag; it is read, but peers are asked first.
 
+mod budget;
+mod config;
+mod directory;
 mod event;
+mod leaving;
+mod membership;
+mod outbox;
+mod poll;
 mod report;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use lifthollow_state::{
-    Directory, Incarnation, Server, ServerState, Table, TableVersion, Timestamp,
-};
+use lifthollow_protocol::ControlMessage;
+use lifthollow_protocol::control::{FleetBody, FleetHeader, FleetMessage};
+use lifthollow_state::{Incarnation, NodeId, Table, TableVersion, Timestamp};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use crate::View;
+use config::Configuration;
+use leaving::Leaving;
+use membership::Membership;
+use outbox::Outbox;
+use poll::{Poll, ReadRate};
 
 pub use event::{FetchFailed, FleetEffect, FleetEvent, FleetSettings, Machine};
+pub use membership::member::{Listing, Member};
 pub use report::{FleetReport, TableSource};
 
-const FETCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Between two ticks, each of which begins one probe.
+const TICK: Duration = Duration::from_millis(500);
+/// Share by which a tick is varied, so that nodes do not tick together.
+const TICK_JITTER: f64 = 0.1;
+/// A tick this late means that the process did not run meanwhile.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+/// Nodes to which a change of the table is pushed by each that accepts it.
+const TABLE_FANOUT: usize = 4;
+
+const TABLE_READS: ReadRate = ReadRate {
+    with_news: 360,
+    without_news: 60,
+};
+const LIST_READS: ReadRate = ReadRate {
+    with_news: 120,
+    without_news: 12,
+};
 
 /// Keeps the table in force and the directory of servers.
 #[derive(Debug)]
 pub struct Fleet {
-    settings: FleetSettings,
+    node: NodeId,
+    configuration: Configuration,
+    membership: Membership,
+    leaving: Leaving,
     view: View,
-    next_fetch: Timestamp,
+    next_tick: Option<Timestamp>,
+    table_poll: Poll,
+    list_poll: Poll,
+    random: ChaCha8Rng,
 }
 
 impl Fleet {
     /// A fleet of which nothing is known yet but this node's own settings.
     pub fn new(settings: FleetSettings) -> Self {
+        let seed = settings.seed ^ settings.node.as_u64().rotate_left(u32::BITS);
         Fleet {
-            settings,
+            node: settings.node,
+            configuration: Configuration::new(),
+            membership: Membership::new(&settings),
+            leaving: Leaving::default(),
             view: View::default(),
-            next_fetch: Timestamp::ZERO,
+            next_tick: None,
+            table_poll: Poll::new(TABLE_READS),
+            list_poll: Poll::new(LIST_READS),
+            random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
-    /// This life of the node.
+    /// What is known now.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The version of the table in force.
+    pub fn table_version(&self) -> TableVersion {
+        self.view.table.version()
+    }
+
+    /// This life of the node; it grows when the node refutes that it is gone.
     pub fn incarnation(&self) -> Incarnation {
-        self.settings.incarnation
+        self.membership.incarnation()
     }
 
     /// Whether the table in force may be acted on: false from the start, and
     /// after a pause, until peers were asked whether they have a newer one.
     pub fn is_confirmed(&self) -> bool {
-        true
+        self.configuration.is_confirmed()
     }
 
-    /// What is known now.
-    pub fn view(&self) -> &View {
-        &self.view
+    /// Whether this node takes new work: false once it leaves.
+    pub fn takes_new_work(&self) -> bool {
+        self.membership.takes_new_work()
     }
 
-    /// The version of the table in force.
-    pub fn table_version(&self) -> TableVersion {
-        self.view.table.version()
+    /// All members known, this node included, ordered by node.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.membership.members()
     }
 
     /// When [`FleetEvent::Wake`] is wanted next.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        Some(self.next_fetch)
+        let tick = self.next_tick.unwrap_or_default();
+        Some(tick.min(self.table_poll.next()).min(self.list_poll.next()))
+    }
+
+    /// Bytes of everything kept for the fleet.
+    pub fn state_bytes(&self) -> usize {
+        self.configuration.state_bytes() + self.membership.state_bytes()
     }
 
     /// Takes in one event and appends what is to be done to `effects`.
     pub fn handle(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<FleetEffect>) {
+        let mut outbox = Outbox::default();
+        self.notice_pause(now, &mut outbox);
         match event {
-            FleetEvent::TableFetched(Ok(table)) => self.accept_table(table),
-            FleetEvent::MachinesFetched(Ok(machines)) => self.accept_machines(machines),
+            FleetEvent::TableFetched(Ok(table)) => self.table_fetched(table, &mut outbox),
+            FleetEvent::MachinesFetched(Ok(machines)) => {
+                self.machines_fetched(now, &machines, &mut outbox);
+            }
             FleetEvent::TableFetched(Err(FetchFailed)) => {}
             FleetEvent::MachinesFetched(Err(FetchFailed)) => {}
-            FleetEvent::Message { .. } | FleetEvent::Leave => {}
-            FleetEvent::Wake => self.fetch_if_due(now, effects),
+            FleetEvent::Message { from, message } => {
+                self.receive(now, from, message, &mut outbox);
+            }
+            FleetEvent::Leave => self.leaving.stop(now, &mut self.membership, &mut outbox),
+            FleetEvent::Wake => self.wake(now, &mut outbox, effects),
         }
+        self.refresh_directory();
+        self.emit(outbox, effects);
     }
 
-    /// A table comes into force only if it is newer than the one in force.
-    fn accept_table(&mut self, table: Arc<Table>) {
-        if table.version() > self.view.table.version() {
-            self.view.table = table;
+    /// After a pause this node doubts itself first: probes under way say nothing
+    /// about others, and peers may have a newer table.
+    fn notice_pause(&mut self, now: Timestamp, outbox: &mut Outbox) {
+        let Some(expected) = self.next_tick else {
+            return;
+        };
+        let paused_for = now - expected;
+        if paused_for <= PAUSE_THRESHOLD {
+            return;
         }
+        outbox.report(FleetReport::Paused { paused_for });
+        self.next_tick = Some(now);
+        self.membership.doubt();
+        self.configuration.doubt(now);
     }
 
-    fn accept_machines(&mut self, machines: Vec<Machine>) {
-        let mut directory = Directory::default();
-        for machine in machines {
-            directory.insert(machine.service.clone(), server_of(&machine));
+    fn wake(&mut self, now: Timestamp, outbox: &mut Outbox, effects: &mut Vec<FleetEffect>) {
+        if self.next_tick.is_none_or(|next| next <= now) {
+            self.tick(now, outbox);
+        }
+        let members = self.membership.known_peers();
+        if self.table_poll.is_due(now, members, &mut self.random) {
+            effects.push(FleetEffect::FetchTable);
+        }
+        if self.list_poll.is_due(now, members, &mut self.random) {
+            effects.push(FleetEffect::FetchMachines);
         }
-        self.view.directory = Arc::new(directory);
     }
 
-    fn fetch_if_due(&mut self, now: Timestamp, effects: &mut Vec<FleetEffect>) {
-        if now < self.next_fetch {
+    fn tick(&mut self, now: Timestamp, outbox: &mut Outbox) {
+        let jitter = self
+            .random
+            .random_range(1.0 - TICK_JITTER..1.0 + TICK_JITTER);
+        self.next_tick = Some(now + TICK.mul_f64(jitter));
+        let in_doubt = !self.is_confirmed();
+        self.membership.tick(now, in_doubt, outbox);
+        let peer = self.membership.peer_to_ask();
+        let known_peers = self.membership.known_peers();
+        let accepted = self.configuration.tick(now, peer, known_peers, outbox);
+        self.table_changed(accepted, outbox);
+    }
+
+    fn table_fetched(&mut self, table: Arc<Table>, outbox: &mut Outbox) {
+        let in_doubt = !self.is_confirmed();
+        let accepted = self.configuration.offer_from_platform(table, outbox);
+        let members = self.membership.known_peers();
+        self.table_poll.succeeded(accepted || in_doubt, members);
+        self.table_changed(accepted, outbox);
+    }
+
+    fn machines_fetched(&mut self, now: Timestamp, machines: &[Machine], outbox: &mut Outbox) {
+        let known_before = self.membership.known_peers();
+        let change = self.membership.read_list(now, machines, outbox);
+        let members = self.membership.known_peers();
+        self.list_poll.succeeded(change.news, members);
+        if let Some(own) = change.own {
+            self.leaving.listed(now, own, &mut self.membership, outbox);
+        }
+        if !self.is_confirmed() && known_before == 0 {
+            self.membership.ask_peers(outbox);
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: ControlMessage,
+        outbox: &mut Outbox,
+    ) {
+        let ControlMessage::Fleet(FleetMessage { header, body }) = message;
+        if from == self.node {
             return;
         }
-        self.next_fetch = now + FETCH_INTERVAL;
-        effects.push(FleetEffect::FetchTable);
-        effects.push(FleetEffect::FetchMachines);
+        self.membership.heard(now, from, &header, outbox);
+        self.receive_body(now, from, &header, body, outbox);
+        self.configuration
+            .saw_version(now, from, header.table, outbox);
+    }
+
+    fn receive_body(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        header: &FleetHeader,
+        body: FleetBody,
+        outbox: &mut Outbox,
+    ) {
+        let membership = &mut self.membership;
+        match body {
+            FleetBody::Ping { sequence, updates } => {
+                membership.answer_ping(now, from, sequence, updates, outbox);
+            }
+            FleetBody::Ack { sequence, updates } => {
+                let trusted = membership.take_ack(now, from, sequence, updates, outbox);
+                self.peer_answered(now, from, header, trusted, outbox);
+            }
+            FleetBody::IndirectPing { sequence, target } => {
+                membership.relay_ping(from, sequence, target, outbox);
+            }
+            FleetBody::IndirectAck { sequence } => membership.take_indirect_ack(sequence),
+            FleetBody::Updates { updates } => {
+                membership.apply_all(now, updates, outbox);
+            }
+            FleetBody::MemberDigests { digests } => {
+                membership.answer_digests(now, from, &digests, outbox);
+            }
+            FleetBody::MemberBuckets { complete, members } => {
+                membership.take_buckets(now, &complete, members, outbox);
+            }
+            FleetBody::TableRequest(request) => {
+                self.configuration
+                    .answer_request(now, from, &request, outbox);
+            }
+            FleetBody::TablePage(page) => {
+                let accepted = self.configuration.take_page(now, from, page, outbox);
+                self.table_changed(accepted, outbox);
+            }
+        }
+    }
+
+    fn peer_answered(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        header: &FleetHeader,
+        trusted: bool,
+        outbox: &mut Outbox,
+    ) {
+        if !trusted || self.is_confirmed() {
+            return;
+        }
+        self.configuration.peer_answered(from, header.table);
+        let known_peers = self.membership.known_peers();
+        let accepted = self.configuration.settle(now, known_peers, outbox);
+        self.table_changed(accepted, outbox);
+    }
+
+    /// A table that came into force is shown to decisions and to a few others.
+    fn table_changed(&mut self, accepted: bool, outbox: &mut Outbox) {
+        if !accepted {
+            return;
+        }
+        self.view.table = self.configuration.table().clone();
+        let change = self.configuration.latest_change();
+        for peer in self.membership.random_peers(TABLE_FANOUT) {
+            let body = match &change {
+                Some(page) => FleetBody::TablePage(page.clone()),
+                None => FleetBody::Updates {
+                    updates: Vec::new(),
+                },
+            };
+            outbox.send(peer, body);
+        }
     }
-}
 
-fn server_of(machine: &Machine) -> Server {
-    let state = if machine.leaving {
-        ServerState::Leaving
-    } else {
-        ServerState::Serving
-    };
-    Server {
-        node: machine.node,
-        side: machine.side,
-        zone: machine.zone,
-        state,
+    fn refresh_directory(&mut self) {
+        let touched = self.membership.take_touched();
+        if touched.is_empty() {
+            return;
+        }
+        let directory = Arc::make_mut(&mut self.view.directory);
+        for (node, services_before) in touched {
+            directory::refresh(directory, &self.membership, node, &services_before);
+        }
+    }
+
+    fn emit(&self, outbox: Outbox, effects: &mut Vec<FleetEffect>) {
+        let header = FleetHeader {
+            incarnation: self.membership.incarnation(),
+            table: self.table_version(),
+            members: self.membership.digest(),
+        };
+        effects.extend(outbox.reports.into_iter().map(FleetEffect::Report));
+        for (to, body) in outbox.messages {
+            let message = ControlMessage::Fleet(FleetMessage { header, body });
+            effects.push(FleetEffect::Send { to, message });
+        }
     }
 }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::LoadReport;
+use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
 use lifthollow_state::{Incarnation, NodeId, ServiceName, Side, Timestamp, Zone};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
@@ -63,6 +63,12 @@
 /// A node wakes at least this often, so that it notices pauses.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What a leaving node answers to new work; other servers take it at once.
+const LEAVING_ANSWER: AttemptResult = AttemptResult::NotRun {
+    reason: RefusalReason::Leaving,
+    retry_after: Duration::ZERO,
+};
+
 /// One process of lifthollow.
 pub struct Node {
     settings: NodeSettings,
@@ -102,7 +108,9 @@
 
     /// The load of a local service, to be sent with every answer.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
-        self.inbound.load(now, service)
+        let mut load = self.inbound.load(now, service);
+        load.leaving |= !self.fleet.takes_new_work();
+        load
     }
 
     /// Attempts queued or running beside this node.
@@ -163,7 +171,8 @@
         effects.extend(outbound_effects.into_iter().map(NodeEffect::Outbound));
     }
 
-    /// A planned stop is announced to the fleet as well.
+    /// A planned stop is announced to the fleet as well. While the node leaves,
+    /// new attempts are refused as not run, whoever has not heard of it yet.
     fn handle_inbound(
         &mut self,
         now: Timestamp,
@@ -173,6 +182,13 @@
         if event == InboundEvent::Leave {
             self.handle_fleet(now, FleetEvent::Leave, effects);
         }
+        if let InboundEvent::AttemptArrived { id, .. } = event
+            && !self.fleet.takes_new_work()
+        {
+            let result = LEAVING_ANSWER;
+            effects.push(NodeEffect::Inbound(InboundEffect::Answer { id, result }));
+            return;
+        }
         self.decide_inbound(now, event, effects);
     }
 
@@ -191,12 +207,7 @@
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
-        for effect in fleet_effects {
-            match effect {
-                FleetEffect::Leave => self.decide_inbound(now, InboundEvent::Leave, effects),
-                effect => effects.push(NodeEffect::Fleet(effect)),
-            }
-        }
+        effects.extend(fleet_effects.into_iter().map(NodeEffect::Fleet));
     }
 }
 
--- /dev/null
+++ b/crates/coordination/tests/fleet_configuration.rs
@@ -0,0 +1,186 @@
+//! The table only goes forward, on every node, whatever is late, lost or stale.
+
+mod fleet_network;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fleet_network::{Network, node, row, table};
+use lifthollow_coordination::fleet::{FleetEvent, FleetReport};
+use lifthollow_protocol::ControlMessage;
+use lifthollow_protocol::control::{FleetBody, FleetMessage, TablePage};
+use lifthollow_state::{Table, TableVersion};
+
+const NODES: u64 = 12;
+const ZONES: u64 = 3;
+const CONVERGENCE: Duration = Duration::from_secs(3);
+
+fn versions(network: &Network) -> Vec<TableVersion> {
+    network
+        .fleets
+        .values()
+        .map(|fleet| fleet.table_version())
+        .collect()
+}
+
+#[test]
+fn a_version_seen_by_one_node_comes_into_force_on_all() {
+    let mut network = Network::settled(NODES, ZONES, &table(1, 50));
+    network.loss = 0.05;
+    network.tables.clear();
+    network.tables.insert(node(5), table(2, 60));
+    network.run(CONVERGENCE);
+    assert!(versions(&network).iter().all(|version| version.number == 2));
+}
+
+#[test]
+fn a_node_that_wakes_late_takes_the_newer_table_before_it_may_act() {
+    let mut network = Network::settled(NODES, ZONES, &table(1, 50));
+    network.pause(3, Duration::from_secs(30));
+    for number in (1..=NODES).filter(|number| *number != 3) {
+        network.tables.insert(node(number), table(2, 60));
+    }
+    network.run(Duration::from_millis(29_900));
+    assert_eq!(network.fleet(3).table_version().number, 1);
+    let mut confirmed_on_old = false;
+    for _ in 0..200 {
+        network.run(Duration::from_millis(10));
+        let fleet = network.fleet(3);
+        let resumed = network.reported(|report| matches!(report, FleetReport::Paused { .. })) > 0;
+        confirmed_on_old |= resumed && fleet.is_confirmed() && fleet.table_version().number == 1;
+    }
+    assert!(!confirmed_on_old, "acted on the old table after waking");
+    assert!(network.fleet(3).is_confirmed());
+    assert_eq!(network.fleet(3).table_version().number, 2);
+}
+
+#[test]
+fn a_fresh_node_does_not_begin_on_a_stale_answer_of_the_platform() {
+    let mut network = Network::settled(NODES, ZONES, &table(7, 50));
+    network.kill(4);
+    network.run(Duration::from_secs(5));
+    network.tables.insert(node(4), table(3, 10));
+    network.start(4, ZONES, 2);
+    for _ in 0..500 {
+        network.run(Duration::from_millis(10));
+        let number = network.fleet(4).table_version().number;
+        assert!(number == 0 || number == 7, "began on version {number}");
+    }
+    assert_eq!(network.fleet(4).table_version().number, 7);
+}
+
+#[test]
+fn a_fresh_node_without_peers_begins_on_the_platforms_answer_within_the_bound() {
+    let mut network = Network::new(NODES, ZONES);
+    network.tables.insert(node(4), table(3, 10));
+    network.start(4, ZONES, 1);
+    network.run(Duration::from_millis(1_900));
+    assert_eq!(network.fleet(4).table_version().number, 0);
+    network.run(Duration::from_millis(700));
+    assert_eq!(network.fleet(4).table_version().number, 3);
+    let reported = network.reported(|report| *report == FleetReport::StartedWithoutPeers);
+    assert_eq!(reported, 1);
+}
+
+#[test]
+fn a_stale_platform_is_reported_once_and_not_followed() {
+    let mut network = Network::settled(NODES, ZONES, &table(9, 50));
+    network.tables.insert(node(1), table(8, 10));
+    network.run(Duration::from_secs(30));
+    assert!(versions(&network).iter().all(|version| version.number == 9));
+    let stale = |report: &FleetReport| matches!(report, FleetReport::StalePlatformTable { .. });
+    assert_eq!(network.reported(stale), 1);
+}
+
+#[test]
+fn one_number_with_two_contents_has_the_same_winner_on_every_node() {
+    let mut network = Network::settled(NODES, ZONES, &table(1, 50));
+    let (first, second) = (table(2, 60), table(2, 70));
+    let winner = first.version().max(second.version());
+    for number in 1..=NODES {
+        let offered = if number % 2 == 0 { &first } else { &second };
+        network.tables.insert(node(number), offered.clone());
+    }
+    network.run(Duration::from_secs(10));
+    assert!(versions(&network).iter().all(|version| *version == winner));
+    let conflict = |report: &FleetReport| matches!(report, FleetReport::ConflictingVersion { kept, .. } if *kept == winner);
+    assert!(network.reported(conflict) > 0);
+}
+
+#[test]
+fn sides_of_a_cut_accept_different_versions_and_the_newer_holds_after_it_heals() {
+    let mut network = Network::settled(NODES, ZONES, &table(1, 50));
+    network.cut = Box::new(|from, to| (from <= node(6)) != (to <= node(6)));
+    for number in 1..=6 {
+        network.tables.insert(node(number), table(2, 60));
+    }
+    for number in 7..=NODES {
+        network.tables.insert(node(number), table(3, 70));
+    }
+    network.run(Duration::from_secs(60));
+    assert_eq!(network.fleet(1).table_version().number, 2);
+    assert_eq!(network.fleet(12).table_version().number, 3);
+    network.cut = Box::new(|_, _| false);
+    network.tables.clear();
+    network.run(Duration::from_secs(15));
+    assert!(versions(&network).iter().all(|version| version.number == 3));
+}
+
+#[test]
+fn a_change_that_does_not_amount_to_its_digest_is_discarded_and_all_rows_are_asked_for() {
+    let mut network = Network::settled(NODES, ZONES, &table(1, 50));
+    network.tamper = Some(Box::new(|_, to, message| {
+        let ControlMessage::Fleet(FleetMessage { body, .. }) = message;
+        let FleetBody::TablePage(page) = body else {
+            return;
+        };
+        if to == node(2) && page.base.is_some() {
+            let mut damaged = TablePage::empty(page.base, page.target, None);
+            damaged.push_row(&row(0, 99));
+            *page = damaged;
+        }
+    }));
+    network.tables.clear();
+    network.tables.insert(node(5), table(2, 60));
+    network.run(Duration::from_secs(5));
+    let mismatch = |report: &FleetReport| matches!(report, FleetReport::TableDigestMismatch { .. });
+    assert!(network.reported(mismatch) > 0);
+    assert_eq!(network.fleet(2).view().table, table(2, 60));
+}
+
+#[test]
+fn a_table_of_many_pages_reaches_a_fresh_node_despite_loss() {
+    let rows = |weight| {
+        (0..400).map(move |number| {
+            let mut row = row(0, weight);
+            row.service = lifthollow_state::ServiceName::new(&format!("many-{number:03}"));
+            row
+        })
+    };
+    let large = Arc::new(Table::new(5, rows(50)));
+    let mut network = Network::settled(NODES, ZONES, &large);
+    network.loss = 0.1;
+    network.kill(6);
+    network.tables.clear();
+    network.start(6, ZONES, 2);
+    network.run(Duration::from_secs(10));
+    assert_eq!(network.fleet(6).view().table, large);
+}
+
+#[test]
+fn an_older_version_is_never_accepted_after_a_newer_one() {
+    let mut network = Network::settled(NODES, ZONES, &table(4, 50));
+    let older = table(3, 99);
+    network.tell(1, FleetEvent::TableFetched(Ok(older.clone())));
+    let mut page = TablePage::empty(None, older.version(), None);
+    for row in older.rows() {
+        page.push_row(row);
+    }
+    let message = ControlMessage::Fleet(FleetMessage {
+        header: Default::default(),
+        body: FleetBody::TablePage(page),
+    });
+    let from = node(2);
+    network.tell(1, FleetEvent::Message { from, message });
+    assert_eq!(network.fleet(1).table_version().number, 4);
+}
--- a/crates/state/src/directory.rs
+++ b/crates/state/src/directory.rs
@@ -44,6 +44,26 @@
         }
     }
 
+    /// Forgets that `node` offers `service`.
+    pub fn remove(&mut self, service: &ServiceName, node: NodeId) {
+        let Some(servers) = self.services.get_mut(service) else {
+            return;
+        };
+        servers.retain(|server| server.node != node);
+        if servers.is_empty() {
+            self.services.remove(service);
+        }
+    }
+
+    /// What is known of `node` as a server of `service`.
+    pub fn server(&self, service: &ServiceName, node: NodeId) -> Option<&Server> {
+        let servers = self.services.get(service)?;
+        let index = servers
+            .binary_search_by_key(&node, |server| server.node)
+            .ok()?;
+        Some(&servers[index])
+    }
+
     /// The servers of a service.
     pub fn servers(&self, service: &ServiceName) -> &[Server] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/crates/state/src/table/mod.rs
+++ b/crates/state/src/table/mod.rs
@@ -115,6 +115,31 @@
         }
     }
 
+    /// This table with some rows added or replaced and others removed, under
+    /// the number `number`. The cost of the digest grows with the changes only.
+    pub fn with_changes(
+        &self,
+        number: u64,
+        changed: impl IntoIterator<Item = TableRow>,
+        removed: impl IntoIterator<Item = (ServiceName, Side)>,
+    ) -> Self {
+        let mut rows = self.rows.clone();
+        let mut digest = self.version.digest;
+        for row in changed {
+            digest = digest.wrapping_add(row_digest(&row));
+            let replaced = rows.insert((row.service.clone(), row.side), row);
+            digest = digest.wrapping_sub(replaced.as_ref().map_or(0, row_digest));
+        }
+        for key in removed {
+            let removed = rows.remove(&key);
+            digest = digest.wrapping_sub(removed.as_ref().map_or(0, row_digest));
+        }
+        Table {
+            version: TableVersion { number, digest },
+            rows,
+        }
+    }
+
     /// The table's version.
     pub fn version(&self) -> TableVersion {
         self.version
@@ -138,10 +163,12 @@
     }
 }
 
+/// The sum of the rows' digests, so that it can be kept up to date row by row.
 fn digest_of(rows: &BTreeMap<(ServiceName, Side), TableRow>) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for row in rows.values() {
-        hasher.update(row.to_csv_line().as_bytes());
-    }
-    hasher.digest()
+    rows.values()
+        .fold(0, |digest, row| digest.wrapping_add(row_digest(row)))
+}
+
+fn row_digest(row: &TableRow) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(row.to_csv_line().as_bytes())
 }
