--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::LoadReport;
-use lifthollow_state::{NodeId, ServiceName, Side, Timestamp, Zone};
+use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
+use lifthollow_state::{Incarnation, NodeId, ServiceName, Side, Timestamp, Zone};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
-use crate::fleet::{Fleet, FleetEffect, FleetEvent};
+use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
 use crate::inbound::{InboundEffect, InboundEvent, InboundPolicy};
 use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy};
 use crate::policy::PolicyKind;
@@ -17,12 +17,17 @@
 pub struct NodeSettings {
     /// The address other nodes reach it at.
     pub node: NodeId,
+    /// This life of the node: larger than that of any process that ran at the
+    /// address before. The daemon takes microseconds of wall-clock time.
+    pub incarnation: Incarnation,
     /// Its data centre.
     pub side: Side,
     /// Its failure domain.
     pub zone: Zone,
     /// The services whose back ends stand beside it.
     pub services: Vec<ServiceName>,
+    /// Nodes to ask first when the platform's list is not at hand.
+    pub seeds: Vec<NodeId>,
     /// The decisions it runs.
     pub policy: PolicyKind,
     /// Seed of every random choice the node makes.
@@ -58,6 +63,12 @@
 /// A node wakes at least this often, so that it notices pauses.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What a leaving node answers to new work; other servers take it at once.
+const LEAVING_ANSWER: AttemptResult = AttemptResult::NotRun {
+    reason: RefusalReason::Leaving,
+    retry_after: Duration::ZERO,
+};
+
 /// One process of lifthollow.
 pub struct Node {
     settings: NodeSettings,
@@ -72,8 +83,8 @@
     pub fn new(settings: NodeSettings) -> Self {
         let (outbound, inbound) = policies(&settings);
         Node {
+            fleet: Fleet::new(fleet_settings(&settings)),
             settings,
-            fleet: Fleet::default(),
             outbound,
             inbound,
             last_handled: None,
@@ -90,9 +101,16 @@
         self.fleet.view()
     }
 
+    /// What is known of the fleet.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// The load of a local service, to be sent with every answer.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
-        self.inbound.load(now, service)
+        let mut load = self.inbound.load(now, service);
+        load.leaving |= !self.fleet.takes_new_work();
+        load
     }
 
     /// Attempts queued or running beside this node.
@@ -153,11 +171,32 @@
         effects.extend(outbound_effects.into_iter().map(NodeEffect::Outbound));
     }
 
+    /// A planned stop is announced to the fleet as well. While the node leaves,
+    /// new attempts are refused as not run, whoever has not heard of it yet.
     fn handle_inbound(
         &mut self,
         now: Timestamp,
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
+    ) {
+        if event == InboundEvent::Leave {
+            self.handle_fleet(now, FleetEvent::Leave, effects);
+        }
+        if let InboundEvent::AttemptArrived { id, .. } = event
+            && !self.fleet.takes_new_work()
+        {
+            let result = LEAVING_ANSWER;
+            effects.push(NodeEffect::Inbound(InboundEffect::Answer { id, result }));
+            return;
+        }
+        self.decide_inbound(now, event, effects);
+    }
+
+    fn decide_inbound(
+        &mut self,
+        now: Timestamp,
+        event: InboundEvent,
+        effects: &mut Vec<NodeEffect>,
     ) {
         let mut inbound_effects = Vec::new();
         self.inbound
@@ -172,6 +211,18 @@
     }
 }
 
+fn fleet_settings(settings: &NodeSettings) -> FleetSettings {
+    FleetSettings {
+        node: settings.node,
+        incarnation: settings.incarnation,
+        side: settings.side,
+        zone: settings.zone,
+        services: settings.services.clone(),
+        seeds: settings.seeds.clone(),
+        seed: settings.seed,
+    }
+}
+
 fn policies(settings: &NodeSettings) -> (Box<dyn OutboundPolicy>, Box<dyn InboundPolicy>) {
     let side = settings.side;
     match settings.policy {
