sim: deliver datagrams between nodes through the simulated network

Cause: the fleet part of a node now keeps table and members by messages. Change: FleetEffect::Send travels with the network's delay, loss and cuts; processes have incarnations and the entry nodes as seeds.

--- a/crates/sim/src/world/event.rs
+++ b/crates/sim/src/world/event.rs
@@ -5,7 +5,8 @@
 use lifthollow_coordination::fleet::{FetchFailed, Machine as ListedMachine};
 use lifthollow_coordination::inbound::RunResult;
 use lifthollow_coordination::outbound::{AttemptAnswer, CallId};
-use lifthollow_state::Table;
+use lifthollow_protocol::ControlMessage;
+use lifthollow_state::{NodeId, Table};
 use serde::{Serialize, Serializer};
 
 use super::ids::{FaultIndex, MachineIndex, RequestNumber, WireId};
@@ -98,6 +99,12 @@
         machine: MachineIndex,
         result: Result<Vec<ListedMachine>, FetchFailed>,
     },
+    /// A datagram of another node arrives.
+    ControlArrives {
+        machine: MachineIndex,
+        from: NodeId,
+        message: Box<ControlMessage>,
+    },
     /// A node reads its back end's health endpoint.
     HealthCheck { machine: MachineIndex },
     /// A disturbance begins.
@@ -133,6 +140,7 @@
             WorldEvent::Wake { machine, .. }
             | WorldEvent::TableFetched { machine, .. }
             | WorldEvent::MachinesFetched { machine, .. }
+            | WorldEvent::ControlArrives { machine, .. }
             | WorldEvent::HealthCheck { machine } => Some(*machine),
             _ => None,
         }
@@ -171,6 +179,9 @@
             WorldEvent::MachinesFetched { machine, result } => {
                 [19, machine.0 as u64, u64::from(result.is_ok())]
             }
+            WorldEvent::ControlArrives { machine, from, .. } => {
+                [27, machine.0 as u64, from.as_u64()]
+            }
             WorldEvent::HealthCheck { machine } => [20, machine.0 as u64, 0],
             WorldEvent::FaultBegins { fault } => [21, fault.0 as u64, 0],
             WorldEvent::FaultEnds { fault } => [22, fault.0 as u64, 0],
--- a/crates/sim/src/world/lifecycle.rs
+++ b/crates/sim/src/world/lifecycle.rs
@@ -4,11 +4,12 @@
 
 use lifthollow_coordination::inbound::InboundEvent;
 use lifthollow_coordination::outbound::CallId;
-use lifthollow_coordination::{NodeEvent, PolicyKind};
+use lifthollow_coordination::{NodeEvent, NodeSettings};
 
 use super::backend::{BackEnd, ColdStart, RESTART_COLD_FACTOR, RESTART_WARM_UP};
 use super::event::{ClientAnswer, WorldEvent};
 use super::ids::{FaultIndex, MachineIndex, WireId};
+use super::machine::ProcessSettings;
 use super::platform::{Listing, VANISHED_LIST_LAG};
 use super::{ProcessState, World};
 use crate::observe::Observation;
@@ -140,12 +141,12 @@
             return;
         }
         let seed = self.process_seeds.seed();
+        self.machine_mut(index).incarnation += 1;
         let settings = self.node_settings(index, seed);
         let node = (self.settings.node_factory)(settings);
         let machine = self.machine_mut(index);
         machine.node = node;
         machine.state = ProcessState::Running;
-        machine.incarnation += 1;
         machine.leaving_since = None;
         machine.wake_at = None;
         if let Some(back_end) = machine.back_end.as_mut() {
@@ -160,14 +161,15 @@
         self.feed_node(index, NodeEvent::Wake);
     }
 
-    pub(super) fn node_settings(
-        &self,
-        index: MachineIndex,
-        seed: u64,
-    ) -> lifthollow_coordination::NodeSettings {
-        let policy: PolicyKind = self.settings.policy;
-        let spec = &self.machine(index).spec;
-        spec.settings(self.mesh.zones_per_side, policy, seed)
+    pub(super) fn node_settings(&self, index: MachineIndex, seed: u64) -> NodeSettings {
+        let machine = self.machine(index);
+        machine.spec.settings(ProcessSettings {
+            mesh: &self.mesh,
+            policy: self.settings.policy,
+            incarnation: machine.incarnation,
+            seeds: &self.seeds,
+            seed,
+        })
     }
 
     /// The machine is to be stopped: it is told, and serves what it has.
--- a/crates/sim/src/world/machine.rs
+++ b/crates/sim/src/world/machine.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use lifthollow_coordination::{Node, NodeSettings, PolicyKind};
-use lifthollow_state::{NodeId, ServiceName, Side, Timestamp, Zone};
+use lifthollow_state::{Incarnation, NodeId, ServiceName, Side, Timestamp, Zone};
 
 use super::backend::BackEnd;
 use super::event::WorldEvent;
-use crate::mesh::ServiceIndex;
+use crate::mesh::{Mesh, ServiceIndex};
 use crate::scenario::Target;
 
 /// Whether a process runs.
@@ -23,6 +23,21 @@
     Vanished,
 }
 
+/// What the settings of a process say besides the machine's own place.
+#[derive(Clone, Copy)]
+pub struct ProcessSettings<'a> {
+    /// The mesh.
+    pub mesh: &'a Mesh,
+    /// The policy.
+    pub policy: PolicyKind,
+    /// Counts the processes on the machine, from 1.
+    pub incarnation: u64,
+    /// Nodes to ask first.
+    pub seeds: &'a [NodeId],
+    /// Seed of the process's random choices.
+    pub seed: u64,
+}
+
 /// What does not change while a machine exists.
 #[derive(Clone, Debug)]
 pub struct MachineSpec {
@@ -82,15 +97,18 @@
         service_fits && side_fits && zone_fits && server_fits && entry_fits
     }
 
-    /// Settings of a new process on the machine.
-    pub fn settings(&self, zones_per_side: u16, policy: PolicyKind, seed: u64) -> NodeSettings {
+    /// Settings of a process on the machine, the given as the incarnation.
+    pub fn settings(&self, process: ProcessSettings<'_>) -> NodeSettings {
+        let zones_per_side = process.mesh.zones_per_side;
         NodeSettings {
             node: self.node,
+            incarnation: Incarnation(process.incarnation),
+            seeds: process.seeds.to_vec(),
             side: self.side,
             zone: self.global_zone(zones_per_side),
             services: self.service_name.iter().cloned().collect(),
-            policy,
-            seed,
+            policy: process.policy,
+            seed: process.seed,
         }
     }
 }
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -60,6 +60,7 @@
     mesh: Mesh,
     scenario: Scenario,
     machines: Vec<Machine>,
+    seeds: Vec<NodeId>,
     by_address: BTreeMap<NodeId, MachineIndex>,
     network: Network,
     platform: Platform,
@@ -175,6 +176,11 @@
             WorldEvent::MachinesFetched { machine, result } => {
                 self.machines_fetched(machine, result);
             }
+            WorldEvent::ControlArrives {
+                machine,
+                from,
+                message,
+            } => self.control_arrives(machine, from, *message),
             WorldEvent::HealthCheck { machine } => self.health_check(machine),
             WorldEvent::FaultBegins { fault } => self.fault_begins(fault),
             WorldEvent::FaultEnds { fault } => self.fault_ends(fault),
--- a/crates/sim/src/world/network.rs
+++ b/crates/sim/src/world/network.rs
@@ -68,6 +68,15 @@
         Some(delay)
     }
 
+    /// Delay of a UDP datagram; none if it is lost.
+    pub fn datagram_delay(&mut self, from: MachineIndex, to: MachineIndex) -> Option<Duration> {
+        let rate = self.loss_rate(from, to);
+        if self.random.chance(rate) {
+            return None;
+        }
+        Some(self.packet_delay(from, to))
+    }
+
     /// Delay between a client and an entry node.
     pub fn client_delay(&mut self) -> Duration {
         self.random.delay(self.client_delay)
--- a/crates/sim/src/world/nodes.rs
+++ b/crates/sim/src/world/nodes.rs
@@ -8,7 +8,8 @@
 };
 use lifthollow_coordination::inbound::InboundEvent;
 use lifthollow_coordination::{NodeEffect, NodeEvent};
-use lifthollow_state::Table;
+use lifthollow_protocol::ControlMessage;
+use lifthollow_state::{NodeId, Table};
 
 use super::event::WorldEvent;
 use super::ids::MachineIndex;
@@ -90,6 +91,8 @@
         let now = self.now();
         let machine = index;
         let event = match effect {
+            FleetEffect::Send { to, message } => return self.send_control(index, to, message),
+            FleetEffect::Report(_) => return,
             FleetEffect::FetchTable => {
                 let result = self.platform.fetch_table(now);
                 WorldEvent::TableFetched { machine, result }
@@ -125,6 +128,31 @@
             .any(|(other, _)| self.network.is_connected(index, MachineIndex(other)))
     }
 
+    /// Sends a datagram, which may be lost.
+    fn send_control(&mut self, index: MachineIndex, to: NodeId, message: ControlMessage) {
+        let Some(machine) = self.by_address.get(&to).copied() else {
+            return;
+        };
+        if let Some(delay) = self.network.datagram_delay(index, machine) {
+            let event = WorldEvent::ControlArrives {
+                machine,
+                from: self.machine(index).spec.node,
+                message: Box::new(message),
+            };
+            self.schedule(event, delay);
+        }
+    }
+
+    pub(super) fn control_arrives(
+        &mut self,
+        machine: MachineIndex,
+        from: NodeId,
+        message: ControlMessage,
+    ) {
+        let event = FleetEvent::Message { from, message };
+        self.feed_node(machine, NodeEvent::Fleet(event));
+    }
+
     pub(super) fn table_fetched(
         &mut self,
         machine: MachineIndex,
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -15,7 +15,7 @@
 use super::clients::Clients;
 use super::event::WorldEvent;
 use super::ids::{FaultIndex, MachineIndex};
-use super::machine::{Machine, MachineSpec, ProcessState};
+use super::machine::{Machine, MachineSpec, ProcessSettings, ProcessState};
 use super::network::Network;
 use super::platform::Platform;
 use super::trace::TraceHash;
@@ -34,6 +34,9 @@
 /// Clocks of machines differ by this much for each machine.
 const CLOCK_STEP: Duration = Duration::from_secs(977);
 
+/// The first process on a machine.
+const FIRST_INCARNATION: u64 = 1;
+
 /// Makes the node of a machine.
 pub type NodeFactory = fn(NodeSettings) -> Node;
 
@@ -103,10 +106,20 @@
         let stream = |purpose: Purpose| RandomStream::new(settings.seed, purpose as u64);
         let specs = machine_specs(&mesh);
         let mut process_seeds = stream(Purpose::ProcessSeeds);
+        let seeds = entry_addresses(&specs);
         let machines = specs
             .iter()
             .enumerate()
-            .map(|(index, spec)| machine(&mesh, index, spec, settings, process_seeds.seed()))
+            .map(|(index, spec)| {
+                let process = ProcessSettings {
+                    mesh: &mesh,
+                    policy: settings.policy,
+                    incarnation: FIRST_INCARNATION,
+                    seeds: &seeds,
+                    seed: process_seeds.seed(),
+                };
+                machine(index, spec, process, settings.node_factory)
+            })
             .collect();
         let entries = entries(&specs);
         let total_rate = best_rate(&mesh) * scenario.load;
@@ -128,6 +141,7 @@
             mesh,
             scenario,
             machines,
+            seeds,
             clients,
             calls: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -185,22 +199,20 @@
 }
 
 fn machine(
-    mesh: &Mesh,
     index: usize,
     spec: &MachineSpec,
-    settings: WorldSettings,
-    seed: u64,
+    process: ProcessSettings<'_>,
+    node_factory: NodeFactory,
 ) -> Machine {
-    let node_settings = spec.settings(mesh.zones_per_side, settings.policy, seed);
     let back_end = spec.service.map(|service| {
-        let model = mesh.service(service);
+        let model = process.mesh.service(service);
         BackEnd::new(model.slots, model.max_connections)
     });
     Machine {
         spec: spec.clone(),
-        node: (settings.node_factory)(node_settings),
+        node: node_factory(spec.settings(process)),
         state: ProcessState::Running,
-        incarnation: 0,
+        incarnation: FIRST_INCARNATION,
         clock_offset: CLOCK_STEP * index as u32,
         wake_at: None,
         held: Vec::new(),
@@ -255,6 +267,12 @@
         .collect()
 }
 
+/// Nodes name the entry nodes as seeds in their settings.
+fn entry_addresses(specs: &[MachineSpec]) -> Vec<NodeId> {
+    let entries = specs.iter().filter(|spec| spec.service.is_none());
+    entries.map(|spec| spec.node).collect()
+}
+
 fn addresses(specs: &[MachineSpec]) -> BTreeMap<NodeId, MachineIndex> {
     let machines = specs.iter().enumerate();
     machines
