--- a/crates/sim/src/mesh/midlands.rs
+++ b/crates/sim/src/mesh/midlands.rs
@@ -14,7 +14,7 @@
 const MAX_CONNECTIONS: u32 = 110;
 const SERVERS_PER_SIDE: u16 = 3;
 const SERVICE_DEADLINE: Duration = Duration::from_secs(2);
-const STREAM_TIME: Duration = Duration::from_millis(240);
+const STREAM_TIME: Duration = Duration::from_millis(340);
 
 /// Three halls half a millisecond apart, clients one millisecond away.
 pub fn mesh() -> Mesh {
@@ -26,10 +26,10 @@
         client_delay: Duration::from_millis(1),
         connection_cost: Duration::from_millis(1),
         services: vec![
-            service("feeds", 16, PriorityClass::Normal, true),
+            service("feeds", 14, PriorityClass::Normal, true),
             service("publishing", 10, PriorityClass::Critical, false),
-            service("media", 20, PriorityClass::Normal, true),
-            service("catalogue", 14, PriorityClass::Normal, true),
+            service("media", 16, PriorityClass::Normal, true),
+            service("catalogue", 12, PriorityClass::Normal, true),
         ],
         kinds: kinds(),
     }
@@ -48,11 +48,11 @@
 }
 
 fn kinds() -> Vec<RequestKind> {
-    let ad_slots = || visit(CATALOGUE, 80);
-    let rights = || visit(PUBLISHING, 50);
+    let ad_slots = || visit(CATALOGUE, 112);
+    let rights = || visit(PUBLISHING, 70);
     let audio = Visit {
         stream: STREAM_TIME,
-        ..visit(MEDIA, 80)
+        ..visit(MEDIA, 112)
     };
     let normal = PriorityClass::Normal;
     let critical = PriorityClass::Critical;
@@ -62,14 +62,14 @@
             normal,
             0.50,
             2_000,
-            vec![calling(visit(FEEDS, 60), &[&[1]]), ad_slots()],
+            vec![calling(visit(FEEDS, 84), &[&[1]]), ad_slots()],
         ),
         kind(
             "show-page",
             normal,
             0.18,
             2_000,
-            vec![calling(visit(FEEDS, 80), &[&[1, 2]]), ad_slots(), rights()],
+            vec![calling(visit(FEEDS, 112), &[&[1, 2]]), ad_slots(), rights()],
         ),
         kind(
             "episode",
@@ -83,7 +83,7 @@
             PriorityClass::Sheddable,
             0.06,
             4_000,
-            vec![visit(CATALOGUE, 160)],
+            vec![visit(CATALOGUE, 224)],
         ),
         kind(
             "publish",
@@ -91,8 +91,8 @@
             0.04,
             5_000,
             vec![
-                once(calling(visit(PUBLISHING, 100), &[&[1]])),
-                visit(CATALOGUE, 60),
+                once(calling(visit(PUBLISHING, 140), &[&[1]])),
+                visit(CATALOGUE, 84),
             ],
         ),
         kind(
@@ -100,7 +100,7 @@
             critical,
             0.04,
             5_000,
-            vec![once(visit(PUBLISHING, 80))],
+            vec![once(visit(PUBLISHING, 112))],
         ),
     ]
 }
--- a/crates/sim/src/mesh/sofia.rs
+++ b/crates/sim/src/mesh/sofia.rs
@@ -24,8 +24,8 @@
         client_delay: Duration::from_millis(3),
         connection_cost: Duration::from_millis(1),
         services: vec![
-            service("balance", 4, 10, true),
-            service("top-up", 4, 10, false),
+            service("balance", 4, 8, true),
+            service("top-up", 4, 8, false),
             service("catalogue", 4, 8, true),
             service("receipts", 3, 8, true),
         ],
@@ -51,8 +51,8 @@
 }
 
 fn kinds() -> Vec<RequestKind> {
-    let tariff = || visit(CATALOGUE, 50);
-    let limits = || visit(BALANCE, 60);
+    let tariff = || visit(CATALOGUE, 70);
+    let limits = || visit(BALANCE, 84);
     let normal = PriorityClass::Normal;
     vec![
         kind(
@@ -60,7 +60,7 @@
             normal,
             0.45,
             2_000,
-            vec![calling(visit(BALANCE, 80), &[&[1]]), tariff()],
+            vec![calling(visit(BALANCE, 112), &[&[1]]), tariff()],
         ),
         kind(
             "top-up",
@@ -68,10 +68,10 @@
             0.25,
             6_000,
             vec![
-                once(calling(visit(TOP_UP, 100), &[&[1, 2], &[3]])),
+                once(calling(visit(TOP_UP, 140), &[&[1, 2], &[3]])),
                 limits(),
                 tariff(),
-                once(visit(RECEIPTS, 60)),
+                once(visit(RECEIPTS, 84)),
             ],
         ),
         kind(
@@ -79,14 +79,14 @@
             normal,
             0.20,
             2_500,
-            vec![calling(visit(RECEIPTS, 80), &[&[1]]), limits()],
+            vec![calling(visit(RECEIPTS, 112), &[&[1]]), limits()],
         ),
         kind(
             "voucher-pull",
             PriorityClass::Sheddable,
             0.10,
             5_000,
-            vec![visit(CATALOGUE, 140)],
+            vec![visit(CATALOGUE, 196)],
         ),
     ]
 }
--- a/crates/sim/src/random.rs
+++ b/crates/sim/src/random.rs
@@ -11,10 +11,10 @@
 const SERVICE_TIME_VARIATION: f64 = 0.35;
 /// Coefficient of variation of streaming times.
 const STREAM_TIME_VARIATION: f64 = 0.5;
-/// Shape of the gamma distribution of times between arrivals of one kind. At 10
-/// the coefficient of variation is 0.32: many clients, whose schedulers spread
+/// Shape of the gamma distribution of times between arrivals of one kind. At 16
+/// the coefficient of variation is 0.25: many clients, whose schedulers spread
 /// their requests.
-const ARRIVAL_SHAPE: f64 = 10.0;
+const ARRIVAL_SHAPE: f64 = 16.0;
 /// Share of a link's mean delay that varies.
 const DELAY_JITTER: f64 = 0.2;
 
--- a/crates/sim/src/world/back_end_runs.rs
+++ b/crates/sim/src/world/back_end_runs.rs
@@ -257,6 +257,7 @@
         if run.phase == RunPhase::Ended {
             return;
         }
+        let was_queued = run.phase == RunPhase::Queued;
         run.phase = RunPhase::Ended;
         run.epoch += 1;
         let connected = std::mem::take(&mut run.connected);
@@ -267,7 +268,9 @@
         if let Some(back_end) = self.machines[server.0].back_end.as_mut() {
             back_end.running.remove(&wire);
             back_end.stuck.remove(&wire);
-            back_end.queue.retain(|queued| *queued != wire);
+            if was_queued {
+                back_end.queue.retain(|queued| *queued != wire);
+            }
             if connected {
                 back_end.release(reusable);
             }
@@ -287,7 +290,11 @@
         if !back_end.has_free_slot() {
             return None;
         }
-        back_end.queue.pop_front()
+        let next = back_end.queue.pop_front()?;
+        if let Some(run) = self.run_mut(next) {
+            run.phase = RunPhase::Connecting;
+        }
+        Some(next)
     }
 
     /// The node gave a run up: the back end stops it and frees its slot.
