sim: show that every observer trips, on nodes and transports broken on purpose

Cause: an observer that never trips proves nothing. Change: Node::with_policies lets tests put wrong decisions in; the world's transport can truncate answers, drop datagrams and lose the leave signal; an answer that ended before its node passes it on is kept until then.

--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -82,6 +82,16 @@
     /// A node that knows nothing yet but its settings.
     pub fn new(settings: NodeSettings) -> Self {
         let (outbound, inbound) = policies(&settings);
+        Node::with_policies(settings, outbound, inbound)
+    }
+
+    /// A node that runs the given decisions in place of those its settings name,
+    /// so that checks can be tried on decisions that are wrong on purpose.
+    pub fn with_policies(
+        settings: NodeSettings,
+        outbound: Box<dyn OutboundPolicy>,
+        inbound: Box<dyn InboundPolicy>,
+    ) -> Self {
         Node {
             fleet: Fleet::new(fleet_settings(&settings)),
             settings,
--- a/crates/sim/src/world/calls.rs
+++ b/crates/sim/src/world/calls.rs
@@ -48,7 +48,6 @@
             service: visit.service,
             call,
             attempts: Vec::new(),
-            delivering: None,
             open_attempts: 0,
             idle_since: self.now(),
         };
--- a/crates/sim/src/world/lifecycle.rs
+++ b/crates/sim/src/world/lifecycle.rs
@@ -11,7 +11,7 @@
 use super::ids::{FaultIndex, MachineIndex, WireId};
 use super::machine::ProcessSettings;
 use super::platform::{Listing, VANISHED_LIST_LAG};
-use super::{ProcessState, World};
+use super::{ProcessState, TransportDefect, World};
 use crate::observe::Observation;
 use crate::scenario::{FaultKind, LeaveNotice};
 
@@ -193,7 +193,8 @@
             machine: index,
             at: told_at,
         });
-        if told == LeaveNotice::Node {
+        let heard = self.settings.defect != Some(TransportDefect::LosesLeaveSignal);
+        if told == LeaveNotice::Node && heard {
             self.feed_node(index, NodeEvent::Inbound(InboundEvent::Leave));
         }
         let check = WorldEvent::LeaveCheck {
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -40,7 +40,7 @@
 use platform::Platform;
 pub use records::Operation;
 use records::{AttemptRecord, CallRecord};
-pub use setup::{NodeFactory, WorldSettings, run_world};
+pub use setup::{NodeFactory, TransportDefect, WorldSettings, run_world};
 
 use clients::Clients;
 use trace::TraceHash;
--- a/crates/sim/src/world/nodes.rs
+++ b/crates/sim/src/world/nodes.rs
@@ -13,7 +13,7 @@
 
 use super::event::WorldEvent;
 use super::ids::MachineIndex;
-use super::{ProcessState, World};
+use super::{ProcessState, TransportDefect, World};
 use crate::observe::Observation;
 
 /// Round trip to the platform's services, their own time included.
@@ -133,6 +133,9 @@
         let Some(machine) = self.by_address.get(&to).copied() else {
             return;
         };
+        if self.settings.defect == Some(TransportDefect::DropsDatagrams) {
+            return;
+        }
         if let Some(delay) = self.network.datagram_delay(index, machine) {
             let event = WorldEvent::ControlArrives {
                 machine,
--- a/crates/sim/src/world/outbound_effects.rs
+++ b/crates/sim/src/world/outbound_effects.rs
@@ -8,10 +8,10 @@
 use lifthollow_protocol::{AttemptResult, RefusalReason};
 use lifthollow_state::{NodeId, RequestContext, RetryAllowance, Timestamp};
 
-use super::World;
 use super::event::{ClientAnswer, WorldEvent};
 use super::ids::{MachineIndex, WireId};
 use super::records::{AttemptRecord, CallOrigin};
+use super::{CLOCK_TICK, TransportDefect, World};
 use crate::observe::{Observation, Told};
 
 impl World {
@@ -85,6 +85,8 @@
                 from: caller.spec.node,
                 body_digest,
             },
+            delivers_to: None,
+            ended: None,
             caller_open: true,
             server_open: true,
             answered: None,
@@ -207,51 +209,62 @@
 
     /// Passes an attempt's answer on; its other attempts are dropped.
     fn deliver_answer(&mut self, call: CallId, attempt: AttemptId) {
-        let Some(record) = self.calls.get_mut(&call) else {
+        let Some(record) = self.calls.get(&call) else {
             return;
         };
-        let wire = self
-            .attempts_by_caller
-            .get(&(record.machine, attempt))
-            .copied();
-        record.delivering = wire;
-        let others: Vec<WireId> = record
-            .attempts
-            .iter()
-            .copied()
-            .filter(|other| Some(*other) != wire)
-            .collect();
-        others
-            .into_iter()
-            .for_each(|other| self.close_caller(other));
+        let own_attempts = record.attempts.clone();
+        let attempt = (record.machine, attempt);
+        let wire = self.attempts_by_caller.get(&attempt).copied();
+        if let Some(delivered) = wire.and_then(|wire| self.attempts.get_mut(&wire)) {
+            delivered.delivers_to = Some(call);
+        }
+        self.close_ended_answer(wire);
+        let others = own_attempts.into_iter().filter(|other| {
+            let delivered = self.attempts.get(other).and_then(|other| other.delivers_to);
+            delivered.is_none()
+        });
+        let others: Vec<WireId> = others.collect();
+        for other in others {
+            self.close_caller(other);
+        }
+    }
+
+    /// An answer that had ended before it was passed on is closed now.
+    fn close_ended_answer(&mut self, wire: Option<WireId>) {
+        let ended = wire.and_then(|wire| Some((wire, self.attempts.get(&wire)?.ended?)));
+        if let Some((wire, complete)) = ended {
+            let event = WorldEvent::AttemptClosed { wire, complete };
+            self.schedule(event, CLOCK_TICK);
+        }
     }
 
     pub(super) fn attempt_closed(&mut self, wire: WireId, complete: bool) {
-        let Some(attempt_record) = self.attempts.get(&wire) else {
+        let Some(attempt_record) = self.attempts.get_mut(&wire) else {
             return;
         };
-        let (call, caller) = (attempt_record.call, attempt_record.caller);
-        let attempt = attempt_record.attempt_id;
+        attempt_record.ended = Some(complete);
+        let (caller, attempt) = (attempt_record.caller, attempt_record.attempt_id);
         let body_of = attempt_record.operation;
         let success = attempt_record.answered == Some(AttemptResult::Completed { success: true });
+        let Some(call) = attempt_record.delivers_to else {
+            return;
+        };
         let Some(record) = self.calls.get(&call).cloned() else {
             return self.close_caller(wire);
         };
-        if record.delivering != Some(wire) {
-            return;
-        }
         let event = OutboundEvent::AttemptClosed { attempt, complete };
         self.feed_node(caller, NodeEvent::Outbound(event));
         let answer = if complete {
             ClientAnswer::Complete {
                 success,
                 body_of,
-                whole: true,
+                whole: self.settings.defect != Some(TransportDefect::TruncatesAnswers),
             }
         } else {
             ClientAnswer::Broken
         };
         self.tell_origin(&record, call, answer);
+        self.close_caller(wire);
         self.forget_call(call);
     }
 
--- a/crates/sim/src/world/records.rs
+++ b/crates/sim/src/world/records.rs
@@ -1,7 +1,7 @@
 //! Calls and attempts in progress, as the transport between nodes knows them.
 
 use lifthollow_coordination::inbound::Attempt;
-use lifthollow_coordination::outbound::{AttemptId, Call};
+use lifthollow_coordination::outbound::{AttemptId, Call, CallId};
 use lifthollow_protocol::AttemptResult;
 use lifthollow_state::{RetryAllowance, Timestamp};
 
@@ -57,8 +57,6 @@
     pub open_attempts: u32,
     /// When its node last stopped waiting for an attempt.
     pub idle_since: Timestamp,
-    /// The attempt whose answer is delivered.
-    pub delivering: Option<WireId>,
 }
 
 /// An attempt between two nodes.
@@ -69,7 +67,7 @@
     /// Its number there.
     pub attempt_id: AttemptId,
     /// The call it belongs to.
-    pub call: lifthollow_coordination::outbound::CallId,
+    pub call: CallId,
     /// The node it was sent to.
     pub server: MachineIndex,
     /// What it is for.
@@ -83,6 +81,10 @@
     pub attempt: Attempt,
     /// Retries of the lent allowance that the server's side still has.
     pub ledger: RetryAllowance,
+    /// The call that its answer is passed on to.
+    pub delivers_to: Option<CallId>,
+    /// Whether its answer has ended, and in order, before it was passed on.
+    pub ended: Option<bool>,
     /// Whether the caller's node still waits for it.
     pub caller_open: bool,
     /// Whether the server's node may still act on it.
@@ -127,7 +129,7 @@
     /// When the back end should give up, on the simulation's clock.
     pub deadline: Timestamp,
     /// Nested calls that have not ended.
-    pub open_calls: Vec<lifthollow_coordination::outbound::CallId>,
+    pub open_calls: Vec<CallId>,
     /// Whether it took a connection that must be given back.
     pub connected: bool,
     /// When the present piece of work began.
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -49,6 +49,19 @@
     pub seed: u64,
     /// Makes nodes; tests put broken ones in.
     pub node_factory: NodeFactory,
+    /// What is wrong with the transport on purpose; nothing in ordinary runs.
+    pub defect: Option<TransportDefect>,
+}
+
+/// A transport that is wrong on purpose, so that observers can be tried on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransportDefect {
+    /// Answers end in order although bytes are missing.
+    TruncatesAnswers,
+    /// Datagrams between nodes are never delivered.
+    DropsDatagrams,
+    /// Nodes are not told that their machine is to be stopped.
+    LosesLeaveSignal,
 }
 
 impl WorldSettings {
@@ -58,6 +71,7 @@
             policy,
             seed,
             node_factory: Node::new,
+            defect: None,
         }
     }
 }
