--- a/crates/sim/src/commands/mod.rs
+++ b/crates/sim/src/commands/mod.rs
@@ -1,13 +1,17 @@
 //! The command line of `lifthollow-sim`.
 
 mod list;
+mod report;
 mod run;
+mod sweep;
 
 use anyhow::Result;
 use argh::FromArgs;
 
 use list::ListCommand;
+use report::ReportCommand;
 use run::RunCommand;
+use sweep::SweepCommand;
 
 /// Simulate a mesh of lifthollow nodes on a virtual clock.
 ///
@@ -24,6 +28,8 @@
 enum Command {
     List(ListCommand),
     Run(RunCommand),
+    Sweep(SweepCommand),
+    Report(ReportCommand),
 }
 
 /// Carries out the command that the arguments name.
@@ -31,5 +37,7 @@
     match &arguments.command {
         Command::List(command) => list::execute(command),
         Command::Run(command) => run::execute(command),
+        Command::Sweep(command) => sweep::execute(command),
+        Command::Report(command) => report::execute(command),
     }
 }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod mesh;
 pub mod observe;
 pub mod random;
+pub mod report;
 pub mod scenario;
+pub mod sweep;
 pub mod world;
--- a/crates/sim/src/observe/mod.rs
+++ b/crates/sim/src/observe/mod.rs
@@ -61,6 +61,20 @@
         ]
     }
 
+    /// The sums of two runs' counts.
+    pub fn plus(self, other: Violations) -> Violations {
+        Violations {
+            retry_bound: self.retry_bound + other.retry_bound,
+            priority_order: self.priority_order + other.priority_order,
+            complete_answer: self.complete_answer + other.complete_answer,
+            not_run_truth: self.not_run_truth + other.not_run_truth,
+            at_most_once: self.at_most_once + other.at_most_once,
+            leaving_quiet: self.leaving_quiet + other.leaving_quiet,
+            planned_stop: self.planned_stop + other.planned_stop,
+            config_forward: self.config_forward + other.config_forward,
+        }
+    }
+
     /// Sum of all counts.
     pub fn total(&self) -> u64 {
         self.named().iter().map(|(_, count)| count).sum()
