--- a/crates/coordination/src/baseline/fixed_inbound.rs
+++ b/crates/coordination/src/baseline/fixed_inbound.rs
@@ -157,7 +157,7 @@
         None
     }
 
-    fn load(&self, _now: Timestamp, service: &ServiceName) -> LoadReport {
+    fn load(&self, _now: Timestamp, _view: &View, service: &ServiceName) -> LoadReport {
         let running = self
             .running
             .values()
--- a/crates/coordination/src/inbound/mod.rs
+++ b/crates/coordination/src/inbound/mod.rs
@@ -1,8 +1,20 @@
 //! The server's side of an attempt: admitted to the back end, queued or refused.
+//!
+//! [`admission_control`] is the product's policy; [`service_admission`] shows
+//! the order of its decisions: [`admission_threshold`], [`concurrency_limit`],
+//! [`queue`].
+
+pub mod admission_control;
+pub mod admission_threshold;
+pub mod concurrency_limit;
+pub mod queue;
+pub mod service_admission;
+
+pub use admission_control::AdmissionControl;
 
 use std::time::Duration;
 
-use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
+use lifthollow_protocol::{AdmissionLevel, AttemptResult, LoadReport, RefusalReason};
 use lifthollow_state::{NodeId, RequestContext, ServiceName, Timestamp};
 
 use crate::View;
@@ -129,7 +141,11 @@
     fn next_wake(&self) -> Option<Timestamp>;
 
     /// The load of a service, to be sent with every answer.
-    fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport;
+    fn load(&self, now: Timestamp, view: &View, service: &ServiceName) -> LoadReport;
+
+    /// Sets the lowest priority admitted by the services that nearly every call
+    /// of `service` needs further down. Baselines take no notice.
+    fn set_downstream_level(&mut self, _service: &ServiceName, _level: AdmissionLevel) {}
 
     /// Attempts that are queued or running.
     fn in_progress(&self) -> usize;
--- /dev/null
+++ b/crates/coordination/src/inbound/queue.rs
@@ -0,0 +1,128 @@
+//! Attempts that wait for a free slot at the back end.
+//!
+//! Ordered by priority, then by deadline. The least important one can be
+//! evicted for a more important one; those that can no longer finish in time
+//! are found without a scan.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use lifthollow_state::{Priority, Timestamp};
+
+use super::InboundId;
+
+/// An attempt that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueuedAttempt {
+    /// Its number.
+    pub id: InboundId,
+    /// Its place in the order.
+    pub priority: Priority,
+    /// When its caller stops waiting.
+    pub deadline: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    priority: Reverse<Priority>,
+    deadline: Timestamp,
+    id: InboundId,
+}
+
+impl Rank {
+    fn of(attempt: &QueuedAttempt) -> Self {
+        Rank {
+            priority: Reverse(attempt.priority),
+            deadline: attempt.deadline,
+            id: attempt.id,
+        }
+    }
+
+    fn attempt(&self) -> QueuedAttempt {
+        QueuedAttempt {
+            id: self.id,
+            priority: self.priority.0,
+            deadline: self.deadline,
+        }
+    }
+}
+
+/// The queue of one service.
+#[derive(Debug, Default)]
+pub struct PriorityQueue {
+    by_rank: BTreeSet<Rank>,
+    by_deadline: BTreeSet<(Timestamp, InboundId)>,
+    ranks: BTreeMap<InboundId, Rank>,
+}
+
+impl PriorityQueue {
+    /// Attempts that wait.
+    pub fn len(&self) -> usize {
+        self.by_rank.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.by_rank.is_empty()
+    }
+
+    /// Adds an attempt.
+    pub fn push(&mut self, attempt: QueuedAttempt) {
+        let rank = Rank::of(&attempt);
+        self.by_rank.insert(rank);
+        self.by_deadline.insert((attempt.deadline, attempt.id));
+        self.ranks.insert(attempt.id, rank);
+    }
+
+    /// Takes out one attempt; says whether it was there.
+    pub fn remove(&mut self, id: InboundId) -> bool {
+        let Some(rank) = self.ranks.remove(&id) else {
+            return false;
+        };
+        self.by_rank.remove(&rank);
+        self.by_deadline.remove(&(rank.deadline, id));
+        true
+    }
+
+    /// Takes out the most important attempt.
+    pub fn pop_most_important(&mut self) -> Option<QueuedAttempt> {
+        let attempt = self.by_rank.first()?.attempt();
+        self.remove(attempt.id);
+        Some(attempt)
+    }
+
+    /// Takes out the least important attempt if it is less important than
+    /// `priority`.
+    pub fn evict_below(&mut self, priority: Priority) -> Option<QueuedAttempt> {
+        let attempt = self.by_rank.last()?.attempt();
+        if attempt.priority >= priority {
+            return None;
+        }
+        self.remove(attempt.id);
+        Some(attempt)
+    }
+
+    /// Takes out an attempt whose deadline lies before `earliest_end`.
+    pub fn pop_due_before(&mut self, earliest_end: Timestamp) -> Option<QueuedAttempt> {
+        let &(deadline, id) = self.by_deadline.first()?;
+        if deadline >= earliest_end {
+            return None;
+        }
+        let attempt = self.ranks.get(&id)?.attempt();
+        self.remove(id);
+        Some(attempt)
+    }
+
+    /// The earliest deadline of all that wait.
+    pub fn earliest_deadline(&self) -> Option<Timestamp> {
+        self.by_deadline.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// How many wait that would be served before an attempt of `priority`.
+    pub fn ahead_of(&self, priority: Priority) -> usize {
+        self.by_rank
+            .iter()
+            .take_while(|rank| rank.priority.0 >= priority)
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/inbound/service_admission.rs
@@ -0,0 +1,339 @@
+//! Admission to the back end of one service: the decisions composed.
+//!
+//! An attempt passes, in this order: leaving, the deadline, the admission
+//! level of services needed further down, the server's own threshold, a free
+//! slot under the concurrency limit, the queue. Each step can refuse it, and a
+//! refusal is answered at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lifthollow_protocol::{AdmissionLevel, LoadReport, RefusalReason};
+use lifthollow_state::{Priority, TableRow, Timestamp};
+
+use super::admission_threshold::{AdmissionThreshold, Occupancy};
+use super::concurrency_limit::ConcurrencyLimit;
+use super::queue::{PriorityQueue, QueuedAttempt};
+use super::{InboundId, RunResult};
+use crate::latency::LatencyEstimate;
+
+/// After a pause nothing queued is started for this long: cancellations that
+/// came in meanwhile are taken in first.
+const SETTLE_AFTER_PAUSE: Duration = Duration::from_millis(5);
+/// The queue is checked for work that can't finish in time at most this often.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
+/// What is to become of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Run it now.
+    Run {
+        /// The attempt.
+        id: InboundId,
+        /// When its caller stops waiting.
+        deadline: Timestamp,
+    },
+    /// Answer that it did not run.
+    Refuse {
+        /// The attempt.
+        id: InboundId,
+        /// Its place in the order of shedding.
+        priority: Priority,
+        /// Why.
+        reason: RefusalReason,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    started: Timestamp,
+    answered: bool,
+    cancelled: bool,
+}
+
+/// State of one service's admission.
+#[derive(Debug, Default)]
+pub struct ServiceAdmission {
+    limit: ConcurrencyLimit,
+    threshold: AdmissionThreshold,
+    downstream: AdmissionLevel,
+    queue: PriorityQueue,
+    running: BTreeMap<InboundId, Running>,
+    time_to_answer: LatencyEstimate,
+    time_in_slot: LatencyEstimate,
+    settles_at: Timestamp,
+    next_wake: Option<Timestamp>,
+}
+
+impl ServiceAdmission {
+    /// Sets the lowest priority admitted by the services needed further down.
+    pub fn set_downstream(&mut self, level: AdmissionLevel) {
+        self.downstream = level;
+    }
+
+    /// The lowest priority admitted here and further down.
+    pub fn level(&self) -> AdmissionLevel {
+        self.threshold.level().max(self.downstream)
+    }
+
+    /// Attempts that wait or run.
+    pub fn in_progress(&self) -> usize {
+        self.queue.len() + self.running.len()
+    }
+
+    /// The load as told to callers' nodes.
+    pub fn load(&self, row: Option<&TableRow>, leaving: bool) -> LoadReport {
+        LoadReport {
+            in_flight: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            limit: self.current_limit(row),
+            admission_level: self.level(),
+            leaving,
+        }
+    }
+
+    /// When something must be done without another event.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.next_wake
+    }
+
+    /// An attempt arrived.
+    pub fn arrive(
+        &mut self,
+        now: Timestamp,
+        row: &TableRow,
+        attempt: QueuedAttempt,
+        verdicts: &mut Vec<Verdict>,
+    ) {
+        self.observe(now, row);
+        match self.admit(now, row, &attempt, verdicts) {
+            Ok(()) => self.queue.push(attempt),
+            Err(reason) => verdicts.push(refuse(attempt, reason)),
+        }
+        self.start_queued(now, row, verdicts);
+    }
+
+    /// Whether the attempt may wait for a slot or, if one is free, run.
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        row: &TableRow,
+        attempt: &QueuedAttempt,
+        verdicts: &mut Vec<Verdict>,
+    ) -> Result<(), RefusalReason> {
+        if now + self.time_to_answer.mean_at(now) > attempt.deadline {
+            return Err(RefusalReason::DeadlineTooShort);
+        }
+        if !self.downstream.admits(attempt.priority) {
+            return Err(RefusalReason::DownstreamOverloaded);
+        }
+        if !self.threshold.level().admits(attempt.priority) {
+            return Err(RefusalReason::Overloaded);
+        }
+        self.threshold.arrived(AdmissionLevel::of(attempt.priority));
+        if self.has_free_slot(row) && self.queue.is_empty() {
+            return Ok(());
+        }
+        if now + self.expected_time(now, row, attempt.priority) > attempt.deadline {
+            self.threshold.turned_away();
+            return Err(RefusalReason::Overloaded);
+        }
+        self.make_room(row, attempt, verdicts)
+    }
+
+    /// Evicts less important work if the queue is full.
+    fn make_room(
+        &mut self,
+        row: &TableRow,
+        attempt: &QueuedAttempt,
+        verdicts: &mut Vec<Verdict>,
+    ) -> Result<(), RefusalReason> {
+        if self.queue.len() < row.max_queue as usize {
+            return Ok(());
+        }
+        self.threshold.turned_away();
+        let evicted = self
+            .queue
+            .evict_below(attempt.priority)
+            .ok_or(RefusalReason::QueueFull)?;
+        verdicts.push(refuse(evicted, RefusalReason::Overloaded));
+        Ok(())
+    }
+
+    /// Time until an attempt of `priority` that waits now would be answered.
+    fn expected_time(&self, now: Timestamp, row: &TableRow, priority: Priority) -> Duration {
+        let turns = self.queue.ahead_of(priority) as f64 + 1.0;
+        let limit = f64::from(self.current_limit(Some(row)));
+        let wait = self.time_in_slot.mean_at(now).mul_f64(turns / limit);
+        wait + self.time_to_answer.mean_at(now)
+    }
+
+    /// The head of the back end's answer is in; says whether the caller's node
+    /// is still to be told.
+    pub fn answered(
+        &mut self,
+        now: Timestamp,
+        row: Option<&TableRow>,
+        id: InboundId,
+        result: RunResult,
+    ) -> bool {
+        let in_flight = self.running.len();
+        let Some(run) = self.running.get_mut(&id) else {
+            return false;
+        };
+        let first = !run.answered;
+        run.answered = true;
+        let elapsed = now.saturating_since(run.started);
+        match result {
+            RunResult::Completed { .. } => {
+                self.time_to_answer.observe(now, elapsed);
+                let ceiling = row.map_or(1, ceiling);
+                self.limit.completed(now, in_flight, ceiling);
+            }
+            RunResult::Refused { .. } => self.limit.backend_refused(now, in_flight - 1),
+            RunResult::Lost => self.time_to_answer.observe_at_least(now, elapsed),
+        }
+        first
+    }
+
+    /// The back end is free of a run.
+    pub fn closed(
+        &mut self,
+        now: Timestamp,
+        row: Option<&TableRow>,
+        id: InboundId,
+        verdicts: &mut Vec<Verdict>,
+    ) {
+        let Some(row) = row else {
+            self.running.remove(&id);
+            return;
+        };
+        self.observe(now, row);
+        if let Some(run) = self.running.remove(&id) {
+            self.learn_time_in_slot(now, run);
+        }
+        self.start_queued(now, row, verdicts);
+    }
+
+    fn learn_time_in_slot(&mut self, now: Timestamp, run: Running) {
+        let elapsed = now.saturating_since(run.started);
+        if run.cancelled || !run.answered {
+            self.time_in_slot.observe_at_least(now, elapsed);
+            self.time_to_answer.observe_at_least(now, elapsed);
+        } else {
+            self.time_in_slot.observe(now, elapsed);
+        }
+    }
+
+    /// The caller's node gave the attempt up; says whether a run must be
+    /// cancelled.
+    pub fn cancelled(&mut self, id: InboundId) -> bool {
+        if self.queue.remove(id) {
+            return false;
+        }
+        let Some(run) = self.running.get_mut(&id) else {
+            return false;
+        };
+        run.cancelled = true;
+        true
+    }
+
+    /// The process was paused: what waits is looked at again before any of it
+    /// is started.
+    pub fn resumed(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        self.settles_at = now + SETTLE_AFTER_PAUSE;
+        self.next_wake = Some(self.settles_at);
+        self.threshold.restart(now);
+        while let Some(attempt) = self.queue.pop_due_before(now) {
+            verdicts.push(refuse(attempt, RefusalReason::Paused));
+        }
+    }
+
+    /// No new work: what waits is refused so that it can go elsewhere.
+    pub fn leave(&mut self, verdicts: &mut Vec<Verdict>) {
+        while let Some(attempt) = self.queue.pop_most_important() {
+            verdicts.push(refuse(attempt, RefusalReason::Leaving));
+        }
+    }
+
+    /// Revises the threshold, drops what can't finish in time and starts what
+    /// has a slot.
+    pub fn wake(&mut self, now: Timestamp, row: &TableRow, verdicts: &mut Vec<Verdict>) {
+        self.observe(now, row);
+        self.start_queued(now, row, verdicts);
+    }
+
+    fn start_queued(&mut self, now: Timestamp, row: &TableRow, verdicts: &mut Vec<Verdict>) {
+        self.drop_hopeless(now, verdicts);
+        while now >= self.settles_at && self.has_free_slot(row) {
+            let Some(attempt) = self.queue.pop_most_important() else {
+                break;
+            };
+            self.run(now, attempt, verdicts);
+        }
+        self.next_wake = self.next_check(now);
+    }
+
+    /// When the queue must be looked at again without another event.
+    fn next_check(&self, now: Timestamp) -> Option<Timestamp> {
+        let deadline = self.queue.earliest_deadline()?;
+        if now < self.settles_at {
+            return Some(self.settles_at);
+        }
+        let latest_start = deadline.saturating_sub(self.time_to_answer.mean_at(now));
+        let too_late = latest_start + Duration::from_micros(1);
+        Some(too_late.max(now + MIN_CHECK_INTERVAL))
+    }
+
+    /// Refuses what could not finish in time even if it started now.
+    fn drop_hopeless(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        let earliest_end = now + self.time_to_answer.mean_at(now);
+        while let Some(attempt) = self.queue.pop_due_before(earliest_end) {
+            self.threshold.turned_away();
+            verdicts.push(refuse(attempt, RefusalReason::DeadlineTooShort));
+        }
+    }
+
+    fn run(&mut self, now: Timestamp, attempt: QueuedAttempt, verdicts: &mut Vec<Verdict>) {
+        let run = Running {
+            started: now,
+            answered: false,
+            cancelled: false,
+        };
+        self.running.insert(attempt.id, run);
+        verdicts.push(Verdict::Run {
+            id: attempt.id,
+            deadline: attempt.deadline,
+        });
+    }
+
+    fn observe(&mut self, now: Timestamp, row: &TableRow) {
+        let occupancy = Occupancy {
+            running: self.running.len(),
+            limit: self.current_limit(Some(row)),
+            queued: self.queue.len(),
+        };
+        self.threshold.observe(now, occupancy);
+    }
+
+    fn has_free_slot(&self, row: &TableRow) -> bool {
+        self.running.len() < self.current_limit(Some(row)) as usize
+    }
+
+    fn current_limit(&self, row: Option<&TableRow>) -> u32 {
+        row.map_or(0, |row| self.limit.current(ceiling(row)))
+    }
+}
+
+/// No more calls run at once than there may be connections to carry them.
+fn ceiling(row: &TableRow) -> u32 {
+    row.max_in_flight.min(row.max_connections)
+}
+
+fn refuse(attempt: QueuedAttempt, reason: RefusalReason) -> Verdict {
+    Verdict::Refuse {
+        id: attempt.id,
+        priority: attempt.priority,
+        reason,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/latency.rs
@@ -0,0 +1,71 @@
+//! A running estimate of how long something takes.
+
+use std::time::Duration;
+
+use lifthollow_state::Timestamp;
+
+/// Share of a new sample in the mean.
+const MEAN_GAIN: f64 = 1.0 / 8.0;
+/// Share of a new sample in the deviation.
+const DEVIATION_GAIN: f64 = 1.0 / 4.0;
+/// Deviations above the mean that almost every sample stays under.
+const HIGH_DEVIATIONS: f64 = 4.0;
+/// Without samples, the estimate is halved this often, so that a slow spell
+/// that ended is not believed for ever by a node that refuses everything.
+const SILENCE_HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// Exponentially weighted mean and mean deviation of a duration.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LatencyEstimate {
+    mean: f64,
+    deviation: f64,
+    samples: u64,
+    updated: Timestamp,
+}
+
+impl LatencyEstimate {
+    /// Takes in one sample.
+    pub fn observe(&mut self, now: Timestamp, sample: Duration) {
+        let sample = sample.as_secs_f64();
+        if self.samples == 0 {
+            self.mean = sample;
+            self.deviation = sample / 2.0;
+        } else {
+            let error = sample - self.mean;
+            self.mean += error * MEAN_GAIN;
+            self.deviation += (error.abs() - self.deviation) * DEVIATION_GAIN;
+        }
+        self.samples += 1;
+        self.updated = now;
+    }
+
+    /// Takes in a duration that has passed without an end in sight: it counts
+    /// only if it is longer than expected.
+    pub fn observe_at_least(&mut self, now: Timestamp, elapsed: Duration) {
+        if self.samples > 0 && elapsed.as_secs_f64() > self.mean {
+            self.observe(now, elapsed);
+        }
+    }
+
+    /// Whether anything was observed.
+    pub fn is_known(&self) -> bool {
+        self.samples > 0
+    }
+
+    /// The mean of recent samples; zero if there were none.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean)
+    }
+
+    /// The mean, halved for every half-life that has passed without a sample.
+    pub fn mean_at(&self, now: Timestamp) -> Duration {
+        let silence = now.saturating_since(self.updated).as_secs_f64();
+        let half_lives = (silence / SILENCE_HALF_LIFE.as_secs_f64()).floor();
+        Duration::from_secs_f64(self.mean * 0.5_f64.powf(half_lives))
+    }
+
+    /// A duration that almost every sample stays under.
+    pub fn high(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + HIGH_DEVIATIONS * self.deviation)
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,14 +9,22 @@
 //! 2. [`outbound`]: calls from local callers to servers of other services;
 //! 3. [`inbound`]: attempts from other nodes to the back end beside this node.
 //!
+//! Two matters cross both: [`retry`] bounds the retries of a whole request, and
+//! [`pressure`] carries refusals deep in the call graph towards the entry.
+//!
 //! [`baseline`] holds the ordinary policies that lifthollow is compared with.
 
 pub mod baseline;
 pub mod fleet;
 pub mod inbound;
+pub mod latency;
 pub mod node;
 pub mod outbound;
 pub mod policy;
+pub mod pressure;
+pub mod refusal;
+pub mod request_tree;
+pub mod retry;
 pub mod view;
 
 pub use node::{Node, NodeEffect, NodeEvent, NodeSettings};
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use lifthollow_protocol::LoadReport;
-use lifthollow_state::{NodeId, ServiceName, Side, Timestamp, Zone};
+use lifthollow_state::{NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
 use crate::fleet::{Fleet, FleetEffect, FleetEvent};
-use crate::inbound::{InboundEffect, InboundEvent, InboundPolicy};
-use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy};
+use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
+use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
 use crate::policy::PolicyKind;
+use crate::pressure::downstream_level;
+use crate::request_tree::RequestTree;
 use crate::view::View;
 
 /// What a node knows of itself from its settings.
@@ -64,6 +66,7 @@
     fleet: Fleet,
     outbound: Box<dyn OutboundPolicy>,
     inbound: Box<dyn InboundPolicy>,
+    request_tree: RequestTree,
     last_handled: Option<Timestamp>,
 }
 
@@ -76,6 +79,7 @@
             fleet: Fleet::default(),
             outbound,
             inbound,
+            request_tree: RequestTree::default(),
             last_handled: None,
         }
     }
@@ -92,7 +96,14 @@
 
     /// The load of a local service, to be sent with every answer.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
-        self.inbound.load(now, service)
+        self.inbound.load(now, self.fleet.view(), service)
+    }
+
+    /// The retries that an attempt was lent and has not spent, to be sent with
+    /// its answer. To be called once, when [`InboundEffect::Answer`] is carried
+    /// out: what the attempt's calls give back later stays spent.
+    pub fn settle_allowance(&mut self, id: InboundId) -> RetryAllowance {
+        self.request_tree.settle(id)
     }
 
     /// Attempts queued or running beside this node.
@@ -144,12 +155,14 @@
     fn handle_outbound(
         &mut self,
         now: Timestamp,
-        event: OutboundEvent,
+        mut event: OutboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
+        self.request_tree.before_outbound(&mut event);
         let mut outbound_effects = Vec::new();
         self.outbound
             .handle(now, self.fleet.view(), event, &mut outbound_effects);
+        self.request_tree.after_outbound(&outbound_effects);
         effects.extend(outbound_effects.into_iter().map(NodeEffect::Outbound));
     }
 
@@ -159,12 +172,26 @@
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
+        self.request_tree.before_inbound(&event);
+        self.pass_on_pressure(now, &event);
         let mut inbound_effects = Vec::new();
         self.inbound
             .handle(now, self.fleet.view(), event, &mut inbound_effects);
+        self.request_tree.after_inbound(&inbound_effects);
         effects.extend(inbound_effects.into_iter().map(NodeEffect::Inbound));
     }
 
+    /// What the services needed further down refuse is refused here as well.
+    fn pass_on_pressure(&mut self, now: Timestamp, event: &InboundEvent) {
+        if let InboundEvent::AttemptArrived { attempt, .. } = event {
+            let graph = self.request_tree.call_graph();
+            let level = downstream_level(graph, &attempt.service, |needed| {
+                self.outbound.level(now, needed)
+            });
+            self.inbound.set_downstream_level(&attempt.service, level);
+        }
+    }
+
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
@@ -179,9 +206,13 @@
             Box::new(FixedOutbound::passthrough()),
             Box::new(FixedInbound::passthrough(side)),
         ),
-        PolicyKind::StaticLimits | PolicyKind::Lifthollow => (
+        PolicyKind::StaticLimits => (
             Box::new(FixedOutbound::static_limits()),
             Box::new(FixedInbound::static_limits(side)),
         ),
+        PolicyKind::Lifthollow => (
+            Box::new(Routing::new(settings.zone, settings.seed)),
+            Box::new(AdmissionControl::new(side, settings.seed)),
+        ),
     }
 }
--- a/crates/coordination/src/outbound/mod.rs
+++ b/crates/coordination/src/outbound/mod.rs
@@ -4,10 +4,27 @@
 //! A *call* is what a local caller asked for. Each try to run it on a server is
 //! an *attempt*. The transport (or the simulation) reports what happens to
 //! attempts as [`OutboundEvent`]s and carries out [`OutboundEffect`]s.
+//!
+//! [`routing`] is the product's policy. For each service an [`edge`] holds what
+//! was seen and composes [`side_choice`], [`server_choice`], [`ejection`] and
+//! [`outlier_detection`]; [`retry_decision`] says what follows a failure.
+
+pub mod call_state;
+pub mod call_table;
+pub mod edge;
+pub mod ejection;
+pub mod outlier_detection;
+pub mod retry_decision;
+pub mod routing;
+pub mod server_choice;
+pub mod server_state;
+pub mod side_choice;
+
+pub use routing::Routing;
 
 use std::time::Duration;
 
-use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
+use lifthollow_protocol::{AdmissionLevel, AttemptResult, LoadReport, RefusalReason};
 use lifthollow_state::{NodeId, RequestContext, RetryAllowance, ServiceName, Timestamp};
 
 use crate::View;
@@ -152,4 +169,10 @@
 
     /// When the policy wants [`OutboundEvent::Wake`] next.
     fn next_wake(&self) -> Option<Timestamp>;
+
+    /// The lowest priority that the servers of `service` admit, as far as this
+    /// node knows. Baselines know nothing.
+    fn level(&self, _now: Timestamp, _service: &ServiceName) -> AdmissionLevel {
+        AdmissionLevel::OPEN
+    }
 }
--- /dev/null
+++ b/crates/coordination/src/outbound/outlier_detection.rs
@@ -0,0 +1,101 @@
+//! Which servers are to be left out, seen beside the others of their side.
+//!
+//! A server is ejected only while others do clearly better, and never so many
+//! that a misread could empty a side: errors may take out half of it, silence
+//! and broken connections all but one. If everything fails or falls silent at
+//! once, the fault is not the servers' and none is ejected.
+
+use std::time::Duration;
+
+use lifthollow_state::{NodeId, Timestamp};
+
+use super::ejection::Evidence;
+use super::server_state::ServerRecord;
+
+/// A server that owes an answer is not called silent before this.
+const MIN_SILENCE: Duration = Duration::from_millis(200);
+/// Nor before this many times the time that almost every answer takes.
+const SILENCE_FACTOR: u32 = 2;
+/// The others must fail at most this often, relative to the suspect.
+const CLEARLY_BETTER: f64 = 0.5;
+
+/// The servers of one side, as far as they are routable.
+pub struct SideServers<'a> {
+    /// Each with what was seen of it.
+    pub servers: Vec<(NodeId, &'a ServerRecord)>,
+    /// Time that almost every answer of the service takes.
+    pub usual_latency: Duration,
+}
+
+impl SideServers<'_> {
+    /// The servers to eject now.
+    pub fn outliers(&self, now: Timestamp) -> Vec<NodeId> {
+        let mut in_use = self.count_in_use();
+        let mut outliers = Vec::new();
+        for (node, server) in &self.servers {
+            let Some(evidence) = self.evidence(now, server) else {
+                continue;
+            };
+            if in_use > self.floor(evidence) && self.others_do_better(now, *node, evidence) {
+                outliers.push(*node);
+                in_use -= 1;
+            }
+        }
+        outliers
+    }
+
+    fn count_in_use(&self) -> usize {
+        self.servers
+            .iter()
+            .filter(|(_, server)| server.ejection.is_in_use())
+            .count()
+    }
+
+    /// Servers that stay in use whatever the evidence.
+    fn floor(&self, evidence: Evidence) -> usize {
+        match evidence {
+            Evidence::Errors => self.servers.len().div_ceil(2),
+            Evidence::Silence => 1,
+        }
+    }
+
+    fn evidence(&self, now: Timestamp, server: &ServerRecord) -> Option<Evidence> {
+        if server.ejection.is_in_use() && self.is_silent(now, server) {
+            return Some(Evidence::Silence);
+        }
+        server.ejection.evidence()
+    }
+
+    fn is_silent(&self, now: Timestamp, server: &ServerRecord) -> bool {
+        server.silence(now) > MIN_SILENCE.max(self.usual_latency * SILENCE_FACTOR)
+    }
+
+    fn others_do_better(&self, now: Timestamp, suspect: NodeId, evidence: Evidence) -> bool {
+        let others: Vec<&ServerRecord> = self
+            .servers
+            .iter()
+            .filter(|(node, server)| *node != suspect && server.ejection.is_in_use())
+            .map(|(_, server)| *server)
+            .collect();
+        match evidence {
+            Evidence::Silence => others.iter().any(|server| {
+                !self.is_silent(now, server)
+                    && server.ejection.evidence() != Some(Evidence::Silence)
+            }),
+            Evidence::Errors => self.fail_less(suspect, &others),
+        }
+    }
+
+    fn fail_less(&self, suspect: NodeId, others: &[&ServerRecord]) -> bool {
+        let own_rate = self
+            .servers
+            .iter()
+            .find(|(node, _)| *node == suspect)
+            .map_or(0.0, |(_, server)| server.ejection.failure_rate());
+        let total: f64 = others
+            .iter()
+            .map(|server| server.ejection.failure_rate())
+            .sum();
+        total <= own_rate * CLEARLY_BETTER * others.len() as f64
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/outbound/routing.rs
@@ -0,0 +1,409 @@
+//! The product's outbound decisions: calls, their attempts and their answers.
+//!
+//! A call is refused at once if its deadline has passed or the service's
+//! servers are known to refuse its priority. Otherwise it goes to the server
+//! that its [`Edge`] chooses. When the attempt fails or takes unusually long,
+//! the retry decision, the choice of another server and the edge's budget are
+//! asked in this order; the first no is the caller's final answer, at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lifthollow_protocol::{AdmissionLevel, AttemptResult, RefusalReason};
+use lifthollow_state::{RetryAllowance, ServiceName, Timestamp, Zone};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::call_state::{CallState, Failure, outcome_of};
+use super::call_table::CallTable;
+use super::edge::{Chosen, Edge, Wanted};
+use super::retry_decision::allows_retry;
+use super::server_state::Outcome;
+use super::{AttemptAnswer, AttemptId, Call, CallAnswer, CallId};
+use super::{OutboundEffect, OutboundEvent, OutboundPolicy};
+use crate::View;
+use crate::refusal::{GivenUp, RetryAfter};
+
+/// How often failing servers are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Separates the random choices of servers from the spread of refusals.
+const REFUSAL_SEED: u64 = 0x5e1f;
+
+/// Routes calls to servers.
+#[derive(Debug)]
+pub struct Routing {
+    zone: Zone,
+    random: ChaCha8Rng,
+    retry_after: RetryAfter,
+    edges: BTreeMap<ServiceName, Edge>,
+    calls: CallTable,
+    next_attempt: u64,
+    next_sweep: Timestamp,
+}
+
+impl Routing {
+    /// Routing for a node in `zone`.
+    pub fn new(zone: Zone, seed: u64) -> Self {
+        Routing {
+            zone,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            retry_after: RetryAfter::from_seed(seed ^ REFUSAL_SEED),
+            edges: BTreeMap::new(),
+            calls: CallTable::default(),
+            next_attempt: 0,
+            next_sweep: Timestamp::ZERO,
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        id: CallId,
+        call: Call,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let refusal = self.refusal(now, view, &call);
+        self.calls.insert(id, CallState::new(call));
+        let chosen = match refusal {
+            Some(reason) => Err(reason),
+            None => self.choose_first(now, view, id),
+        };
+        match chosen {
+            Ok(chosen) => self.send(now, id, chosen, effects),
+            Err(reason) => self.give_up(now, id, reason.into(), effects),
+        }
+    }
+
+    /// Why the call is refused without looking for a server.
+    fn refusal(&self, now: Timestamp, view: &View, call: &Call) -> Option<RefusalReason> {
+        let context = &call.context;
+        if view.table.any_row(&call.service).is_none() {
+            Some(RefusalReason::UnknownService)
+        } else if context.deadline <= now {
+            Some(RefusalReason::DeadlineTooShort)
+        } else if !self.level(now, &call.service).admits(context.priority) {
+            Some(RefusalReason::Overloaded)
+        } else {
+            None
+        }
+    }
+
+    fn choose_first(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        id: CallId,
+    ) -> Result<Chosen, RefusalReason> {
+        let state = self.calls.get(id).ok_or(RefusalReason::Cancelled)?;
+        let service = state.call.service.clone();
+        let (zone, random) = (self.zone, &mut self.random);
+        let edge = self
+            .edges
+            .entry(service.clone())
+            .or_insert_with(|| Edge::new(service, zone, random));
+        let wanted = Wanted {
+            priority: state.call.context.priority,
+            tried: &[],
+            side: None,
+            may_try: state.may_repeat(),
+            needs_room: false,
+        };
+        edge.budget.deposit();
+        edge.choose(now, view, &wanted, &mut self.random)
+    }
+
+    /// The server for a retry if the current attempt ends in `failure`; paid
+    /// for by the edge's budget. None if the call is not to be retried.
+    fn choose_retry(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        id: CallId,
+        failure: Failure,
+    ) -> Option<Chosen> {
+        let state = self.calls.get(id)?;
+        let edge = self.edges.get_mut(&state.call.service)?;
+        let failed = state.failed_attempt(now, failure, edge.latency.mean_at(now));
+        if !allows_retry(&failed) {
+            return None;
+        }
+        let wanted = Wanted {
+            priority: state.call.context.priority,
+            tried: &state.tried_with_current(),
+            side: state.side,
+            may_try: false,
+            needs_room: true,
+        };
+        let chosen = edge.choose(now, view, &wanted, &mut self.random).ok()?;
+        edge.budget.withdraw().then_some(chosen)
+    }
+
+    /// Ends the current attempt in `failure` and sends another.
+    fn retry(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        failure: Failure,
+        chosen: Chosen,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(state) = self.calls.get_mut(id) else {
+            return;
+        };
+        let ended = state.current;
+        state.end_attempt(failure);
+        state.allowance -= 1;
+        if let Some(attempt) = ended {
+            self.calls.unlink(attempt.id);
+        }
+        self.send(now, id, chosen, effects);
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        chosen: Chosen,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(state) = self.calls.get_mut(id) else {
+            return;
+        };
+        let Some(edge) = self.edges.get_mut(&state.call.service) else {
+            return;
+        };
+        self.next_attempt += 1;
+        let attempt = AttemptId(self.next_attempt);
+        state.side = Some(chosen.side);
+        let context = state.begin_attempt(attempt, chosen.server);
+        let patience = edge.attempt_timeout(context.deadline.saturating_since(now));
+        edge.server_mut(now, chosen.server).dispatched(now, attempt);
+        self.calls.link(attempt, id);
+        self.calls.set_timer(id, now + patience);
+        effects.push(OutboundEffect::Dispatch {
+            call: id,
+            attempt,
+            server: chosen.server,
+            context,
+        });
+    }
+
+    fn answered(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        attempt: AttemptId,
+        answer: AttemptAnswer,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(id) = self.calls.call_of(attempt) else {
+            return;
+        };
+        self.learn(now, id, attempt, &answer);
+        if answer.result == (AttemptResult::Completed { success: true }) {
+            return self.deliver(id, answer, effects);
+        }
+        let failure = Failure::told_by(&answer);
+        if let Some(chosen) = self.choose_retry(now, view, id, failure) {
+            return self.retry(now, id, failure, chosen, effects);
+        }
+        let given_up = match answer.result {
+            AttemptResult::Completed { .. } => return self.deliver(id, answer, effects),
+            AttemptResult::Unknown { reason } => GivenUp::from(reason),
+            AttemptResult::NotRun {
+                reason,
+                retry_after,
+            } => GivenUp {
+                reason,
+                retry_after,
+            },
+        };
+        if let Some(state) = self.calls.get_mut(id) {
+            state.end_attempt(failure);
+        }
+        self.calls.unlink(attempt);
+        self.give_up(now, id, given_up, effects);
+    }
+
+    /// Takes in what an answer says about its server.
+    fn learn(&mut self, now: Timestamp, id: CallId, attempt: AttemptId, answer: &AttemptAnswer) {
+        let Some(state) = self.calls.get(id) else {
+            return;
+        };
+        let edge = self.edges.get_mut(&state.call.service);
+        if let (Some(edge), Some(current)) = (edge, state.current) {
+            edge.learn(
+                now,
+                current.server,
+                attempt,
+                outcome_of(answer),
+                answer.load,
+            );
+        }
+    }
+
+    /// Passes the current attempt's answer on to the caller.
+    fn deliver(&mut self, id: CallId, answer: AttemptAnswer, effects: &mut Vec<OutboundEffect>) {
+        let Some(state) = self.calls.get_mut(id) else {
+            return;
+        };
+        let unspent = RetryAllowance(state.allowance_after(Failure::told_by(&answer)));
+        let Some(current) = state.current.as_mut() else {
+            return;
+        };
+        current.delivered = true;
+        let current = *current;
+        if let Some(edge) = self.edges.get_mut(&state.call.service) {
+            edge.streams(current.server, current.id);
+        }
+        self.calls.stop_timer(id);
+        effects.push(OutboundEffect::Answer {
+            call: id,
+            answer: CallAnswer::Deliver {
+                attempt: current.id,
+            },
+            unspent,
+        });
+    }
+
+    /// The final answer of a call that no attempt will complete.
+    fn give_up(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        given_up: GivenUp,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(state) = self.calls.remove(id) else {
+            return;
+        };
+        let level = self.level(now, &state.call.service);
+        let class = state.call.context.priority.class;
+        let drawn = self.retry_after.draw(class, level);
+        let answer = given_up.answer(state.may_have_run, drawn);
+        effects.push(OutboundEffect::Answer {
+            call: id,
+            answer,
+            unspent: RetryAllowance(state.allowance),
+        });
+    }
+
+    /// The last byte of a delivered answer has passed.
+    fn closed(&mut self, attempt: AttemptId) {
+        let Some(id) = self.calls.call_of(attempt) else {
+            return;
+        };
+        let current = self.calls.get(id).and_then(|state| state.current);
+        let Some(current) = current.filter(|current| current.delivered) else {
+            return;
+        };
+        let Some(state) = self.calls.remove(id) else {
+            return;
+        };
+        if let Some(edge) = self.edges.get_mut(&state.call.service) {
+            edge.closed(current.server, attempt);
+        }
+    }
+
+    fn cancel(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
+        self.abandon_attempt(now, id, effects);
+        self.calls.remove(id);
+    }
+
+    /// Gives the current attempt up: its server must drop or cancel it.
+    fn abandon_attempt(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
+        let Some(state) = self.calls.get(id) else {
+            return;
+        };
+        let Some(current) = state.current else {
+            return;
+        };
+        if let Some(edge) = self.edges.get_mut(&state.call.service) {
+            edge.learn(now, current.server, current.id, Outcome::GivenUp, None);
+            edge.closed(current.server, current.id);
+        }
+        effects.push(OutboundEffect::Cancel {
+            attempt: current.id,
+        });
+    }
+
+    fn wake(&mut self, now: Timestamp, view: &View, effects: &mut Vec<OutboundEffect>) {
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            for edge in self.edges.values_mut() {
+                edge.eject_outliers(now, view);
+                edge.forget_unlisted(view);
+            }
+        }
+        while let Some(id) = self.calls.pop_due(now) {
+            self.timed_out(now, view, id, effects);
+        }
+    }
+
+    /// An attempt takes unusually long, or the call's deadline has come. A slow
+    /// attempt is replaced if the call may be repeated and another server can
+    /// take it; otherwise the call goes on waiting for it.
+    fn timed_out(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        id: CallId,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(state) = self.calls.get(id) else {
+            return;
+        };
+        let deadline = state.call.context.deadline;
+        if deadline <= now {
+            self.abandon_attempt(now, id, effects);
+            if let Some(state) = self.calls.get_mut(id) {
+                state.end_attempt(Failure::NO_ANSWER);
+            }
+            let reason = RefusalReason::DeadlineTooShort;
+            return self.give_up(now, id, reason.into(), effects);
+        }
+        self.calls.set_timer(id, deadline);
+        if let Some(chosen) = self.choose_retry(now, view, id, Failure::NO_ANSWER) {
+            self.abandon_attempt(now, id, effects);
+            self.retry(now, id, Failure::NO_ANSWER, chosen, effects);
+        }
+    }
+}
+
+impl OutboundPolicy for Routing {
+    fn handle(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        event: OutboundEvent,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        match event {
+            OutboundEvent::CallArrived { call, description } => {
+                self.start(now, view, call, description, effects);
+            }
+            OutboundEvent::AttemptAnswered { attempt, answer } => {
+                self.answered(now, view, attempt, answer, effects);
+            }
+            OutboundEvent::AttemptClosed { attempt, .. } => self.closed(attempt),
+            OutboundEvent::CallCancelled { call } => self.cancel(now, call, effects),
+            OutboundEvent::Wake => self.wake(now, view, effects),
+            OutboundEvent::Resumed { .. } => {
+                for edge in self.edges.values_mut() {
+                    edge.resumed(now);
+                }
+            }
+        }
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        self.calls.next_timer()
+    }
+
+    fn level(&self, now: Timestamp, service: &ServiceName) -> AdmissionLevel {
+        self.edges
+            .get(service)
+            .map_or(AdmissionLevel::OPEN, |edge| edge.level(now))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/outbound/server_choice.rs
@@ -0,0 +1,89 @@
+//! Which server of a side gets an attempt.
+//!
+//! Two candidates are drawn at random and the cheaper one is taken, by latency,
+//! calls outstanding and failures. Servers of the caller's own zone are
+//! preferred as long as they have room.
+
+use std::time::Duration;
+
+use lifthollow_state::{NodeId, Timestamp, Zone};
+use rand::{Rng, RngExt};
+
+use super::server_state::ServerRecord;
+
+/// The own zone is preferred below this utilization.
+const NEAR_ZONE_UTILIZATION: f64 = 0.6;
+
+/// A server that could get the attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its node.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub zone: Zone,
+    /// What was seen of it.
+    pub record: &'a ServerRecord,
+}
+
+/// What the choice depends on besides the candidates.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceContext {
+    /// The time.
+    pub now: Timestamp,
+    /// The caller's zone.
+    pub zone: Zone,
+    /// The table's ceiling of calls in flight on each server.
+    pub limit: u32,
+    /// Latency assumed of servers that none was seen of.
+    pub typical_latency: Duration,
+}
+
+/// The server to use; none if there is no candidate.
+pub fn choose_server(
+    candidates: &[Candidate<'_>],
+    context: ChoiceContext,
+    random: &mut impl Rng,
+) -> Option<NodeId> {
+    let near: Vec<Candidate<'_>> = candidates
+        .iter()
+        .filter(|candidate| is_near_with_room(candidate, context))
+        .copied()
+        .collect();
+    if near.is_empty() {
+        better_of_two(candidates, context, random)
+    } else {
+        better_of_two(&near, context, random)
+    }
+}
+
+fn is_near_with_room(candidate: &Candidate<'_>, context: ChoiceContext) -> bool {
+    let record = candidate.record;
+    candidate.zone == context.zone
+        && !record.is_starting(context.now)
+        && record.utilization(context.now, context.limit) < NEAR_ZONE_UTILIZATION
+}
+
+fn better_of_two(
+    candidates: &[Candidate<'_>],
+    context: ChoiceContext,
+    random: &mut impl Rng,
+) -> Option<NodeId> {
+    if candidates.len() < 2 {
+        return candidates.first().map(|candidate| candidate.node);
+    }
+    let first = random.random_range(0..candidates.len());
+    let offset = random.random_range(1..candidates.len());
+    let second = (first + offset) % candidates.len();
+    let (one, other) = (&candidates[first], &candidates[second]);
+    if cost(other, context) < cost(one, context) {
+        Some(other.node)
+    } else {
+        Some(one.node)
+    }
+}
+
+fn cost(candidate: &Candidate<'_>, context: ChoiceContext) -> f64 {
+    candidate
+        .record
+        .cost(context.now, context.limit, context.typical_latency)
+}
--- /dev/null
+++ b/crates/coordination/src/outbound/server_state.rs
@@ -0,0 +1,207 @@
+//! What a node has seen of one server of one service.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use lifthollow_protocol::{AdmissionLevel, LoadReport};
+use lifthollow_state::{Priority, Timestamp};
+
+use super::AttemptId;
+use super::ejection::Ejection;
+use crate::latency::LatencyEstimate;
+
+/// A report older than this is no longer believed.
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+/// A server unknown before gets its full share after this long.
+const SLOW_START: Duration = Duration::from_secs(2);
+/// Its share at the start.
+const SLOW_START_SHARE: f64 = 0.1;
+
+/// How an attempt ended, as far as it tells something about the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered well.
+    Succeeded,
+    /// It refused in good order; that is load, not failure.
+    Refused,
+    /// It answered with an error.
+    Failed,
+    /// It did not answer, or could not be reached.
+    Unreachable,
+    /// The attempt was given up for a reason of the caller's.
+    GivenUp,
+}
+
+/// One server as its callers' node sees it.
+#[derive(Clone, Debug)]
+pub struct ServerRecord {
+    first_seen: Timestamp,
+    outstanding: BTreeMap<AttemptId, Timestamp>,
+    streaming: BTreeSet<AttemptId>,
+    report: LoadReport,
+    reported_at: Option<Timestamp>,
+    outstanding_at_report: u32,
+    latency: LatencyEstimate,
+    /// Since when the server has owed answers without giving any.
+    unanswered_since: Option<Timestamp>,
+    last_given_up: Timestamp,
+    /// Whether the server is left out because it fails.
+    pub ejection: Ejection,
+}
+
+impl ServerRecord {
+    /// A server seen for the first time.
+    pub fn new(now: Timestamp) -> Self {
+        ServerRecord {
+            first_seen: now,
+            outstanding: BTreeMap::new(),
+            streaming: BTreeSet::new(),
+            report: LoadReport::default(),
+            reported_at: None,
+            outstanding_at_report: 0,
+            latency: LatencyEstimate::default(),
+            unanswered_since: None,
+            last_given_up: now,
+            ejection: Ejection::default(),
+        }
+    }
+
+    /// An attempt was sent to the server.
+    pub fn dispatched(&mut self, now: Timestamp, attempt: AttemptId) {
+        self.outstanding.insert(attempt, now);
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// An attempt ended; returns how long it took.
+    pub fn ended(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        outcome: Outcome,
+    ) -> Option<Duration> {
+        let sent = self.outstanding.remove(&attempt)?;
+        let elapsed = now.saturating_since(sent);
+        match outcome {
+            Outcome::Succeeded => self.latency.observe(now, elapsed),
+            Outcome::Unreachable | Outcome::GivenUp => self.latency.observe_at_least(now, elapsed),
+            Outcome::Refused | Outcome::Failed => {}
+        }
+        match outcome {
+            Outcome::Succeeded | Outcome::Refused | Outcome::Failed => self.heard_of(now),
+            Outcome::Unreachable | Outcome::GivenUp => self.last_given_up = now,
+        }
+        self.ejection.record(now, outcome);
+        Some(elapsed)
+    }
+
+    fn heard_of(&mut self, now: Timestamp) {
+        self.unanswered_since = (!self.outstanding.is_empty()).then_some(now);
+    }
+
+    /// The answer's body is being passed on: the server is still at work.
+    pub fn streams(&mut self, attempt: AttemptId) {
+        self.streaming.insert(attempt);
+    }
+
+    /// The last byte of an answer has passed.
+    pub fn closed(&mut self, attempt: AttemptId) {
+        self.streaming.remove(&attempt);
+    }
+
+    /// The server reported its load.
+    pub fn reported(&mut self, now: Timestamp, report: LoadReport) {
+        self.report = report;
+        self.reported_at = Some(now);
+        self.outstanding_at_report = self.own_calls();
+    }
+
+    /// Whether nothing of this node's is in progress there.
+    pub fn is_idle(&self) -> bool {
+        self.own_calls() == 0
+    }
+
+    fn own_calls(&self) -> u32 {
+        (self.outstanding.len() + self.streaming.len()) as u32
+    }
+
+    /// The process was paused: silence during the pause proves nothing.
+    pub fn resumed(&mut self, now: Timestamp) {
+        self.heard_of(now);
+        self.reported_at = None;
+    }
+
+    /// How long the server has owed answers without giving any, up to now or
+    /// to the moment the last of them was given up.
+    pub fn silence(&self, now: Timestamp) -> Duration {
+        let Some(since) = self.unanswered_since else {
+            return Duration::ZERO;
+        };
+        let until = if self.outstanding.is_empty() {
+            self.last_given_up
+        } else {
+            now
+        };
+        until.saturating_since(since)
+    }
+
+    /// The lowest priority the server admits, if it said so lately.
+    pub fn level(&self, now: Timestamp) -> AdmissionLevel {
+        self.fresh_report(now)
+            .map_or(AdmissionLevel::OPEN, |report| report.admission_level)
+    }
+
+    /// Whether the server would admit a call of `priority`.
+    pub fn admits(&self, now: Timestamp, priority: Priority) -> bool {
+        !self.is_leaving(now) && self.level(now).admits(priority)
+    }
+
+    /// Whether the server said lately that it takes no new work.
+    pub fn is_leaving(&self, now: Timestamp) -> bool {
+        self.fresh_report(now).is_some_and(|report| report.leaving)
+    }
+
+    /// Calls at the server for each call it may run at once: this node's own
+    /// and, while the last report is fresh, those of others.
+    pub fn utilization(&self, now: Timestamp, default_limit: u32) -> f64 {
+        let own = self.own_calls();
+        let (others, limit) = match self.fresh_report(now) {
+            Some(report) => {
+                let total = report.in_flight + report.queued;
+                let others = total.saturating_sub(self.outstanding_at_report);
+                (others, report.limit.min(default_limit))
+            }
+            None => (0, default_limit),
+        };
+        f64::from(own + others) / f64::from(limit.max(1))
+    }
+
+    /// Relative cost of sending one more call: time, load and failures.
+    pub fn cost(&self, now: Timestamp, default_limit: u32, typical_latency: Duration) -> f64 {
+        let latency = if self.latency.is_known() {
+            self.latency.mean_at(now)
+        } else {
+            typical_latency
+        };
+        let load = self.utilization(now, default_limit) + 1.0 / f64::from(default_limit.max(1));
+        let healthy_share = 1.0 - self.ejection.failure_rate();
+        let share = self.slow_start_share(now) * healthy_share.max(SLOW_START_SHARE);
+        (latency.as_secs_f64() + f64::EPSILON) * load / share
+    }
+
+    /// From [`SLOW_START_SHARE`] to 1 while the server is new or just back.
+    fn slow_start_share(&self, now: Timestamp) -> f64 {
+        let since = self.first_seen.max(self.ejection.returned_at());
+        let age = now.saturating_since(since).as_secs_f64();
+        (age / SLOW_START.as_secs_f64()).clamp(SLOW_START_SHARE, 1.0)
+    }
+
+    /// Whether the server is still being warmed up.
+    pub fn is_starting(&self, now: Timestamp) -> bool {
+        self.slow_start_share(now) < 1.0
+    }
+
+    fn fresh_report(&self, now: Timestamp) -> Option<&LoadReport> {
+        let age = now.saturating_since(self.reported_at?);
+        (age <= REPORT_LIFETIME).then_some(&self.report)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/outbound/side_choice.rs
@@ -0,0 +1,77 @@
+//! Which side gets the next call, by the table's weights.
+//!
+//! Smooth weighted round robin: after any number of calls each side has had its
+//! share to within one call, and the sides alternate as evenly as the weights
+//! allow. The credits outlive a change of the weights, so that nudging a weight
+//! causes no burst.
+
+use lifthollow_state::Side;
+
+/// Weights of the two sides.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SideWeights {
+    /// Weight of the old side.
+    pub old: u32,
+    /// Weight of the new side.
+    pub new: u32,
+}
+
+impl SideWeights {
+    /// The weight of `side`.
+    pub fn of(self, side: Side) -> u32 {
+        match side {
+            Side::Old => self.old,
+            Side::New => self.new,
+        }
+    }
+
+    /// The sum of both weights.
+    pub fn total(self) -> u64 {
+        u64::from(self.old) + u64::from(self.new)
+    }
+}
+
+/// Chooses sides for the calls to one service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SideChoice {
+    /// Calls that the old side is owed, as a fraction of a call. The new side
+    /// is owed the negative.
+    owed_to_old: f64,
+}
+
+impl SideChoice {
+    /// A choice that starts `phase` of a call ahead of the old side, from -0.5
+    /// to 0.5, so that nodes started together do not all begin with one side.
+    pub fn with_phase(phase: f64) -> Self {
+        SideChoice { owed_to_old: phase }
+    }
+
+    /// The side for the next call; none if no side has a weight.
+    pub fn next(&mut self, weights: SideWeights) -> Option<Side> {
+        if weights.total() == 0 {
+            return None;
+        }
+        let share_of_old = f64::from(weights.old) / weights.total() as f64;
+        let side = if weights.new == 0 {
+            Side::Old
+        } else if weights.old == 0 {
+            Side::New
+        } else {
+            self.more_owed(share_of_old)
+        };
+        let given_to_old = if side == Side::Old { 1.0 } else { 0.0 };
+        let owed = self.owed_to_old + share_of_old - given_to_old;
+        self.owed_to_old = owed.clamp(-1.0, 1.0);
+        Some(side)
+    }
+
+    fn more_owed(&self, share_of_old: f64) -> Side {
+        let owed_to_old = self.owed_to_old + share_of_old;
+        let owed_to_new = 1.0 - owed_to_old;
+        if owed_to_old >= owed_to_new {
+            Side::Old
+        } else {
+            Side::New
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/pressure/call_graph.rs
@@ -0,0 +1,102 @@
+//! Which services a local service calls while it runs, learned from its calls.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lifthollow_state::{PriorityClass, ServiceName};
+
+use crate::inbound::InboundId;
+
+/// Share of a new run in what is known.
+const GAIN: f64 = 0.02;
+/// Runs seen before anything is concluded.
+const MIN_RUNS: u32 = 20;
+/// A service called in at least this share of the runs is needed.
+const NEEDED_SHARE: f64 = 0.9;
+
+/// A run beside this node and the services it has called so far.
+#[derive(Debug)]
+struct ActiveRun {
+    service: ServiceName,
+    class: PriorityClass,
+    called: BTreeSet<ServiceName>,
+}
+
+/// How often the runs of one service and class call each other service.
+#[derive(Debug, Default)]
+struct CallShares {
+    runs: u32,
+    shares: BTreeMap<ServiceName, f64>,
+}
+
+/// The part of the call graph that starts at this node.
+#[derive(Debug, Default)]
+pub struct CallGraph {
+    active: BTreeMap<InboundId, ActiveRun>,
+    shares: BTreeMap<(ServiceName, PriorityClass), CallShares>,
+}
+
+impl CallGraph {
+    /// An attempt has arrived that may run.
+    pub fn arrived(&mut self, id: InboundId, service: ServiceName, class: PriorityClass) {
+        let run = ActiveRun {
+            service,
+            class,
+            called: BTreeSet::new(),
+        };
+        self.active.insert(id, run);
+    }
+
+    /// A run calls another service.
+    pub fn called(&mut self, parent: InboundId, service: &ServiceName) {
+        if let Some(run) = self.active.get_mut(&parent) {
+            run.called.insert(service.clone());
+        }
+    }
+
+    /// A run completed. One that failed may have stopped before its later
+    /// calls, so only a successful one tells what was not needed.
+    pub fn completed(&mut self, id: InboundId, success: bool) {
+        let Some(run) = self.active.remove(&id) else {
+            return;
+        };
+        if success {
+            let key = (run.service, run.class);
+            self.shares.entry(key).or_default().learn(run.called);
+        }
+    }
+
+    /// An attempt is over without a completed run.
+    pub fn dropped(&mut self, id: InboundId) {
+        self.active.remove(&id);
+    }
+
+    /// The services that nearly every run of `service` for a call of `class`
+    /// needs.
+    pub fn needed(
+        &self,
+        service: &ServiceName,
+        class: PriorityClass,
+    ) -> impl Iterator<Item = &ServiceName> {
+        self.shares
+            .get(&(service.clone(), class))
+            .filter(|shares| shares.runs >= MIN_RUNS)
+            .into_iter()
+            .flat_map(|shares| &shares.shares)
+            .filter(|(_, share)| **share >= NEEDED_SHARE)
+            .map(|(needed, _)| needed)
+    }
+}
+
+impl CallShares {
+    fn learn(&mut self, called: BTreeSet<ServiceName>) {
+        self.runs = self.runs.saturating_add(1);
+        // While there are few runs their plain mean is taken.
+        let gain = GAIN.max(1.0 / f64::from(self.runs));
+        for share in self.shares.values_mut() {
+            *share -= *share * gain;
+        }
+        for service in called {
+            *self.shares.entry(service).or_insert(0.0) += gain;
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/request_tree.rs
@@ -0,0 +1,114 @@
+//! How calls made beside this node belong to the attempts that run there.
+//!
+//! A call nested below an attempt is lent its share of the attempt's retry
+//! allowance, cannot outlive it, and teaches the call graph what the local
+//! service needs.
+
+use std::collections::BTreeMap;
+
+use lifthollow_state::{RetryAllowance, Timestamp};
+
+use crate::inbound::{Attempt, InboundEffect, InboundEvent, InboundId, RunResult};
+use crate::outbound::{Call, CallId, OutboundEffect, OutboundEvent};
+use crate::pressure::CallGraph;
+use crate::retry::AllowanceLedger;
+
+/// The attempts in progress beside a node and the calls nested below them.
+#[derive(Debug, Default)]
+pub struct RequestTree {
+    ledger: AllowanceLedger,
+    call_graph: CallGraph,
+    parents: BTreeMap<CallId, InboundId>,
+    deadlines: BTreeMap<InboundId, Timestamp>,
+}
+
+impl RequestTree {
+    /// What the local services call.
+    pub fn call_graph(&self) -> &CallGraph {
+        &self.call_graph
+    }
+
+    /// The allowance that goes back with the answer of an attempt.
+    pub fn settle(&mut self, id: InboundId) -> RetryAllowance {
+        self.ledger.settle(id)
+    }
+
+    /// Notes what an inbound event means before it is decided on.
+    pub fn before_inbound(&mut self, event: &InboundEvent) {
+        match event {
+            InboundEvent::AttemptArrived { id, attempt } => self.arrived(*id, attempt),
+            InboundEvent::RunAnswered { id, result } => {
+                if let RunResult::Completed { success } = *result {
+                    self.call_graph.completed(*id, success);
+                }
+            }
+            InboundEvent::RunClosed { id } | InboundEvent::AttemptCancelled { id } => {
+                self.ended(*id);
+            }
+            InboundEvent::HealthReported { .. }
+            | InboundEvent::Wake
+            | InboundEvent::Resumed { .. }
+            | InboundEvent::Leave => {}
+        }
+    }
+
+    /// Notes what the decisions mean for the attempts.
+    pub fn after_inbound(&mut self, effects: &[InboundEffect]) {
+        for effect in effects {
+            if let InboundEffect::Answer { id, .. } = effect {
+                self.call_graph.dropped(*id);
+                self.deadlines.remove(id);
+            }
+        }
+    }
+
+    /// Makes a nested call inherit from the attempt it belongs to.
+    pub fn before_outbound(&mut self, event: &mut OutboundEvent) {
+        match event {
+            OutboundEvent::CallArrived { call, description } => self.inherit(*call, description),
+            OutboundEvent::CallCancelled { call } => {
+                self.parents.remove(call);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes back what answered calls did not spend.
+    pub fn after_outbound(&mut self, effects: &[OutboundEffect]) {
+        for effect in effects {
+            let OutboundEffect::Answer { call, unspent, .. } = effect else {
+                continue;
+            };
+            if let Some(parent) = self.parents.remove(call) {
+                self.ledger.give_back(parent, *unspent);
+            }
+        }
+    }
+
+    fn arrived(&mut self, id: InboundId, attempt: &Attempt) {
+        let context = &attempt.context;
+        self.ledger.open(id, context.allowance);
+        self.deadlines.insert(id, context.deadline);
+        let service = attempt.service.clone();
+        self.call_graph.arrived(id, service, context.priority.class);
+    }
+
+    fn ended(&mut self, id: InboundId) {
+        self.ledger.settle(id);
+        self.call_graph.dropped(id);
+        self.deadlines.remove(&id);
+    }
+
+    fn inherit(&mut self, call: CallId, description: &mut Call) {
+        let Some(parent) = description.parent else {
+            return;
+        };
+        let context = &mut description.context;
+        context.allowance = self.ledger.lend(parent);
+        if let Some(deadline) = self.deadlines.get(&parent) {
+            context.deadline = context.deadline.min(*deadline);
+        }
+        self.call_graph.called(parent, &description.service);
+        self.parents.insert(call, parent);
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/admission.rs
@@ -0,0 +1,212 @@
+//! Admission to the back end, under the failure each decision is meant for.
+
+mod support;
+
+use std::time::Duration;
+
+use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, InboundId, InboundPolicy};
+use lifthollow_coordination::inbound::{RunResult, admission_threshold};
+use lifthollow_protocol::{AdmissionLevel, RefusalReason};
+use lifthollow_state::{PriorityClass, Timestamp};
+use support::{InboundDriver, LIMIT, MAX_QUEUE, at, context, is_run, refusal_of, service};
+
+const SUCCESS: RunResult = RunResult::Completed { success: true };
+
+fn fill_slots(driver: &mut InboundDriver, now: Timestamp) -> Vec<InboundId> {
+    let deadline = now + Duration::from_secs(10);
+    (0..LIMIT)
+        .map(|_| {
+            let (id, effects) = driver.arrive(now, context(PriorityClass::Normal, 64, deadline));
+            assert!(is_run(&effects, id));
+            id
+        })
+        .collect()
+}
+
+fn finish(driver: &mut InboundDriver, now: Timestamp, id: InboundId) -> Vec<InboundEffect> {
+    let mut effects = driver.event(
+        now,
+        InboundEvent::RunAnswered {
+            id,
+            result: SUCCESS,
+        },
+    );
+    effects.extend(driver.event(now, InboundEvent::RunClosed { id }));
+    effects
+}
+
+#[test]
+fn critical_attempt_evicts_the_least_important_queued_one() {
+    let mut driver = InboundDriver::new();
+    fill_slots(&mut driver, at(0));
+    let deadline = at(10_000);
+    let mut queued = Vec::new();
+    for user in 0..MAX_QUEUE as u8 {
+        queued.push(
+            driver
+                .arrive(at(0), context(PriorityClass::Normal, user, deadline))
+                .0,
+        );
+    }
+    let (critical, effects) = driver.arrive(at(1), context(PriorityClass::Critical, 0, deadline));
+    assert_eq!(refusal_of(&effects, critical), None);
+    assert_eq!(
+        refusal_of(&effects, queued[0]),
+        Some(RefusalReason::Overloaded)
+    );
+    let (sheddable, effects) =
+        driver.arrive(at(1), context(PriorityClass::Sheddable, 127, deadline));
+    assert_eq!(
+        refusal_of(&effects, sheddable),
+        Some(RefusalReason::QueueFull)
+    );
+}
+
+#[test]
+fn freed_slot_goes_to_the_most_important_attempt_then_the_earliest_deadline() {
+    let mut driver = InboundDriver::new();
+    let running = fill_slots(&mut driver, at(0));
+    let (late, _) = driver.arrive(at(0), context(PriorityClass::Normal, 5, at(9000)));
+    let (early, _) = driver.arrive(at(0), context(PriorityClass::Normal, 5, at(8000)));
+    let (critical, _) = driver.arrive(at(0), context(PriorityClass::Critical, 0, at(9500)));
+    assert!(is_run(&finish(&mut driver, at(10), running[0]), critical));
+    assert!(is_run(&finish(&mut driver, at(10), running[1]), early));
+    assert!(is_run(&finish(&mut driver, at(10), running[2]), late));
+}
+
+#[test]
+fn queued_work_that_cannot_finish_in_time_is_refused_at_once_and_never_run() {
+    let mut driver = InboundDriver::new();
+    let warm_up = fill_slots(&mut driver, at(0));
+    for id in warm_up {
+        finish(&mut driver, at(100), id);
+    }
+    let running = fill_slots(&mut driver, at(100));
+    let (hopeless, effects) = driver.arrive(at(100), context(PriorityClass::Normal, 64, at(260)));
+    assert_eq!(refusal_of(&effects, hopeless), None);
+    let due = driver.policy.next_wake().expect("the queue is watched");
+    assert!(due < at(200), "a run takes 100 ms");
+    let effects = driver.event(due, InboundEvent::Wake);
+    let reason = Some(RefusalReason::DeadlineTooShort);
+    assert_eq!(refusal_of(&effects, hopeless), reason);
+    assert!(!is_run(&finish(&mut driver, at(201), running[0]), hopeless));
+}
+
+#[test]
+fn work_whose_caller_is_gone_is_not_started() {
+    let mut driver = InboundDriver::new();
+    let running = fill_slots(&mut driver, at(0));
+    let (gone, _) = driver.arrive(at(0), context(PriorityClass::Normal, 64, at(9000)));
+    driver.event(at(1), InboundEvent::AttemptCancelled { id: gone });
+    assert!(!is_run(&finish(&mut driver, at(2), running[0]), gone));
+    let id = running[1];
+    let effects = driver.event(at(3), InboundEvent::AttemptCancelled { id });
+    assert_eq!(effects, vec![InboundEffect::CancelRun { id }]);
+}
+
+#[test]
+fn refusals_by_the_back_end_lower_the_limit_and_completions_raise_it() {
+    let mut driver = InboundDriver::new();
+    let running = fill_slots(&mut driver, at(0));
+    let refused = RunResult::Refused {
+        retry_after: Duration::from_millis(50),
+    };
+    let limit = |driver: &InboundDriver| {
+        let view = &driver.view;
+        driver.policy.load(at(0), view, &service()).limit
+    };
+    for id in running {
+        let result = refused;
+        driver.event(at(1), InboundEvent::RunAnswered { id, result });
+        driver.event(at(1), InboundEvent::RunClosed { id });
+    }
+    let lowered = limit(&driver);
+    assert!(lowered < LIMIT, "limit is {lowered}");
+    for round in 0..50 {
+        let now = at(100 + round * 10);
+        let deadline = at(100_000);
+        let (id, _) = driver.arrive(now, context(PriorityClass::Normal, 64, deadline));
+        let (other, _) = driver.arrive(now, context(PriorityClass::Normal, 64, deadline));
+        finish(&mut driver, now, id);
+        finish(&mut driver, now, other);
+    }
+    assert!(limit(&driver) > lowered);
+}
+
+#[test]
+fn paused_node_refuses_expired_work_and_looks_again_before_it_starts_the_rest() {
+    let mut driver = InboundDriver::new();
+    let running = fill_slots(&mut driver, at(0));
+    let (expired, _) = driver.arrive(at(0), context(PriorityClass::Normal, 64, at(500)));
+    let (waiting, _) = driver.arrive(at(0), context(PriorityClass::Normal, 64, at(60_000)));
+    let paused_for = Duration::from_secs(5);
+    let effects = driver.event(at(5000), InboundEvent::Resumed { paused_for });
+    assert_eq!(refusal_of(&effects, expired), Some(RefusalReason::Paused));
+    let effects = finish(&mut driver, at(5000), running[0]);
+    assert!(
+        !is_run(&effects, waiting),
+        "its cancellation may be on the way"
+    );
+    driver.event(at(5001), InboundEvent::AttemptCancelled { id: waiting });
+    let effects = driver.event(at(5010), InboundEvent::Wake);
+    assert!(!is_run(&effects, waiting));
+}
+
+#[test]
+fn leaving_node_refuses_new_and_queued_work_and_finishes_what_runs() {
+    let mut driver = InboundDriver::new();
+    let running = fill_slots(&mut driver, at(0));
+    let (queued, _) = driver.arrive(at(0), context(PriorityClass::Critical, 0, at(9000)));
+    let effects = driver.event(at(1), InboundEvent::Leave);
+    assert_eq!(refusal_of(&effects, queued), Some(RefusalReason::Leaving));
+    let (late, effects) = driver.arrive(at(2), context(PriorityClass::Critical, 0, at(9000)));
+    assert_eq!(refusal_of(&effects, late), Some(RefusalReason::Leaving));
+    let effects = finish(&mut driver, at(3), running[0]);
+    assert!(matches!(effects[0], InboundEffect::Answer { id, .. } if id == running[0]));
+}
+
+/// Feeds a threshold with arrivals of all normal users, a fixed share of which
+/// a window can serve, and returns its level after some windows.
+fn settle(
+    threshold: &mut admission_threshold::AdmissionThreshold,
+    demand: u32,
+    capacity: u32,
+    from: u64,
+) -> u16 {
+    let class = PriorityClass::Normal;
+    for window in from..from + 60 {
+        let mut served = 0;
+        for arrival in 0..demand {
+            let user = (arrival * 128 / demand) as u8;
+            let level = AdmissionLevel::of(lifthollow_state::Priority { class, user });
+            if threshold.level() > level {
+                continue;
+            }
+            threshold.arrived(level);
+            served += 1;
+            if served > capacity {
+                threshold.turned_away();
+            }
+        }
+        let running = served.min(capacity) as usize;
+        let occupancy = admission_threshold::Occupancy {
+            running,
+            limit: capacity,
+            queued: 0,
+        };
+        threshold.observe(at(window * 100), occupancy);
+        threshold.observe(at(window * 100 + 100), occupancy);
+    }
+    threshold.level().0
+}
+
+#[test]
+fn threshold_settles_where_demand_fits_and_opens_when_it_falls() {
+    let mut threshold = admission_threshold::AdmissionThreshold::default();
+    let overloaded = settle(&mut threshold, 100, 50, 0);
+    assert!(
+        (128 + 50..=128 + 80).contains(&overloaded),
+        "level {overloaded}"
+    );
+    assert_eq!(settle(&mut threshold, 40, 50, 60), 0);
+}
--- /dev/null
+++ b/crates/coordination/tests/pressure.rs
@@ -0,0 +1,62 @@
+//! Pressure of a needed service is felt at the entry.
+
+mod support;
+
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::pressure::{CallGraph, downstream_level};
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::{Priority, PriorityClass, ServiceName};
+
+fn level(class: PriorityClass, user: u8) -> AdmissionLevel {
+    AdmissionLevel::of(Priority { class, user })
+}
+
+/// A graph in which runs of `entry` of `class` call `deep` in `of_ten` of ten
+/// cases.
+fn learn(graph: &mut CallGraph, class: PriorityClass, of_ten: u64) {
+    for number in 0..100 {
+        let id = InboundId(number);
+        graph.arrived(id, ServiceName::new("entry"), class);
+        if number % 10 < of_ten {
+            graph.called(id, &ServiceName::new("deep"));
+        }
+        graph.completed(id, true);
+    }
+}
+
+fn level_at_entry(graph: &CallGraph, deep: AdmissionLevel) -> AdmissionLevel {
+    downstream_level(graph, &ServiceName::new("entry"), |_| deep)
+}
+
+#[test]
+fn level_of_a_service_needed_by_all_calls_is_taken_over() {
+    let mut graph = CallGraph::default();
+    for class in PriorityClass::ALL {
+        learn(&mut graph, class, 10);
+    }
+    for deep in [
+        level(PriorityClass::Normal, 40),
+        level(PriorityClass::Critical, 7),
+    ] {
+        assert_eq!(level_at_entry(&graph, deep), deep);
+    }
+}
+
+#[test]
+fn calls_that_seldom_need_the_service_are_not_refused_for_it() {
+    let mut graph = CallGraph::default();
+    learn(&mut graph, PriorityClass::Sheddable, 5);
+    learn(&mut graph, PriorityClass::Normal, 10);
+    let deep = level(PriorityClass::Normal, 40);
+    assert_eq!(level_at_entry(&graph, deep), AdmissionLevel::OPEN);
+}
+
+#[test]
+fn class_that_does_not_need_the_service_ends_the_pressure() {
+    let mut graph = CallGraph::default();
+    learn(&mut graph, PriorityClass::Sheddable, 10);
+    learn(&mut graph, PriorityClass::Critical, 10);
+    let deep = level(PriorityClass::Critical, 40);
+    let first_normal = level(PriorityClass::Normal, 0);
+    assert_eq!(level_at_entry(&graph, deep), first_normal);
+}
--- /dev/null
+++ b/crates/coordination/tests/routing.rs
@@ -0,0 +1,248 @@
+//! Choice of servers, retries and final answers, under the failure each
+//! decision is meant for.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use lifthollow_coordination::outbound::OutboundPolicy;
+use lifthollow_coordination::outbound::{CallAnswer, OutboundEffect, OutboundEvent};
+use lifthollow_protocol::{AdmissionLevel, AttemptResult, RefusalReason};
+use lifthollow_state::{NodeId, Priority, PriorityClass};
+use support::{OutboundDriver, SUCCESS, answered, at, context, load, node, refused, sent, view};
+
+const OPEN: AdmissionLevel = AdmissionLevel::OPEN;
+
+/// Calls every 5 ms, answered by all servers but those in `silent`, which
+/// accept and never answer; returns how many calls each server got lately.
+fn run_with_silent(
+    driver: &mut OutboundDriver,
+    silent: &[NodeId],
+    from: u64,
+    calls: u64,
+) -> Vec<NodeId> {
+    let mut used = Vec::new();
+    for number in 0..calls {
+        let now = at(from + number * 5);
+        driver.event(now, OutboundEvent::Wake);
+        let attempt = driver.send(now);
+        used.push(attempt.server);
+        if !silent.contains(&attempt.server) {
+            driver.answer(
+                at(from + number * 5 + 4),
+                attempt.attempt,
+                SUCCESS,
+                Some(load(OPEN)),
+            );
+        }
+    }
+    used
+}
+
+#[test]
+fn server_that_accepts_and_never_answers_is_left_out() {
+    let mut driver = OutboundDriver::new(view((1, 0), 3, 0));
+    run_with_silent(&mut driver, &[], 0, 500);
+    let gray = node(2);
+    run_with_silent(&mut driver, &[gray], 2500, 100);
+    let used = run_with_silent(&mut driver, &[gray], 3000, 100);
+    let to_gray = used.iter().filter(|server| **server == gray).count();
+    assert!(
+        to_gray <= 2,
+        "{to_gray} of 100 calls went to the silent server"
+    );
+}
+
+#[test]
+fn failures_of_all_servers_eject_none() {
+    let mut driver = OutboundDriver::new(view((1, 0), 3, 0));
+    let failure = AttemptResult::Completed { success: false };
+    let mut used = BTreeSet::new();
+    for number in 0..200 {
+        let now = at(number * 10);
+        driver.event(now, OutboundEvent::Wake);
+        let deadline = now + Duration::from_secs(1);
+        let effects = driver.call(now, context(PriorityClass::Normal, 64, deadline), false);
+        let attempt = sent(&effects).expect("no server is left out");
+        if number >= 150 {
+            used.insert(attempt.server);
+        }
+        driver.answer(now, attempt.attempt, failure, Some(load(OPEN)));
+    }
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn retry_goes_to_another_server_and_only_when_safe() {
+    let mut driver = OutboundDriver::new(view((1, 0), 3, 0));
+    let first = driver.send(at(0));
+    let effects = driver.answer(
+        at(1),
+        first.attempt,
+        refused(RefusalReason::QueueFull),
+        None,
+    );
+    let second = sent(&effects).expect("known not to have run");
+    assert_ne!(second.server, first.server);
+
+    let effects = driver.call(at(2), context(PriorityClass::Critical, 0, at(1000)), false);
+    let charge = sent(&effects).expect("sent");
+    let lost = AttemptResult::Unknown {
+        reason: RefusalReason::AnswerLost,
+    };
+    let effects = driver.answer(at(3), charge.attempt, lost, None);
+    assert!(sent(&effects).is_none(), "it may have run");
+    assert!(matches!(
+        answered(&effects),
+        Some(CallAnswer::Unknown { .. })
+    ));
+}
+
+#[test]
+fn call_that_may_have_run_once_is_never_called_not_run() {
+    let mut driver = OutboundDriver::new(view((1, 0), 2, 0));
+    let first = driver.send(at(0));
+    let lost = AttemptResult::Unknown {
+        reason: RefusalReason::AnswerLost,
+    };
+    let effects = driver.answer(at(1), first.attempt, lost, None);
+    let second = sent(&effects).expect("it is repeatable");
+    let effects = driver.answer(
+        at(2),
+        second.attempt,
+        refused(RefusalReason::Overloaded),
+        None,
+    );
+    assert!(matches!(
+        answered(&effects),
+        Some(CallAnswer::Unknown { .. })
+    ));
+}
+
+#[test]
+fn retries_are_a_tenth_of_the_traffic_when_every_server_refuses() {
+    let mut driver = OutboundDriver::new(view((1, 0), 4, 0));
+    let calls = 1000;
+    let mut retries = 0;
+    for number in 0..calls {
+        let now = at(number);
+        let mut attempt = driver.send(now);
+        loop {
+            let refusal = refused(RefusalReason::QueueFull);
+            let effects = driver.answer(now, attempt.attempt, refusal, None);
+            let Some(retry) = sent(&effects) else {
+                assert!(
+                    answered(&effects).is_some(),
+                    "the final answer comes at once"
+                );
+                break;
+            };
+            retries += 1;
+            attempt = retry;
+        }
+    }
+    assert!(
+        retries <= calls / 10 + 2,
+        "{retries} retries of {calls} calls"
+    );
+    assert!(retries > 50);
+}
+
+#[test]
+fn call_that_every_server_would_refuse_is_refused_without_an_attempt() {
+    let mut driver = OutboundDriver::new(view((1, 0), 1, 0));
+    let first = driver.send(at(0));
+    let level = AdmissionLevel::of(Priority {
+        class: PriorityClass::Critical,
+        user: 0,
+    });
+    driver.answer(at(1), first.attempt, SUCCESS, Some(load(level)));
+    let normal = context(PriorityClass::Normal, 127, at(1000));
+    let effects = driver.call(at(2), normal, true);
+    assert!(sent(&effects).is_none());
+    assert!(matches!(
+        answered(&effects),
+        Some(CallAnswer::NotRun { .. })
+    ));
+    let critical = context(PriorityClass::Critical, 0, at(1000));
+    assert!(sent(&driver.call(at(2), critical, true)).is_some());
+    let later = context(PriorityClass::Normal, 127, at(9000));
+    assert!(
+        sent(&driver.call(at(2000), later, true)).is_some(),
+        "old news"
+    );
+}
+
+#[test]
+fn refused_callers_are_told_different_times() {
+    let mut driver = OutboundDriver::new(view((1, 0), 0, 0));
+    let mut times = BTreeSet::new();
+    for _ in 0..100 {
+        let effects = driver.call(at(0), context(PriorityClass::Normal, 64, at(1000)), true);
+        let Some(CallAnswer::NotRun { retry_after, .. }) = answered(&effects) else {
+            panic!("there is no server");
+        };
+        times.insert(retry_after);
+    }
+    assert!(times.len() > 90);
+    let (first, last) = (times.first(), times.last());
+    assert!(first.is_some_and(|time| *time >= Duration::from_millis(500)));
+    assert!(last.is_some_and(|time| *time <= Duration::from_millis(1500)));
+}
+
+#[test]
+fn side_that_refuses_spills_to_a_side_with_weight_and_room_only() {
+    let level = AdmissionLevel::of(Priority {
+        class: PriorityClass::Critical,
+        user: 0,
+    });
+    for (weights, spills) in [((90, 10), true), ((100, 0), false)] {
+        let mut driver = OutboundDriver::new(view(weights, 1, 1));
+        for number in 0..20 {
+            let attempt = driver.send(at(number));
+            let refuses = attempt.server == node(1);
+            let report = load(if refuses { level } else { OPEN });
+            driver.answer(at(number), attempt.attempt, SUCCESS, Some(report));
+            if refuses {
+                break;
+            }
+        }
+        let deadline = at(1000);
+        let effects = driver.call(at(30), context(PriorityClass::Normal, 64, deadline), true);
+        assert_eq!(sent(&effects).is_some(), spills, "weights {weights:?}");
+    }
+}
+
+#[test]
+fn deadline_that_passes_is_answered_in_that_moment_and_cancelled() {
+    let mut driver = OutboundDriver::new(view((1, 0), 1, 0));
+    let first = driver.send(at(0));
+    let mut due = at(0);
+    let mut effects = Vec::new();
+    while effects.is_empty() {
+        due = driver.policy.next_wake().expect("the call is watched");
+        effects = driver.event(due, OutboundEvent::Wake);
+    }
+    assert_eq!(due, at(1000));
+    let cancel = OutboundEffect::Cancel {
+        attempt: first.attempt,
+    };
+    assert_eq!(effects[0], cancel);
+    assert!(matches!(
+        answered(&effects),
+        Some(CallAnswer::Unknown { .. })
+    ));
+}
+
+#[test]
+fn leaving_server_gets_nothing_new() {
+    let mut driver = OutboundDriver::new(view((1, 0), 2, 0));
+    let first = driver.send(at(0));
+    let mut report = load(OPEN);
+    report.leaving = true;
+    driver.answer(at(1), first.attempt, SUCCESS, Some(report));
+    for number in 0..50 {
+        assert_ne!(driver.send(at(2 + number)).server, first.server);
+    }
+}
