--- a/crates/coordination/tests/retry_bound.rs
+++ b/crates/coordination/tests/retry_bound.rs
@@ -16,7 +16,9 @@
 use lifthollow_coordination::retry::{AttemptNumber, entry_allowance};
 use lifthollow_coordination::{Node, NodeEffect, NodeEvent, NodeSettings, PolicyKind};
 use lifthollow_protocol::{AttemptResult, RefusalReason};
-use lifthollow_state::{NodeId, PriorityClass, RetryAllowance, ServiceName, Side, Table, Zone};
+use lifthollow_state::{
+    Incarnation, NodeId, PriorityClass, RetryAllowance, ServiceName, Side, Table, Zone,
+};
 use quickcheck::quickcheck;
 use support::{at, context, node, row};
 
@@ -102,6 +104,8 @@
         services: Vec::new(),
         policy: PolicyKind::Lifthollow,
         seed: u64::from(index),
+        incarnation: Incarnation(1),
+        seeds: Vec::new(),
     });
     let mut effects = Vec::new();
     let fetched = FleetEvent::TableFetched(Ok(Arc::clone(table)));
