--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -6,12 +6,12 @@
 use flume::RecvTimeoutError;
 use slog::{Logger, info, warn};
 
-use lifthollow_coordination::fleet::{FleetEffect, FleetEvent};
+use lifthollow_coordination::fleet::FleetEffect;
 use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, InboundId};
 use lifthollow_coordination::outbound::{CallAnswer, CallId, OutboundEffect, OutboundEvent};
 use lifthollow_coordination::{Node, NodeEffect, NodeEvent};
 use lifthollow_protocol::{AttemptResult, RefusalReason};
-use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_state::Timestamp;
 use lifthollow_transport::datagram::DatagramSender;
 
 use crate::clock::Clock;
@@ -139,7 +139,6 @@
             return;
         }
         self.leaving = true;
-        self.handle(NodeEvent::Fleet(FleetEvent::Leave));
         self.handle(NodeEvent::Inbound(InboundEvent::Leave));
     }
 
@@ -235,7 +234,7 @@
         let effect = AttemptEffect::Answer {
             result,
             load,
-            unspent: RetryAllowance(0),
+            unspent: self.parts.node.settle_allowance(id),
         };
         self.router.route_inbound(id, effect);
     }
@@ -248,7 +247,6 @@
                 let sent = self.parts.socket.send(to, &message);
                 self.parts.metrics.datagram_sent(sent.is_ok());
             }
-            FleetEffect::Leave => self.leave(),
             FleetEffect::Report(report) if report.is_warning() => {
                 warn!(self.parts.log, "fleet"; "report" => report.as_str(), "detail" => %report);
             }
