--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -28,6 +28,75 @@
 pub enum Command {
     /// Work on table files.
     Table(TableCommand),
+    /// A node in short.
+    Status(StatusCommand),
+    /// Why calls were refused.
+    Explain(ExplainCommand),
+    /// The servers a node knows.
+    Members(MembersCommand),
+    /// Who is leaving.
+    Leaving(LeavingCommand),
+    /// A node's state to a file.
+    Snapshot(SnapshotCommand),
+}
+
+/// Show a node in short: its table, its load, what is in progress.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub struct StatusCommand {
+    /// the node's operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: String,
+}
+
+/// Show why a node refused calls lately: how often for each reason, what the
+/// reason means and where to look, and the newest refusals with the state that
+/// led to them. Each node records what it refused itself: ask the entry node and
+/// the node beside the back end.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainCommand {
+    /// the node's operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: String,
+    /// only calls of this service
+    #[argh(option)]
+    pub service: Option<String>,
+    /// only calls of this request: the client's name for it (lifthollow-request)
+    /// or 32 hexadecimal digits
+    #[argh(option)]
+    pub request: Option<String>,
+}
+
+/// List the servers a node knows, by service, with their state.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "members")]
+pub struct MembersCommand {
+    /// the node's operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: String,
+}
+
+/// Show whether a node is leaving and what it still carries, and which servers
+/// it knows to be leaving.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "leaving")]
+pub struct LeavingCommand {
+    /// the node's operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: String,
+}
+
+/// Write a node's state to a new file (JSON), for a bug report.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "snapshot")]
+pub struct SnapshotCommand {
+    /// the node's operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: String,
+    /// the file; it must not exist yet
+    #[argh(option, arg_name = "file")]
+    pub out: String,
 }
 
 /// Check, compare and edit table files.
--- a/crates/ctl/src/table/file.rs
+++ b/crates/ctl/src/file.rs
@@ -1,4 +1,4 @@
-//! Reading table files, and replacing one in a single step.
+//! Reading and making files, and replacing one in a single step.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
@@ -9,7 +9,7 @@
 use lifthollow_state::table::MAX_FILE_BYTES;
 
 /// Reads a file, up to one byte more than a table may have.
-pub(super) fn read(path: &str) -> anyhow::Result<Vec<u8>> {
+pub(crate) fn read(path: &str) -> anyhow::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     File::open(path)
         .and_then(|file| file.take(MAX_FILE_BYTES as u64 + 1).read_to_end(&mut bytes))
@@ -17,8 +17,15 @@
     Ok(bytes)
 }
 
+/// Makes a file that does not exist yet.
+pub(crate) fn create(path: &str, bytes: &[u8]) -> anyhow::Result<()> {
+    File::create_new(path)
+        .and_then(|mut file| file.write_all(bytes))
+        .with_context(|| format!("{path}: can't be made"))
+}
+
 /// The right to replace a file, held against other runs of this program.
-pub(super) struct Lock {
+pub(crate) struct Lock {
     path: PathBuf,
     file: File,
 }
@@ -26,12 +33,12 @@
 impl Lock {
     /// Waits for other runs that edit the file. Links are followed, so that
     /// the file itself is replaced and not a link to it.
-    pub(super) fn acquire(path: &str) -> anyhow::Result<Self> {
+    pub(crate) fn acquire(path: &str) -> anyhow::Result<Self> {
         lock_current(Path::new(path)).with_context(|| format!("{path}: can't be opened"))
     }
 
     /// Puts a file with the new content in the place of the locked one.
-    pub(super) fn replace(self, bytes: &[u8]) -> anyhow::Result<()> {
+    pub(crate) fn replace(self, bytes: &[u8]) -> anyhow::Result<()> {
         let next = self.path_of_next();
         let result = write_next(&next, bytes, &self.file)
             .and_then(|()| fs::rename(&next, &self.path))
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,6 +2,9 @@
 //! and asks running nodes what they see.
 
 pub mod arguments;
+mod columns;
+mod file;
+pub mod node;
 pub mod outcome;
 pub mod table;
 
@@ -29,9 +32,15 @@
     }
 }
 
-fn run(command: &Command) -> anyhow::Result<Report> {
+/// Runs one command.
+pub fn run(command: &Command) -> anyhow::Result<Report> {
     match command {
         Command::Table(command) => table::run(&command.action),
+        Command::Status(command) => node::status(command),
+        Command::Explain(command) => node::explain(command),
+        Command::Members(command) => node::members(&command.address),
+        Command::Leaving(command) => node::leaving(&command.address),
+        Command::Snapshot(command) => node::snapshot(command),
     }
 }
 
--- /dev/null
+++ b/crates/ctl/src/node/mod.rs
@@ -0,0 +1,70 @@
+//! Commands that ask a running node.
+
+mod advice;
+mod answers;
+mod client;
+mod show;
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use lifthollow_state::finding::{Findings, Place, unknown};
+
+use crate::arguments::{ExplainCommand, SnapshotCommand, StatusCommand};
+use crate::file;
+use crate::outcome::Report;
+use answers::{Explanation, Leaving, Members, Status};
+use client::NodeClient;
+
+/// `status`: one node in short.
+pub fn status(command: &StatusCommand) -> anyhow::Result<Report> {
+    let status: Status = client_of(&command.address)?.get("/status", &[])?;
+    Ok(Report::done(show::status(&status)))
+}
+
+/// `members`: the servers a node knows.
+pub fn members(address: &str) -> anyhow::Result<Report> {
+    let members: Members = client_of(address)?.get("/members", &[])?;
+    Ok(Report::done(show::members(&members)))
+}
+
+/// `leaving`: whether a node is leaving, and which servers it knows to be.
+pub fn leaving(address: &str) -> anyhow::Result<Report> {
+    let client = client_of(address)?;
+    let leaving: Leaving = client.get("/leaving", &[])?;
+    let members: Members = client.get("/members", &[])?;
+    Ok(Report::done(show::leaving(&leaving, &members)))
+}
+
+/// `explain`: why a service or a request was refused on a node.
+pub fn explain(command: &ExplainCommand) -> anyhow::Result<Report> {
+    let parameters: Vec<(&str, &str)> =
+        [("service", &command.service), ("request", &command.request)]
+            .into_iter()
+            .filter_map(|(name, value)| Some((name, value.as_deref()?)))
+            .collect();
+    let client = client_of(&command.address)?;
+    let explanation: Explanation = client.get("/explain", &parameters)?;
+    Ok(Report::done(show::explanation(&explanation)))
+}
+
+/// `snapshot`: a node's state to a file.
+pub fn snapshot(command: &SnapshotCommand) -> anyhow::Result<Report> {
+    let client = client_of(&command.address)?;
+    let bytes = client.get_bytes("/snapshot", &[])?;
+    file::create(&command.out, &bytes)?;
+    let size = bytes.len();
+    Ok(Report::done(format!("{}: {size} bytes", command.out)))
+}
+
+fn client_of(address: &str) -> Result<NodeClient, Findings> {
+    SocketAddr::from_str(address)
+        .map(NodeClient::new)
+        .map_err(|_| {
+            let mut findings = Findings::default();
+            let place = Place::Argument(Arc::from("address"));
+            findings.add(place, unknown(address, "an address is IP:PORT"));
+            findings
+        })
+}
--- a/crates/ctl/src/table/mod.rs
+++ b/crates/ctl/src/table/mod.rs
@@ -1,11 +1,11 @@
 //! Commands on table files.
 
 mod cell;
-mod file;
 
 use lifthollow_state::table::{self, Table, TableDifference};
 
 use crate::arguments::{TableAction, TableCheck, TableDiff, TableSet};
+use crate::file;
 use crate::outcome::{Outcome, Report};
 
 /// Runs one command on tables.
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -51,13 +51,6 @@
             .to_owned()
     }
 
-    /// Writes a file and returns its path.
-    pub fn file(&self, name: &str, content: &str) -> String {
-        let path = self.path(name);
-        fs::write(&path, content).expect("a file can be written");
-        path
-    }
-
     /// The names of all files in the directory.
     pub fn names(&self) -> Vec<String> {
         let entries = fs::read_dir(&self.0).expect("the directory can be read");
--- a/crates/ctl/tests/table_commands.rs
+++ b/crates/ctl/tests/table_commands.rs
@@ -15,10 +15,17 @@
     top-up,old,90,8,16,130,critical,no,2000\r\n\
     top-up,new,10,8,16,130,critical,no,2000\r\n";
 
+/// Writes a file of the directory and returns its path.
+fn write_file(directory: &Directory, name: &str, content: &str) -> String {
+    let path = directory.path(name);
+    fs::write(&path, content).expect("a file can be written");
+    path
+}
+
 #[test]
 fn check_accepts_a_valid_table_and_names_its_version() {
     let directory = Directory::new();
-    let file = directory.file("table.csv", TABLE);
+    let file = write_file(&directory, "table.csv", TABLE);
     let run = ctl(&["table", "check", &file]);
     assert_eq!((run.code, run.errors.as_str()), (0, ""));
     assert!(
@@ -37,7 +44,7 @@
 fn check_prints_every_finding_and_fails() {
     let directory = Directory::new();
     let text = TABLE.replace(",8,16", ",0,x");
-    let file = directory.file("table.csv", &text);
+    let file = write_file(&directory, "table.csv", &text);
     let run = ctl(&["table", "check", &file]);
     assert_eq!((run.code, run.output.as_str()), (2, ""));
     let places: Vec<&str> = run
@@ -54,8 +61,8 @@
 #[test]
 fn set_writes_the_next_version_which_diff_shows_as_one_cell() {
     let directory = Directory::new();
-    let before = directory.file("before.csv", TABLE);
-    let file = directory.file("table.csv", TABLE);
+    let before = write_file(&directory, "before.csv", TABLE);
+    let file = write_file(&directory, "table.csv", TABLE);
     let run = ctl(&["table", "set", &file, "top-up@new", "weight", "20"]);
     assert_eq!((run.code, run.errors.as_str()), (0, ""));
     let expected = TABLE
@@ -73,7 +80,7 @@
 #[test]
 fn set_changes_cells_that_must_agree_in_one_version() {
     let directory = Directory::new();
-    let file = directory.file("table.csv", TABLE);
+    let file = write_file(&directory, "table.csv", TABLE);
     let cells = [
         "top-up@old",
         "class",
@@ -93,7 +100,7 @@
 #[test]
 fn set_that_would_make_a_bad_table_changes_nothing() {
     let directory = Directory::new();
-    let file = directory.file("table.csv", TABLE);
+    let file = write_file(&directory, "table.csv", TABLE);
     let cases: [(&[&str], &str); 8] = [
         (
             &["top-up@new", "max_in_flight", "0"],
@@ -129,7 +136,7 @@
 #[test]
 fn set_keeps_permissions_and_links() {
     let directory = Directory::new();
-    let file = directory.file("table.csv", TABLE);
+    let file = write_file(&directory, "table.csv", TABLE);
     fs::set_permissions(&file, fs::Permissions::from_mode(0o640)).unwrap();
     let link = directory.path("link.csv");
     symlink(&file, &link).unwrap();
@@ -147,7 +154,7 @@
 fn edits_at_the_same_time_follow_each_other() {
     const EDITORS: u32 = 8;
     let directory = Directory::new();
-    let file = directory.file("table.csv", TABLE);
+    let file = write_file(&directory, "table.csv", TABLE);
     std::thread::scope(|scope| {
         for editor in 0..EDITORS {
             let file = &file;
@@ -166,8 +173,8 @@
 #[test]
 fn faults_of_both_files_are_reported_together() {
     let directory = Directory::new();
-    let first = directory.file("a.csv", &TABLE.replace("critical", "vital"));
-    let second = directory.file("b.csv", "");
+    let first = write_file(&directory, "a.csv", &TABLE.replace("critical", "vital"));
+    let second = write_file(&directory, "b.csv", "");
     let run = ctl(&["table", "diff", &first, &second]);
     assert_eq!(run.code, 2);
     assert_eq!(run.errors.lines().count(), 3, "{}", run.errors);
@@ -202,7 +209,7 @@
 fn the_examples_of_the_page_give_what_it_shows() {
     let directory = Directory::new();
     let text = shown_after("```csv").join("\n");
-    let file = directory.file("table.csv", &text);
+    let file = write_file(&directory, "table.csv", &text);
     let words: Vec<&str> = "top-up@old weight 80 top-up@new weight 20"
         .split(' ')
         .collect();
@@ -215,7 +222,7 @@
     let broken = text
         .replace("top-up,old,90,8", "top-up,old,90,0")
         .replace("new,10,8,16,130,critical", "new,10,8,16,130,normal");
-    let file = directory.file("broken.csv", &broken);
+    let file = write_file(&directory, "broken.csv", &broken);
     let run = ctl(&["table", "check", &file]);
     let errors = run.errors.replace(&file, "broken.csv");
     let printed: Vec<&str> = errors.lines().collect();
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -248,7 +248,6 @@
                 let sent = self.parts.socket.send(to, &message);
                 self.parts.metrics.datagram_sent(sent.is_ok());
             }
-            FleetEffect::Leave => self.leave(),
             FleetEffect::Report(report) if report.is_warning() => {
                 warn!(self.parts.log, "fleet"; "report" => report.as_str(), "detail" => %report);
             }
--- a/crates/protocol/src/answer.rs
+++ b/crates/protocol/src/answer.rs
@@ -57,6 +57,32 @@
 }
 
 impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [RefusalReason; 15] = [
+        RefusalReason::Overloaded,
+        RefusalReason::QueueFull,
+        RefusalReason::DeadlineTooShort,
+        RefusalReason::NoServer,
+        RefusalReason::DownstreamOverloaded,
+        RefusalReason::Leaving,
+        RefusalReason::UnknownService,
+        RefusalReason::Paused,
+        RefusalReason::ConnectionFailed,
+        RefusalReason::BackendRefused,
+        RefusalReason::AnswerLost,
+        RefusalReason::Cancelled,
+        RefusalReason::AlreadyRunning,
+        RefusalReason::KeyReused,
+        RefusalReason::NoQuorum,
+    ];
+
+    /// The reason with this word.
+    pub fn from_word(word: &str) -> Option<Self> {
+        RefusalReason::ALL
+            .into_iter()
+            .find(|reason| reason.as_str() == word)
+    }
+
     /// The stable word written in headers, logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
