sim: leave the retry allowance to the node's own ledger

Cause: Node now lends and settles the allowance of nested calls itself. Change: the world asks Node::settle_allowance when it carries out an answer and takes a client's allowance from coordination::retry::entry_allowance.

--- a/crates/sim/src/world/back_end_runs.rs
+++ b/crates/sim/src/world/back_end_runs.rs
@@ -4,6 +4,7 @@
 
 use lifthollow_coordination::inbound::RunResult;
 use lifthollow_coordination::outbound::CallId;
+use lifthollow_state::RetryAllowance;
 
 use super::event::WorldEvent;
 use super::ids::{MachineIndex, WireId};
@@ -188,7 +189,8 @@
         let Some(deadline) = self.run_mut(wire).map(|run| run.deadline) else {
             return;
         };
-        let allowance = self.lend_allowance(wire);
+        // The node lends the call its share of what its parent was lent.
+        let allowance = RetryAllowance::default();
         let origin = CallOrigin::Run { wire, epoch };
         let call = self.new_call(server, place, origin, deadline, allowance);
         if let Some(run) = self.run_mut(wire) {
--- a/crates/sim/src/world/calls.rs
+++ b/crates/sim/src/world/calls.rs
@@ -11,9 +11,6 @@
 use crate::mesh::{KindIndex, VisitIndex};
 use crate::observe::Observation;
 
-/// Retries that the entry node grants to a whole request.
-pub const ENTRY_RETRY_ALLOWANCE: RetryAllowance = RetryAllowance(3);
-
 /// Where in a whole request a new call stands.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CallPlace {
--- a/crates/sim/src/world/clients.rs
+++ b/crates/sim/src/world/clients.rs
@@ -4,10 +4,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use lifthollow_state::{RequestId, RetryAllowance, Timestamp};
+use lifthollow_coordination::retry::{AttemptNumber, entry_allowance};
+use lifthollow_state::{RequestId, Timestamp};
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::calls::{CallPlace, ENTRY_RETRY_ALLOWANCE};
+use super::calls::CallPlace;
 use super::event::{ClientAnswer, WorldEvent};
 use super::ids::{MachineIndex, RequestNumber};
 use super::records::{CallOrigin, Operation};
@@ -161,11 +162,7 @@
             kind,
             client_attempt: attempt,
         };
-        let allowance = if attempt == 1 {
-            ENTRY_RETRY_ALLOWANCE
-        } else {
-            RetryAllowance(0)
-        };
+        let allowance = entry_allowance(AttemptNumber(attempt));
         let origin = CallOrigin::Client { attempt };
         let call = self.new_call(entry, place, origin, gives_up, allowance);
         if let Some(waiting) = self.clients.waiting.get_mut(&request) {
--- a/crates/sim/src/world/inbound_effects.rs
+++ b/crates/sim/src/world/inbound_effects.rs
@@ -4,7 +4,7 @@
 use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, RunResult};
 use lifthollow_coordination::outbound::AttemptAnswer;
 use lifthollow_protocol::AttemptResult;
-use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_state::Timestamp;
 
 use super::backend::Connection;
 use super::event::WorldEvent;
@@ -155,7 +155,6 @@
             return;
         };
         record.answered = Some(result);
-        let unspent = record.ledger;
         let (caller, class) = (record.caller, record.attempt.context.priority.class);
         let service_name = record.attempt.service.clone();
         let ran = record.run.is_some();
@@ -173,8 +172,9 @@
                 reason,
             });
         }
-        let machine = self.machine(index);
+        let machine = self.machine_mut(index);
         let load = machine.node.load(machine.local(now), &service_name);
+        let unspent = machine.node.settle_allowance(wire.inbound());
         let answer = AttemptAnswer {
             result,
             load: Some(load),
@@ -190,21 +190,4 @@
             self.close_server(wire);
         }
     }
-
-    /// Takes half of what an attempt's ledger holds, rounded up, for a nested call.
-    pub(super) fn lend_allowance(&mut self, wire: WireId) -> RetryAllowance {
-        let Some(record) = self.attempts.get_mut(&wire) else {
-            return RetryAllowance(0);
-        };
-        let lent = record.ledger.0.div_ceil(2);
-        record.ledger.0 -= lent;
-        RetryAllowance(lent)
-    }
-
-    /// Puts what a nested call did not spend back into the ledger.
-    pub(super) fn return_allowance(&mut self, wire: WireId, unspent: RetryAllowance) {
-        if let Some(record) = self.attempts.get_mut(&wire) {
-            record.ledger.0 = record.ledger.0.saturating_add(unspent.0);
-        }
-    }
 }
--- a/crates/sim/src/world/outbound_effects.rs
+++ b/crates/sim/src/world/outbound_effects.rs
@@ -10,7 +10,7 @@
 
 use super::event::{ClientAnswer, WorldEvent};
 use super::ids::{MachineIndex, WireId};
-use super::records::{AttemptRecord, CallOrigin};
+use super::records::AttemptRecord;
 use super::{CLOCK_TICK, TransportDefect, World};
 use crate::observe::{Observation, Told};
 
@@ -24,11 +24,7 @@
                 context,
             } => self.dispatch_attempt(index, call, attempt, server, context),
             OutboundEffect::Cancel { attempt } => self.cancel_attempt(index, attempt),
-            OutboundEffect::Answer {
-                call,
-                answer,
-                unspent,
-            } => self.answer_call(call, answer, unspent),
+            OutboundEffect::Answer { call, answer, .. } => self.answer_call(call, answer),
         }
     }
 
@@ -75,7 +71,6 @@
             operation,
             kind,
             client_attempt,
-            ledger: context.allowance,
             attempt: Attempt {
                 service: service_name,
                 context: RequestContext {
@@ -170,12 +165,12 @@
         self.feed_node(caller, NodeEvent::Outbound(event));
     }
 
-    fn answer_call(&mut self, call: CallId, answer: CallAnswer, unspent: RetryAllowance) {
+    /// What is left of the call's allowance stays in the node's own ledger.
+    fn answer_call(&mut self, call: CallId, answer: CallAnswer) {
         let now = self.now();
         let Some(record) = self.calls.get_mut(&call) else {
             return;
         };
-        let origin = record.origin;
         let told = Told::from(&answer);
         let observation = Observation::CallAnswered {
             call,
@@ -191,9 +186,6 @@
             self.recorder.refusal_delay(delay);
         }
         self.observe(observation);
-        if let CallOrigin::Run { wire, .. } = origin {
-            self.return_allowance(wire, unspent);
-        }
         match answer {
             CallAnswer::Deliver { attempt } => self.deliver_answer(call, attempt),
             CallAnswer::NotRun { retry_after, .. } | CallAnswer::Unknown { retry_after, .. } => {
@@ -284,7 +276,11 @@
             }
         };
         let answered = record.answered.is_some();
-        let (caller, server, lent) = (record.caller, record.server, record.ledger);
+        let (caller, server, lent) = (
+            record.caller,
+            record.server,
+            record.attempt.context.allowance,
+        );
         // Allowance that was lent to a server which may have spent it is lost.
         let unspent = if arrived { RetryAllowance(0) } else { lent };
         let Some(delay) = self.network.stream_delay(server, caller) else {
--- a/crates/sim/src/world/records.rs
+++ b/crates/sim/src/world/records.rs
@@ -3,7 +3,7 @@
 use lifthollow_coordination::inbound::Attempt;
 use lifthollow_coordination::outbound::{AttemptId, Call, CallId};
 use lifthollow_protocol::AttemptResult;
-use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_state::Timestamp;
 
 use super::ids::{MachineIndex, RequestNumber, WireId};
 use crate::mesh::{KindIndex, ServiceIndex, VisitIndex};
@@ -79,8 +79,6 @@
     /// The attempt as the server's node is told of it; the deadline is on the
     /// simulation's clock.
     pub attempt: Attempt,
-    /// Retries of the lent allowance that the server's side still has.
-    pub ledger: RetryAllowance,
     /// The call that its answer is passed on to.
     pub delivers_to: Option<CallId>,
     /// Whether its answer has ended, and in order, before it was passed on.
