--- a/crates/sim/src/measure/result.rs
+++ b/crates/sim/src/measure/result.rs
@@ -88,7 +88,7 @@
         scenario.disturbance_start(),
         &offered_by_kind(mesh, scenario, &window),
     );
-    let reference = best.min(window.len() as f64);
+    let reference = best.unwrap_or(f64::INFINITY).min(window.len() as f64);
     let goodput_by_second = per_second(scenario, recorder, |request| request.useful_at);
     RunResult {
         mesh: mesh.name.to_owned(),
--- a/crates/sim/src/scenario/mod.rs
+++ b/crates/sim/src/scenario/mod.rs
@@ -202,6 +202,15 @@
     },
 }
 
+/// A back end that is less than this much slower counts as warm.
+const WARM_EXCESS: f64 = 0.25;
+
+/// Time constants of the warm-up until a back end counts as warm.
+fn cold_time_constants(factor: f64) -> f64 {
+    let excess = (factor - 1.0).max(WARM_EXCESS);
+    (excess / WARM_EXCESS).ln()
+}
+
 /// Who learns first that a machine is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaveNotice {
@@ -242,9 +251,16 @@
 }
 
 impl Fault {
-    /// When it ends; its start if it stays.
+    /// When it ends; its start if it stays. A cold start is over when the back
+    /// ends are almost warm.
     pub fn end(&self) -> Duration {
-        self.at + self.lasts.unwrap_or(Duration::ZERO)
+        let lasts = match &self.kind {
+            FaultKind::Cold {
+                factor, warm_up, ..
+            } => warm_up.mul_f64(cold_time_constants(*factor)),
+            _ => self.lasts.unwrap_or(Duration::ZERO),
+        };
+        self.at + lasts
     }
 
     /// Whether it is in force at a time.
