--- a/crates/sim/tests/broken/mod.rs
+++ b/crates/sim/tests/broken/mod.rs
@@ -175,8 +175,8 @@
         self.inner.next_wake()
     }
 
-    fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
-        self.inner.load(now, service)
+    fn load(&self, now: Timestamp, view: &View, service: &ServiceName) -> LoadReport {
+        self.inner.load(now, view, service)
     }
 
     fn in_progress(&self) -> usize {
