Keep less important calls out just after a refusal for overload

Cause: a critical call refused for want of queue room or time could be followed by a normal one admitted into the slot that came free next. Change: a refusal for overload keeps less important classes out for 100 ms, at a server for its service and at a caller's node for an edge. The eviction test expected queue_full for a sheddable call after a normal one was evicted; the floor now refuses it first, as overloaded. Proof: the new test admits the normal call without the floor. Not measured yet.

--- a/crates/coordination/src/inbound/admission_control.rs
+++ b/crates/coordination/src/inbound/admission_control.rs
@@ -209,7 +209,7 @@
             InboundEvent::Leave => {
                 self.leaving = true;
                 self.for_each_service(view, effects, |admission, _, verdicts| {
-                    admission.leave(verdicts);
+                    admission.leave(now, verdicts);
                 });
             }
             // Health endpoints lag and mislead; what the node sees decides.
--- a/crates/coordination/src/inbound/queue.rs
+++ b/crates/coordination/src/inbound/queue.rs
@@ -84,6 +84,11 @@
         true
     }
 
+    /// The priority of the most important attempt.
+    pub fn highest_priority(&self) -> Option<Priority> {
+        self.by_rank.first().map(|rank| rank.priority.0)
+    }
+
     /// Takes out the most important attempt.
     pub fn pop_most_important(&mut self) -> Option<QueuedAttempt> {
         let attempt = self.by_rank.first()?.attempt();
--- a/crates/coordination/src/inbound/service_admission.rs
+++ b/crates/coordination/src/inbound/service_admission.rs
@@ -15,6 +15,7 @@
 use super::concurrency_limit::ConcurrencyLimit;
 use super::queue::{PriorityQueue, QueuedAttempt};
 use super::{InboundId, RunResult};
+use crate::class_floor::ClassFloor;
 use crate::latency::LatencyEstimate;
 
 /// After a pause nothing queued is started for this long: cancellations that
@@ -57,6 +58,7 @@
     limit: ConcurrencyLimit,
     threshold: AdmissionThreshold,
     downstream: AdmissionLevel,
+    class_floor: ClassFloor,
     queue: PriorityQueue,
     running: BTreeMap<InboundId, Running>,
     time_to_answer: LatencyEstimate,
@@ -108,7 +110,7 @@
         self.observe(now, row);
         match self.admit(now, row, &attempt, verdicts) {
             Ok(()) => self.queue.push(attempt),
-            Err(reason) => verdicts.push(refuse(attempt, reason)),
+            Err(reason) => verdicts.push(self.refuse(now, attempt, reason)),
         }
         self.start_queued(now, row, verdicts);
     }
@@ -127,7 +129,9 @@
         if !self.downstream.admits(attempt.priority) {
             return Err(RefusalReason::DownstreamOverloaded);
         }
-        if !self.threshold.level().admits(attempt.priority) {
+        if !self.threshold.level().admits(attempt.priority)
+            || !self.class_floor.admits(now, attempt.priority.class)
+        {
             return Err(RefusalReason::Overloaded);
         }
         self.threshold.arrived(AdmissionLevel::of(attempt.priority));
@@ -138,12 +142,13 @@
             self.threshold.turned_away();
             return Err(RefusalReason::Overloaded);
         }
-        self.make_room(row, attempt, verdicts)
+        self.make_room(now, row, attempt, verdicts)
     }
 
     /// Evicts less important work if the queue is full.
     fn make_room(
         &mut self,
+        now: Timestamp,
         row: &TableRow,
         attempt: &QueuedAttempt,
         verdicts: &mut Vec<Verdict>,
@@ -156,7 +161,7 @@
             .queue
             .evict_below(attempt.priority)
             .ok_or(RefusalReason::QueueFull)?;
-        verdicts.push(refuse(evicted, RefusalReason::Overloaded));
+        verdicts.push(self.refuse(now, evicted, RefusalReason::Overloaded));
         Ok(())
     }
 
@@ -245,14 +250,14 @@
         self.next_wake = Some(self.settles_at);
         self.threshold.restart(now);
         while let Some(attempt) = self.queue.pop_due_before(now) {
-            verdicts.push(refuse(attempt, RefusalReason::Paused));
+            verdicts.push(self.refuse(now, attempt, RefusalReason::Paused));
         }
     }
 
     /// No new work: what waits is refused so that it can go elsewhere.
-    pub fn leave(&mut self, verdicts: &mut Vec<Verdict>) {
+    pub fn leave(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         while let Some(attempt) = self.queue.pop_most_important() {
-            verdicts.push(refuse(attempt, RefusalReason::Leaving));
+            verdicts.push(self.refuse(now, attempt, RefusalReason::Leaving));
         }
     }
 
@@ -265,7 +270,7 @@
 
     fn start_queued(&mut self, now: Timestamp, row: &TableRow, verdicts: &mut Vec<Verdict>) {
         self.drop_hopeless(now, verdicts);
-        while now >= self.settles_at && self.has_free_slot(row) {
+        while self.may_start_queued(now) && self.has_free_slot(row) {
             let Some(attempt) = self.queue.pop_most_important() else {
                 break;
             };
@@ -274,6 +279,12 @@
         self.next_wake = self.next_check(now);
     }
 
+    fn may_start_queued(&self, now: Timestamp) -> bool {
+        let priority = self.queue.highest_priority();
+        now >= self.settles_at
+            && priority.is_some_and(|priority| self.class_floor.admits(now, priority.class))
+    }
+
     /// When the queue must be looked at again without another event.
     fn next_check(&self, now: Timestamp) -> Option<Timestamp> {
         let deadline = self.queue.earliest_deadline()?;
@@ -282,7 +293,12 @@
         }
         let latest_start = deadline.saturating_sub(self.time_to_answer.mean_at(now));
         let too_late = latest_start + Duration::from_micros(1);
-        Some(too_late.max(now + MIN_CHECK_INTERVAL))
+        let check = if self.may_start_queued(now) {
+            too_late
+        } else {
+            too_late.min(self.class_floor.opens_at())
+        };
+        Some(check.max(now + MIN_CHECK_INTERVAL))
     }
 
     /// Refuses what could not finish in time even if it started now.
@@ -290,7 +306,7 @@
         let earliest_end = now + self.time_to_answer.mean_at(now);
         while let Some(attempt) = self.queue.pop_due_before(earliest_end) {
             self.threshold.turned_away();
-            verdicts.push(refuse(attempt, RefusalReason::DeadlineTooShort));
+            verdicts.push(self.refuse(now, attempt, RefusalReason::DeadlineTooShort));
         }
     }
 
@@ -307,6 +323,16 @@
         });
     }
 
+    fn refuse(&mut self, now: Timestamp, attempt: QueuedAttempt, reason: RefusalReason) -> Verdict {
+        let class = attempt.priority.class;
+        self.class_floor.refused(now, class, reason);
+        Verdict::Refuse {
+            id: attempt.id,
+            priority: attempt.priority,
+            reason,
+        }
+    }
+
     fn observe(&mut self, now: Timestamp, row: &TableRow) {
         let occupancy = Occupancy {
             running: self.running.len(),
@@ -329,11 +355,3 @@
 fn ceiling(row: &TableRow) -> u32 {
     row.max_in_flight.min(row.max_connections)
 }
-
-fn refuse(attempt: QueuedAttempt, reason: RefusalReason) -> Verdict {
-    Verdict::Refuse {
-        id: attempt.id,
-        priority: attempt.priority,
-        reason,
-    }
-}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`baseline`] holds the ordinary policies that lifthollow is compared with.
 
 pub mod baseline;
+pub mod class_floor;
 pub mod fleet;
 pub mod inbound;
 pub mod latency;
--- a/crates/coordination/src/outbound/edge.rs
+++ b/crates/coordination/src/outbound/edge.rs
@@ -13,6 +13,7 @@
 use super::server_state::{Outcome, ServerRecord};
 use super::side_choice::{SideChoice, SideWeights};
 use crate::View;
+use crate::class_floor::ClassFloor;
 use crate::latency::LatencyEstimate;
 use crate::retry::RetryBudget;
 
@@ -62,6 +63,8 @@
     pub latency: LatencyEstimate,
     /// Retries that the edge can pay for.
     pub budget: RetryBudget,
+    /// Classes kept out after calls were refused without an attempt.
+    pub class_floor: ClassFloor,
 }
 
 impl Edge {
@@ -74,6 +77,7 @@
             servers: BTreeMap::new(),
             latency: LatencyEstimate::default(),
             budget: RetryBudget::default(),
+            class_floor: ClassFloor::default(),
         }
     }
 
--- a/crates/coordination/src/outbound/routing.rs
+++ b/crates/coordination/src/outbound/routing.rs
@@ -6,11 +6,13 @@
 //! the retry decision, the choice of another server and the edge's budget are
 //! asked in this order; the first no is the caller's final answer, at once.
 
+mod final_answer;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use lifthollow_protocol::{AdmissionLevel, AttemptResult, RefusalReason};
-use lifthollow_state::{RetryAllowance, ServiceName, Timestamp, Zone};
+use lifthollow_state::{ServiceName, Timestamp, Zone};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -19,7 +21,7 @@
 use super::edge::{Chosen, Edge, Wanted};
 use super::retry_decision::allows_retry;
 use super::server_state::Outcome;
-use super::{AttemptAnswer, AttemptId, Call, CallAnswer, CallId};
+use super::{AttemptAnswer, AttemptId, Call, CallId};
 use super::{OutboundEffect, OutboundEvent, OutboundPolicy};
 use crate::View;
 use crate::refusal::{GivenUp, RetryAfter};
@@ -82,13 +84,22 @@
             Some(RefusalReason::UnknownService)
         } else if context.deadline <= now {
             Some(RefusalReason::DeadlineTooShort)
-        } else if !self.level(now, &call.service).admits(context.priority) {
+        } else if !self.admits(now, call) {
             Some(RefusalReason::Overloaded)
         } else {
             None
         }
     }
 
+    /// Whether some server is thought to admit the call, and no more important
+    /// one was refused just now.
+    fn admits(&self, now: Timestamp, call: &Call) -> bool {
+        let priority = call.context.priority;
+        self.edges.get(&call.service).is_none_or(|edge| {
+            edge.level(now).admits(priority) && edge.class_floor.admits(now, priority.class)
+        })
+    }
+
     fn choose_first(
         &mut self,
         now: Timestamp,
@@ -243,74 +254,6 @@
         }
     }
 
-    /// Passes the current attempt's answer on to the caller.
-    fn deliver(&mut self, id: CallId, answer: AttemptAnswer, effects: &mut Vec<OutboundEffect>) {
-        let Some(state) = self.calls.get_mut(id) else {
-            return;
-        };
-        let unspent = RetryAllowance(state.allowance_after(Failure::told_by(&answer)));
-        let Some(current) = state.current.as_mut() else {
-            return;
-        };
-        current.delivered = true;
-        let current = *current;
-        if let Some(edge) = self.edges.get_mut(&state.call.service) {
-            edge.streams(current.server, current.id);
-        }
-        self.calls.stop_timer(id);
-        effects.push(OutboundEffect::Answer {
-            call: id,
-            answer: CallAnswer::Deliver {
-                attempt: current.id,
-            },
-            unspent,
-        });
-    }
-
-    /// The final answer of a call that no attempt will complete.
-    fn give_up(
-        &mut self,
-        now: Timestamp,
-        id: CallId,
-        given_up: GivenUp,
-        effects: &mut Vec<OutboundEffect>,
-    ) {
-        let Some(state) = self.calls.remove(id) else {
-            return;
-        };
-        let level = self.level(now, &state.call.service);
-        let class = state.call.context.priority.class;
-        let drawn = self.retry_after.draw(class, level);
-        let answer = given_up.answer(state.may_have_run, drawn);
-        effects.push(OutboundEffect::Answer {
-            call: id,
-            answer,
-            unspent: RetryAllowance(state.allowance),
-        });
-    }
-
-    /// The last byte of a delivered answer has passed.
-    fn closed(&mut self, attempt: AttemptId) {
-        let Some(id) = self.calls.call_of(attempt) else {
-            return;
-        };
-        let current = self.calls.get(id).and_then(|state| state.current);
-        let Some(current) = current.filter(|current| current.delivered) else {
-            return;
-        };
-        let Some(state) = self.calls.remove(id) else {
-            return;
-        };
-        if let Some(edge) = self.edges.get_mut(&state.call.service) {
-            edge.closed(current.server, attempt);
-        }
-    }
-
-    fn cancel(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
-        self.abandon_attempt(now, id, effects);
-        self.calls.remove(id);
-    }
-
     /// Gives the current attempt up: its server must drop or cancel it.
     fn abandon_attempt(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
         let Some(state) = self.calls.get(id) else {
--- /dev/null
+++ b/crates/coordination/src/outbound/routing/final_answer.rs
@@ -0,0 +1,91 @@
+//! The end of a call: its one answer to the caller, in the moment that it is
+//! known, and the end of the answer's body.
+
+use lifthollow_state::{RetryAllowance, Timestamp};
+
+use super::Routing;
+use crate::outbound::call_state::Failure;
+use crate::outbound::{
+    AttemptAnswer, AttemptId, CallAnswer, CallId, OutboundEffect, OutboundPolicy,
+};
+use crate::refusal::GivenUp;
+
+impl Routing {
+    /// Passes the current attempt's answer on to the caller.
+    pub(super) fn deliver(
+        &mut self,
+        id: CallId,
+        answer: AttemptAnswer,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(state) = self.calls.get_mut(id) else {
+            return;
+        };
+        let unspent = RetryAllowance(state.allowance_after(Failure::told_by(&answer)));
+        let Some(current) = state.current.as_mut() else {
+            return;
+        };
+        current.delivered = true;
+        let current = *current;
+        if let Some(edge) = self.edges.get_mut(&state.call.service) {
+            edge.streams(current.server, current.id);
+        }
+        self.calls.stop_timer(id);
+        effects.push(OutboundEffect::Answer {
+            call: id,
+            answer: CallAnswer::Deliver {
+                attempt: current.id,
+            },
+            unspent,
+        });
+    }
+
+    /// The final answer of a call that no attempt will complete.
+    pub(super) fn give_up(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        given_up: GivenUp,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
+        let Some(state) = self.calls.remove(id) else {
+            return;
+        };
+        let level = self.level(now, &state.call.service);
+        let class = state.call.context.priority.class;
+        let drawn = self.retry_after.draw(class, level);
+        if state.side.is_none()
+            && let Some(edge) = self.edges.get_mut(&state.call.service)
+        {
+            edge.class_floor.refused(now, class, given_up.reason);
+        }
+        let answer = given_up.answer(state.may_have_run, drawn);
+        effects.push(OutboundEffect::Answer {
+            call: id,
+            answer,
+            unspent: RetryAllowance(state.allowance),
+        });
+    }
+
+    /// The last byte of a delivered answer has passed.
+    pub(super) fn closed(&mut self, attempt: AttemptId) {
+        let Some(id) = self.calls.call_of(attempt) else {
+            return;
+        };
+        let current = self.calls.get(id).and_then(|state| state.current);
+        let Some(current) = current.filter(|current| current.delivered) else {
+            return;
+        };
+        let Some(state) = self.calls.remove(id) else {
+            return;
+        };
+        if let Some(edge) = self.edges.get_mut(&state.call.service) {
+            edge.closed(current.server, attempt);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
+        self.abandon_attempt(now, id, effects);
+        self.calls.remove(id);
+    }
+}
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -58,8 +58,33 @@
         driver.arrive(at(1), context(PriorityClass::Sheddable, 127, deadline));
     assert_eq!(
         refusal_of(&effects, sheddable),
+        Some(RefusalReason::Overloaded)
+    );
+}
+
+#[test]
+fn nothing_less_important_is_admitted_just_after_a_refusal() {
+    let mut driver = InboundDriver::new();
+    let running = fill_slots(&mut driver, at(0));
+    let deadline = at(10_000);
+    for _ in 0..MAX_QUEUE {
+        driver.arrive(at(0), context(PriorityClass::Critical, 64, deadline));
+    }
+    let (refused, effects) = driver.arrive(at(1), context(PriorityClass::Critical, 0, deadline));
+    assert_eq!(
+        refusal_of(&effects, refused),
         Some(RefusalReason::QueueFull)
     );
+    for id in running {
+        finish(&mut driver, at(2), id);
+    }
+    let (normal, effects) = driver.arrive(at(10), context(PriorityClass::Normal, 127, deadline));
+    assert!(
+        !is_run(&effects, normal),
+        "a critical call was refused just now"
+    );
+    let (normal, effects) = driver.arrive(at(200), context(PriorityClass::Normal, 127, deadline));
+    assert!(is_run(&effects, normal));
 }
 
 #[test]
