Let the queue decide and estimate the admission level from it

Cause: the threshold refused attempts itself; with few arrivals in a window it swung between 0 and 378 from window to window, left slots idle and reached into the critical class. A caller's node took the lowest level of all servers, which differs most from the truth. Change: the priority queue alone decides at the server. The level is estimated from what it turned away and from free slots, with part of the error corrected in each window, and callers take the mean of a side's servers.

--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -1,30 +1,31 @@
-//! The lowest priority that a server admits.
+//! The lowest priority that gets through to the back end, as told upstream.
 //!
-//! Arrivals are counted by admission level in short windows. When a window had
-//! to turn admitted work away, or left a standing queue, the threshold rises to
-//! the level above which the demand just fits. When slots stayed free, it falls
-//! in proportion to the room. User priorities are uniform and the same for a
-//! whole request tree, so that every server sheds the same requests.
+//! The queue itself serves the most important first and turns the rest away.
+//! This is the estimate of where the line runs, so that callers further up
+//! refuse at once what would be turned away here. In short windows it rises by
+//! part of the demand that was turned away, and falls by part of the room that
+//! was left. User priorities are uniform and the same for a whole request tree,
+//! so that every server sheds the same requests.
 
 use std::time::Duration;
 
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
 
-/// How often the threshold is revised.
+/// How often the level is revised.
 const WINDOW: Duration = Duration::from_millis(100);
 /// Admission levels there are.
 const LEVELS: usize = 384;
+/// Levels over which the demand just above the line is averaged.
+const DENSITY_SPAN: usize = 64;
 /// Share of the demand counts kept from one window to the next.
-const DEMAND_MEMORY: f64 = 0.7;
-/// Slots in use, relative to the limit, at which the threshold stays.
+const DEMAND_MEMORY: f64 = 0.8;
+/// Slots in use, relative to the limit, at which the level stays.
 const TARGET_UTILIZATION: f64 = 0.95;
-/// Largest relative growth of the admitted levels in one window.
-const MAX_GROWTH: f64 = 0.3;
-/// Largest share of the admitted demand shut out in one window.
-const MAX_REDUCTION: f64 = 0.5;
-/// Standing queue, relative to the limit, that is not held against admission.
-const STANDING_QUEUE_SHARE: f64 = 0.5;
+/// Part of what was too much, or of the room, that one window corrects.
+const GAIN: f64 = 0.4;
+/// Levels that one window admits at most.
+const MAX_LOWERING: f64 = 64.0;
 
 /// What the server looks like between two events.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,11 +34,9 @@
     pub running: usize,
     /// Calls allowed to run at once.
     pub limit: u32,
-    /// Calls waiting.
-    pub queued: usize,
 }
 
-/// Threshold of one service on one server.
+/// Admission level of one service on one server.
 #[derive(Clone, Debug)]
 pub struct AdmissionThreshold {
     level: u16,
@@ -45,7 +44,7 @@
     window: Window,
 }
 
-/// What was seen since the threshold was last revised.
+/// What was seen since the level was last revised.
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
     started: Timestamp,
@@ -53,8 +52,6 @@
     arrivals: u32,
     turned_away: u32,
     busy_seconds: f64,
-    shortest_queue: Option<usize>,
-    limit: u32,
 }
 
 impl Default for AdmissionThreshold {
@@ -68,7 +65,7 @@
 }
 
 impl AdmissionThreshold {
-    /// The lowest level admitted now.
+    /// The lowest level that gets through.
     pub fn level(&self) -> AdmissionLevel {
         AdmissionLevel(self.level)
     }
@@ -79,7 +76,7 @@
         self.window = Window::starting_at(now);
     }
 
-    /// An attempt at or above the threshold arrived.
+    /// An attempt arrived.
     pub fn arrived(&mut self, level: AdmissionLevel) {
         self.window.arrivals += 1;
         if let Some(count) = self.demand.get_mut(usize::from(level.0)) {
@@ -87,13 +84,13 @@
         }
     }
 
-    /// An attempt at or above the threshold found no room, or was evicted.
+    /// An attempt found no room, or was evicted for another.
     pub fn turned_away(&mut self) {
         self.window.turned_away += 1;
     }
 
     /// Accounts for the time since the last call, during which the server
-    /// looked like `occupancy`, and revises the threshold when it is due.
+    /// looked like `occupancy`, and revises the level when it is due.
     pub fn observe(&mut self, now: Timestamp, occupancy: Occupancy) {
         self.window.accumulate(now, occupancy);
         if now.saturating_since(self.window.started) >= WINDOW {
@@ -103,21 +100,19 @@
     }
 
     fn revise(&mut self) {
-        let excess = self.window.excess();
-        if excess > 0.0 {
-            self.raise(excess);
+        if self.window.turned_away > 0 {
+            self.raise(GAIN * self.window.share_turned_away());
         } else if self.level > 0 {
-            self.lower();
+            self.lower(GAIN * self.window.room());
         }
         for count in &mut self.demand {
             *count *= DEMAND_MEMORY;
         }
     }
 
-    /// Shuts out the least important share `excess` of the admitted demand.
-    fn raise(&mut self, excess: f64) {
-        let admitted: f64 = self.demand[usize::from(self.level)..].iter().sum();
-        let to_shut_out = admitted * excess.min(MAX_REDUCTION);
+    /// Shuts out the least important share of the demand above the line.
+    fn raise(&mut self, share: f64) {
+        let to_shut_out = share * self.demand_above_line();
         let mut shut_out = 0.0;
         while usize::from(self.level) < LEVELS - 1 && shut_out < to_shut_out {
             shut_out += self.demand[usize::from(self.level)];
@@ -125,17 +120,20 @@
         }
     }
 
-    /// Admits more levels, in proportion to the room there was.
-    fn lower(&mut self) {
-        let utilization = self.window.utilization();
-        let room = TARGET_UTILIZATION / utilization.max(f64::EPSILON) - 1.0;
-        if room <= 0.0 {
-            return;
-        }
-        let admitted_levels = f64::from(LEVELS as u16 - self.level);
-        let step = (admitted_levels * room.min(MAX_GROWTH)).ceil() as u16;
+    /// Lets in more, as a share of the demand above the line. The demand below
+    /// is not seen here; it is taken to be as dense as just above.
+    fn lower(&mut self, share: f64) {
+        let line = usize::from(self.level);
+        let near = &self.demand[line..(line + DENSITY_SPAN).min(LEVELS)];
+        let density = near.iter().sum::<f64>() / near.len() as f64;
+        let levels = share * self.demand_above_line() / density.max(f64::EPSILON);
+        let step = levels.clamp(0.0, MAX_LOWERING).ceil() as u16;
         self.level = self.level.saturating_sub(step);
     }
+
+    fn demand_above_line(&self) -> f64 {
+        self.demand[usize::from(self.level)..].iter().sum()
+    }
 }
 
 impl Window {
@@ -152,22 +150,16 @@
         let in_use = occupancy.running as f64 / f64::from(occupancy.limit.max(1));
         self.busy_seconds += elapsed * in_use.min(1.0);
         self.observed = now;
-        self.limit = occupancy.limit;
-        let shortest = self.shortest_queue.unwrap_or(occupancy.queued);
-        self.shortest_queue = Some(shortest.min(occupancy.queued));
     }
 
-    /// Share of the slots in use, on average.
-    fn utilization(&self) -> f64 {
-        let elapsed = self.observed.saturating_since(self.started).as_secs_f64();
-        self.busy_seconds / elapsed.max(f64::EPSILON)
+    fn share_turned_away(&self) -> f64 {
+        f64::from(self.turned_away) / f64::from(self.arrivals.max(self.turned_away).max(1))
     }
 
-    /// Share of the arrivals that were too many.
-    fn excess(&self) -> f64 {
-        let tolerated = f64::from(self.limit) * STANDING_QUEUE_SHARE;
-        let standing = self.shortest_queue.unwrap_or(0) as f64 - tolerated;
-        let too_many = f64::from(self.turned_away) + standing.max(0.0);
-        too_many / f64::from(self.arrivals.max(1))
+    /// How much more could have been served, relative to what was.
+    fn room(&self) -> f64 {
+        let elapsed = self.observed.saturating_since(self.started).as_secs_f64();
+        let utilization = self.busy_seconds / elapsed.max(f64::EPSILON);
+        (TARGET_UTILIZATION / utilization.max(f64::EPSILON) - 1.0).max(0.0)
     }
 }
--- a/crates/coordination/src/inbound/service_admission.rs
+++ b/crates/coordination/src/inbound/service_admission.rs
@@ -1,9 +1,9 @@
 //! Admission to the back end of one service: the decisions composed.
 //!
-//! An attempt passes, in this order: leaving, the deadline, the admission
-//! level of services needed further down, the server's own threshold, a free
-//! slot under the concurrency limit, the queue. Each step can refuse it, and a
-//! refusal is answered at once.
+//! An attempt passes, in this order: the deadline, the admission level of the
+//! services needed further down, the class floor, a free slot under the
+//! concurrency limit, the queue. Each step can refuse it, and a refusal is
+//! answered at once. The admission threshold learns from what was turned away.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -129,12 +129,11 @@
         if !self.downstream.admits(attempt.priority) {
             return Err(RefusalReason::DownstreamOverloaded);
         }
-        if !self.threshold.level().admits(attempt.priority)
-            || !self.class_floor.admits(now, attempt.priority.class)
-        {
+        self.threshold.arrived(AdmissionLevel::of(attempt.priority));
+        if !self.class_floor.admits(now, attempt.priority.class) {
+            self.threshold.turned_away();
             return Err(RefusalReason::Overloaded);
         }
-        self.threshold.arrived(AdmissionLevel::of(attempt.priority));
         if self.has_free_slot(row) && self.queue.is_empty() {
             return Ok(());
         }
@@ -337,7 +336,6 @@
         let occupancy = Occupancy {
             running: self.running.len(),
             limit: self.current_limit(Some(row)),
-            queued: self.queue.len(),
         };
         self.threshold.observe(now, occupancy);
     }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -209,7 +209,7 @@
         if let InboundEvent::AttemptArrived { attempt, .. } = event {
             let graph = self.request_tree.call_graph();
             let level = downstream_level(graph, &attempt.service, |needed| {
-                self.outbound.level(now, needed)
+                self.outbound.level(now, self.fleet.view(), needed)
             });
             self.inbound.set_downstream_level(&attempt.service, level);
         }
--- a/crates/coordination/src/outbound/edge.rs
+++ b/crates/coordination/src/outbound/edge.rs
@@ -138,16 +138,31 @@
         }
     }
 
-    /// The lowest priority that some server in use admits.
-    pub fn level(&self, now: Timestamp) -> AdmissionLevel {
-        self.servers
-            .values()
-            .filter(|server| server.ejection.is_in_use() && !server.is_leaving(now))
-            .map(|server| server.level(now))
+    /// The lowest priority that the service admits: that of the more open side,
+    /// of those that have a weight.
+    pub fn level(&self, now: Timestamp, view: &View) -> AdmissionLevel {
+        Side::ALL
+            .into_iter()
+            .filter(|side| self.weights(view).of(*side) > 0)
+            .map(|side| self.side_level(now, view, side))
             .min()
             .unwrap_or(AdmissionLevel::OPEN)
     }
 
+    /// The mean of what a side's servers said lately. Their calls are spread by
+    /// load, so that one of them alone says little.
+    fn side_level(&self, now: Timestamp, view: &View, side: Side) -> AdmissionLevel {
+        let levels: Vec<u64> = self
+            .routable(now, view, side)
+            .iter()
+            .filter(|candidate| candidate.record.ejection.is_in_use())
+            .filter_map(|candidate| candidate.record.level(now))
+            .map(|level| u64::from(level.0))
+            .collect();
+        let mean = levels.iter().sum::<u64>() / levels.len().max(1) as u64;
+        AdmissionLevel(mean as u16)
+    }
+
     /// Chooses a server: the side by the table's weights, then the server.
     pub fn choose(
         &mut self,
@@ -160,7 +175,9 @@
         let weights = self.weights(view);
         let next = wanted.side.or_else(|| self.side_choice.next(weights));
         let side = next.ok_or(RefusalReason::NoServer)?;
-        if let Some(server) = self.choose_on(now, view, side, wanted, random) {
+        if self.side_level(now, view, side).admits(wanted.priority)
+            && let Some(server) = self.choose_on(now, view, side, wanted, random)
+        {
             let spilled = false;
             return Ok(Chosen {
                 server,
@@ -187,7 +204,10 @@
         } else {
             RefusalReason::Overloaded
         };
-        if weights.of(other) == 0 || self.utilization(now, view, other) > SPILL_UTILIZATION {
+        if weights.of(other) == 0
+            || !self.side_level(now, view, other).admits(wanted.priority)
+            || self.utilization(now, view, other) > SPILL_UTILIZATION
+        {
             return Err(reason);
         }
         let server = self.choose_on(now, view, other, wanted, random);
@@ -211,7 +231,6 @@
             .routable(now, view, side)
             .into_iter()
             .filter(|candidate| !wanted.tried.contains(&candidate.node))
-            .filter(|candidate| candidate.record.admits(now, wanted.priority))
             .filter(|candidate| {
                 !wanted.needs_room || candidate.record.utilization(now, limit) < FULL
             })
--- a/crates/coordination/src/outbound/mod.rs
+++ b/crates/coordination/src/outbound/mod.rs
@@ -172,7 +172,7 @@
 
     /// The lowest priority that the servers of `service` admit, as far as this
     /// node knows. Baselines know nothing.
-    fn level(&self, _now: Timestamp, _service: &ServiceName) -> AdmissionLevel {
+    fn level(&self, _now: Timestamp, _view: &View, _service: &ServiceName) -> AdmissionLevel {
         AdmissionLevel::OPEN
     }
 }
--- a/crates/coordination/src/outbound/routing.rs
+++ b/crates/coordination/src/outbound/routing.rs
@@ -73,7 +73,7 @@
         };
         match chosen {
             Ok(chosen) => self.send(now, id, chosen, effects),
-            Err(reason) => self.give_up(now, id, reason.into(), effects),
+            Err(reason) => self.give_up(now, view, id, reason.into(), effects),
         }
     }
 
@@ -84,7 +84,7 @@
             Some(RefusalReason::UnknownService)
         } else if context.deadline <= now {
             Some(RefusalReason::DeadlineTooShort)
-        } else if !self.admits(now, call) {
+        } else if !self.admits(now, view, call) {
             Some(RefusalReason::Overloaded)
         } else {
             None
@@ -93,10 +93,10 @@
 
     /// Whether some server is thought to admit the call, and no more important
     /// one was refused just now.
-    fn admits(&self, now: Timestamp, call: &Call) -> bool {
+    fn admits(&self, now: Timestamp, view: &View, call: &Call) -> bool {
         let priority = call.context.priority;
         self.edges.get(&call.service).is_none_or(|edge| {
-            edge.level(now).admits(priority) && edge.class_floor.admits(now, priority.class)
+            edge.level(now, view).admits(priority) && edge.class_floor.admits(now, priority.class)
         })
     }
 
@@ -234,7 +234,7 @@
             state.end_attempt(failure);
         }
         self.calls.unlink(attempt);
-        self.give_up(now, id, given_up, effects);
+        self.give_up(now, view, id, given_up, effects);
     }
 
     /// Takes in what an answer says about its server.
@@ -304,7 +304,7 @@
                 state.end_attempt(Failure::NO_ANSWER);
             }
             let reason = RefusalReason::DeadlineTooShort;
-            return self.give_up(now, id, reason.into(), effects);
+            return self.give_up(now, view, id, reason.into(), effects);
         }
         self.calls.set_timer(id, deadline);
         if let Some(chosen) = self.choose_retry(now, view, id, Failure::NO_ANSWER) {
@@ -344,9 +344,9 @@
         self.calls.next_timer()
     }
 
-    fn level(&self, now: Timestamp, service: &ServiceName) -> AdmissionLevel {
+    fn level(&self, now: Timestamp, view: &View, service: &ServiceName) -> AdmissionLevel {
         self.edges
             .get(service)
-            .map_or(AdmissionLevel::OPEN, |edge| edge.level(now))
+            .map_or(AdmissionLevel::OPEN, |edge| edge.level(now, view))
     }
 }
--- a/crates/coordination/src/outbound/routing/final_answer.rs
+++ b/crates/coordination/src/outbound/routing/final_answer.rs
@@ -4,6 +4,7 @@
 use lifthollow_state::{RetryAllowance, Timestamp};
 
 use super::Routing;
+use crate::View;
 use crate::outbound::call_state::Failure;
 use crate::outbound::{
     AttemptAnswer, AttemptId, CallAnswer, CallId, OutboundEffect, OutboundPolicy,
@@ -44,6 +45,7 @@
     pub(super) fn give_up(
         &mut self,
         now: Timestamp,
+        view: &View,
         id: CallId,
         given_up: GivenUp,
         effects: &mut Vec<OutboundEffect>,
@@ -51,7 +53,7 @@
         let Some(state) = self.calls.remove(id) else {
             return;
         };
-        let level = self.level(now, &state.call.service);
+        let level = self.level(now, view, &state.call.service);
         let class = state.call.context.priority.class;
         let drawn = self.retry_after.draw(class, level);
         if state.side.is_none()
--- a/crates/coordination/src/outbound/server_state.rs
+++ b/crates/coordination/src/outbound/server_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lifthollow_protocol::{AdmissionLevel, LoadReport};
-use lifthollow_state::{Priority, Timestamp};
+use lifthollow_state::Timestamp;
 
 use super::AttemptId;
 use super::ejection::Ejection;
@@ -144,15 +144,10 @@
         until.saturating_since(since)
     }
 
-    /// The lowest priority the server admits, if it said so lately.
-    pub fn level(&self, now: Timestamp) -> AdmissionLevel {
-        self.fresh_report(now)
-            .map_or(AdmissionLevel::OPEN, |report| report.admission_level)
-    }
-
-    /// Whether the server would admit a call of `priority`.
-    pub fn admits(&self, now: Timestamp, priority: Priority) -> bool {
-        !self.is_leaving(now) && self.level(now).admits(priority)
+    /// The lowest priority that the server admits, if it said so lately.
+    pub fn level(&self, now: Timestamp) -> Option<AdmissionLevel> {
+        let report = self.fresh_report(now)?;
+        Some(report.admission_level)
     }
 
     /// Whether the server said lately that it takes no new work.
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -217,7 +217,6 @@
         let occupancy = admission_threshold::Occupancy {
             running,
             limit: capacity,
-            queued: 0,
         };
         threshold.observe(at(window * 100), occupancy);
         threshold.observe(at(window * 100 + 100), occupancy);
