Steer the admission level by the surplus of demand over capacity

Cause: the level moved only when the queue was full or slots were free, so that feeds swung between a full and an empty queue every 2 s; and it stuck at 256 where no demand was left above it. Change: surplus = queue growth + turned away - room of free slots; 0.3 of it and 0.1 of the queue's distance from a quarter of the limit are corrected in each window. Without demand above the line it opens fast.

--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -2,9 +2,12 @@
 //!
 //! The queue itself serves the most important first and turns the rest away.
 //! This is the estimate of where the line runs, so that callers further up
-//! refuse at once what would be turned away here. In short windows it rises by
-//! part of the demand that was turned away, and falls by part of the room that
-//! was left. User priorities are uniform and the same for a whole request tree,
+//! refuse at once what would be turned away here.
+//!
+//! In short windows the surplus of demand over capacity is taken from what is
+//! seen here: the growth of the queue, plus what was turned away, less what free
+//! slots could have served. The line moves by a part of that surplus, and by a
+//! smaller part of the distance of the queue from a short target. User priorities are uniform and the same for a whole request tree,
 //! so that every server sheds the same requests.
 
 use std::time::Duration;
@@ -22,9 +25,18 @@
 const DEMAND_MEMORY: f64 = 0.8;
 /// Slots in use, relative to the limit, at which the level stays.
 const TARGET_UTILIZATION: f64 = 0.95;
-/// Part of what was too much, or of the room, that one window corrects.
-const GAIN: f64 = 0.4;
-/// Levels that one window admits at most.
+/// Utilization below which the room is no longer extrapolated.
+const MIN_UTILIZATION: f64 = 0.05;
+/// Part of the surplus that one window corrects: callers learn of a new level
+/// only with later answers, so that more would overshoot.
+const SURPLUS_GAIN: f64 = 0.3;
+/// Part of the queue's distance from its target that one window corrects.
+const QUEUE_GAIN: f64 = 0.1;
+/// Calls that may wait, relative to those that run.
+const TARGET_QUEUE: f64 = 0.25;
+/// Largest share of the demand that one window shuts out.
+const MAX_RAISE: f64 = 0.3;
+/// Levels that one window lets in at most.
 const MAX_LOWERING: f64 = 64.0;
 
 /// What the server looks like between two events.
@@ -34,6 +46,8 @@
     pub running: usize,
     /// Calls allowed to run at once.
     pub limit: u32,
+    /// Calls waiting.
+    pub queued: usize,
 }
 
 /// Admission level of one service on one server.
@@ -51,7 +65,10 @@
     observed: Timestamp,
     arrivals: u32,
     turned_away: u32,
+    finished: u32,
     busy_seconds: f64,
+    queue_at_start: usize,
+    last: Occupancy,
 }
 
 impl Default for AdmissionThreshold {
@@ -73,7 +90,7 @@
     /// Forgets what was seen, but keeps the level until it is revised.
     pub fn restart(&mut self, now: Timestamp) {
         self.demand.fill(0.0);
-        self.window = Window::starting_at(now);
+        self.window = Window::starting_at(now, 0);
     }
 
     /// An attempt arrived.
@@ -89,21 +106,28 @@
         self.window.turned_away += 1;
     }
 
+    /// A run ended.
+    pub fn finished(&mut self) {
+        self.window.finished += 1;
+    }
+
     /// Accounts for the time since the last call, during which the server
     /// looked like `occupancy`, and revises the level when it is due.
     pub fn observe(&mut self, now: Timestamp, occupancy: Occupancy) {
         self.window.accumulate(now, occupancy);
         if now.saturating_since(self.window.started) >= WINDOW {
             self.revise();
-            self.window = Window::starting_at(now);
+            self.window = Window::starting_at(now, occupancy.queued);
         }
     }
 
     fn revise(&mut self) {
-        if self.window.turned_away > 0 {
-            self.raise(GAIN * self.window.share_turned_away());
+        let correction = SURPLUS_GAIN * self.window.surplus() + QUEUE_GAIN * self.window.backlog();
+        let share = correction / f64::from(self.window.arrivals.max(1));
+        if share > 0.0 {
+            self.raise(share.min(MAX_RAISE));
         } else if self.level > 0 {
-            self.lower(GAIN * self.window.room());
+            self.lower(-share);
         }
         for count in &mut self.demand {
             *count *= DEMAND_MEMORY;
@@ -126,8 +150,12 @@
         let line = usize::from(self.level);
         let near = &self.demand[line..(line + DENSITY_SPAN).min(LEVELS)];
         let density = near.iter().sum::<f64>() / near.len() as f64;
-        let levels = share * self.demand_above_line() / density.max(f64::EPSILON);
-        let step = levels.clamp(0.0, MAX_LOWERING).ceil() as u16;
+        let levels = if density > 0.0 {
+            share * self.demand_above_line() / density
+        } else {
+            MAX_LOWERING
+        };
+        let step = levels.min(MAX_LOWERING).ceil() as u16;
         self.level = self.level.saturating_sub(step);
     }
 
@@ -137,10 +165,11 @@
 }
 
 impl Window {
-    fn starting_at(now: Timestamp) -> Self {
+    fn starting_at(now: Timestamp, queued: usize) -> Self {
         Window {
             started: now,
             observed: now,
+            queue_at_start: queued,
             ..Window::default()
         }
     }
@@ -150,16 +179,26 @@
         let in_use = occupancy.running as f64 / f64::from(occupancy.limit.max(1));
         self.busy_seconds += elapsed * in_use.min(1.0);
         self.observed = now;
+        self.last = occupancy;
+    }
+
+    /// Demand less capacity, in calls.
+    fn surplus(&self) -> f64 {
+        let growth = self.last.queued as f64 - self.queue_at_start as f64;
+        growth + f64::from(self.turned_away) - self.room()
     }
 
-    fn share_turned_away(&self) -> f64 {
-        f64::from(self.turned_away) / f64::from(self.arrivals.max(self.turned_away).max(1))
+    /// Calls that wait beyond the target.
+    fn backlog(&self) -> f64 {
+        let target = f64::from(self.last.limit) * TARGET_QUEUE;
+        self.last.queued as f64 - target
     }
 
-    /// How much more could have been served, relative to what was.
+    /// Calls that free slots could have served.
     fn room(&self) -> f64 {
         let elapsed = self.observed.saturating_since(self.started).as_secs_f64();
         let utilization = self.busy_seconds / elapsed.max(f64::EPSILON);
-        (TARGET_UTILIZATION / utilization.max(f64::EPSILON) - 1.0).max(0.0)
+        let free = (TARGET_UTILIZATION - utilization).max(0.0);
+        f64::from(self.finished.max(1)) * free / utilization.max(MIN_UTILIZATION)
     }
 }
--- a/crates/coordination/src/inbound/service_admission.rs
+++ b/crates/coordination/src/inbound/service_admission.rs
@@ -214,6 +214,7 @@
         };
         self.observe(now, row);
         if let Some(run) = self.running.remove(&id) {
+            self.threshold.finished();
             self.learn_time_in_slot(now, run);
         }
         self.start_queued(now, row, verdicts);
@@ -336,6 +337,7 @@
         let occupancy = Occupancy {
             running: self.running.len(),
             limit: self.current_limit(Some(row)),
+            queued: self.queue.len(),
         };
         self.threshold.observe(now, occupancy);
     }
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -211,12 +211,15 @@
             served += 1;
             if served > capacity {
                 threshold.turned_away();
+            } else {
+                threshold.finished();
             }
         }
         let running = served.min(capacity) as usize;
         let occupancy = admission_threshold::Occupancy {
             running,
             limit: capacity,
+            queued: 0,
         };
         threshold.observe(at(window * 100), occupancy);
         threshold.observe(at(window * 100 + 100), occupancy);
