--- a/crates/coordination/tests/retry_bound.rs
+++ b/crates/coordination/tests/retry_bound.rs
@@ -29,6 +29,10 @@
 /// Parallel calls of each run, at most.
 const MAX_FAN_OUT: usize = 3;
 const ENTRY: usize = 0;
+/// When calls begin: by then a node that hears no peer has taken the platform's
+/// table into force.
+const BEGIN_MILLIS: u64 = 3_000;
+const WAKE_INTERVAL_MILLIS: usize = 100;
 
 /// What can still happen.
 enum Pending {
@@ -112,6 +116,9 @@
     made.handle(at(0), NodeEvent::Fleet(fetched), &mut effects);
     let listed = FleetEvent::MachinesFetched(Ok(machines.to_vec()));
     made.handle(at(0), NodeEvent::Fleet(listed), &mut effects);
+    for millis in (0..BEGIN_MILLIS).step_by(WAKE_INTERVAL_MILLIS) {
+        made.handle(at(millis), NodeEvent::Wake, &mut effects);
+    }
     made
 }
 
@@ -144,7 +151,7 @@
         granted: RetryAllowance,
     ) {
         self.next_id += 1;
-        let mut context = context(PriorityClass::Normal, 64, at(1000));
+        let mut context = context(PriorityClass::Normal, 64, at(BEGIN_MILLIS + 1000));
         context.allowance = granted;
         let description = Call {
             service: service_at(depth),
@@ -160,7 +167,7 @@
 
     fn handle(&mut self, index: usize, event: NodeEvent) {
         let mut effects = Vec::new();
-        self.nodes[index].handle(at(1), event, &mut effects);
+        self.nodes[index].handle(at(BEGIN_MILLIS), event, &mut effects);
         for effect in effects {
             match effect {
                 NodeEffect::Outbound(effect) => self.outbound_effect(index, effect),
--- a/crates/protocol/src/answer.rs
+++ b/crates/protocol/src/answer.rs
@@ -57,6 +57,32 @@
 }
 
 impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [RefusalReason; 15] = [
+        RefusalReason::Overloaded,
+        RefusalReason::QueueFull,
+        RefusalReason::DeadlineTooShort,
+        RefusalReason::NoServer,
+        RefusalReason::DownstreamOverloaded,
+        RefusalReason::Leaving,
+        RefusalReason::UnknownService,
+        RefusalReason::Paused,
+        RefusalReason::ConnectionFailed,
+        RefusalReason::BackendRefused,
+        RefusalReason::AnswerLost,
+        RefusalReason::Cancelled,
+        RefusalReason::AlreadyRunning,
+        RefusalReason::KeyReused,
+        RefusalReason::NoQuorum,
+    ];
+
+    /// The reason with this word.
+    pub fn from_word(word: &str) -> Option<Self> {
+        RefusalReason::ALL
+            .into_iter()
+            .find(|reason| reason.as_str() == word)
+    }
+
     /// The stable word written in headers, logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -86,23 +112,30 @@
 }
 
 /// How an attempt ended, as far as the one who reports it knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum AttemptResult {
     /// The back end ran the call and answered.
+    #[n(0)]
     Completed {
         /// False if the back end's answer says that it failed (HTTP 5xx).
+        #[n(0)]
         success: bool,
     },
     /// The call did not run and will not: no back end has started it.
+    #[n(1)]
     NotRun {
         /// Why it was refused.
+        #[n(0)]
         reason: RefusalReason,
         /// When the caller may come back.
+        #[n(1)]
         retry_after: Duration,
     },
     /// The call may have run.
+    #[n(2)]
     Unknown {
         /// What went wrong.
+        #[n(0)]
         reason: RefusalReason,
     },
 }
