List members when asked, with what is known of each; share the operators' types

Cause: every 250 ms the control thread built the text of all servers it knows, for operators who rarely look. Operators could not see the table in force on other nodes, nor why a member is in its state. The client had its own copy of the daemon's JSON types. A member now comes with its status, the platform's listing, what decisions make of it, when it was last heard and the table it had then. The types are in `protocol::operators`, written by the daemon and read by the client. Limit: a version is shown as of when that node was last heard, which in a large fleet may be minutes ago; the column `heard` says so.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -32,7 +32,7 @@
     Status(StatusCommand),
     /// Why calls were refused.
     Explain(ExplainCommand),
-    /// The servers a node knows.
+    /// The nodes that a node knows.
     Members(MembersCommand),
     /// Who is leaving.
     Leaving(LeavingCommand),
@@ -41,12 +41,18 @@
 }
 
 /// Show a node in short: its table, its load, what is in progress.
+///
+/// With --all, also the table in force on every node it knows, as of when that
+/// node was last heard, those that are behind first.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "status")]
 pub struct StatusCommand {
     /// the node's operators' address, IP:PORT
     #[argh(positional)]
     pub address: String,
+    /// list the table in force on all nodes that it knows
+    #[argh(switch)]
+    pub all: bool,
 }
 
 /// Show why a node refused calls lately: how often for each reason, what the
@@ -68,7 +74,7 @@
     pub request: Option<String>,
 }
 
-/// List the servers a node knows, by service, with their state.
+/// List the nodes that a node knows, each with its state and the reason for it.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "members")]
 pub struct MembersCommand {
--- a/crates/ctl/src/columns.rs
+++ b/crates/ctl/src/columns.rs
@@ -22,11 +22,6 @@
         self.rows.push(cells);
     }
 
-    /// Whether there are headings only.
-    pub fn is_empty(&self) -> bool {
-        self.rows.len() == 1
-    }
-
     /// The text, one line for each row, without the last line end.
     pub fn render(&self) -> String {
         let widths = self.widths();
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod arguments;
 mod columns;
+mod duration;
 mod file;
 pub mod node;
 pub mod outcome;
--- a/crates/ctl/src/node/advice.rs
+++ b/crates/ctl/src/node/advice.rs
@@ -2,14 +2,8 @@
 
 use lifthollow_protocol::RefusalReason;
 
-/// What the word of a reason means; a newer node may use words that this
-/// program doesn't know.
-pub(super) fn for_word(word: &str) -> &'static str {
-    RefusalReason::from_word(word).map_or("This program doesn't know the reason.", advice)
-}
-
 /// One or two sentences on a reason.
-fn advice(reason: RefusalReason) -> &'static str {
+pub(super) fn advice(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::Overloaded => {
             "The servers have as much work as they can finish in time. \
--- a/crates/ctl/src/node/mod.rs
+++ b/crates/ctl/src/node/mod.rs
@@ -1,26 +1,33 @@
 //! Commands that ask a running node.
 
 mod advice;
-mod answers;
 mod client;
+mod member;
 mod show;
 
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::Arc;
 
+use lifthollow_protocol::operators::{Explanation, LeavingStatus, Members, NodeStatus};
 use lifthollow_state::finding::{Findings, Place, unknown};
 
 use crate::arguments::{ExplainCommand, SnapshotCommand, StatusCommand};
 use crate::file;
 use crate::outcome::Report;
-use answers::{Explanation, Leaving, Members, Status};
 use client::NodeClient;
 
-/// `status`: one node in short.
+/// `status`: one node in short, or the table in force on all that it knows.
 pub fn status(command: &StatusCommand) -> anyhow::Result<Report> {
-    let status: Status = client_of(&command.address)?.get("/status", &[])?;
-    Ok(Report::done(show::status(&status)))
+    let client = client_of(&command.address)?;
+    let status: NodeStatus = client.get("/status", &[])?;
+    let mut text = show::status(&status);
+    if command.all {
+        let members: Members = client.get("/members", &[])?;
+        text.push_str("\n\n");
+        text.push_str(&show::versions(&status, &members));
+    }
+    Ok(Report::done(text))
 }
 
 /// `members`: the servers a node knows.
@@ -32,7 +39,7 @@
 /// `leaving`: whether a node is leaving, and which servers it knows to be.
 pub fn leaving(address: &str) -> anyhow::Result<Report> {
     let client = client_of(address)?;
-    let leaving: Leaving = client.get("/leaving", &[])?;
+    let leaving: LeavingStatus = client.get("/leaving", &[])?;
     let members: Members = client.get("/members", &[])?;
     Ok(Report::done(show::leaving(&leaving, &members)))
 }
--- a/crates/ctl/src/node/show.rs
+++ b/crates/ctl/src/node/show.rs
@@ -2,14 +2,22 @@
 
 use std::collections::BTreeMap;
 
-use super::answers::{Explanation, Leaving, Members, Refusal, RefusalState, ServiceLoad, Status};
+use lifthollow_protocol::RefusalReason;
+use lifthollow_protocol::operators::{
+    Explanation, KnownMember, LeavingStatus, Members, NodeStatus, Refusal, RefusalState,
+    ServiceLoad,
+};
+
+use super::advice::advice;
+use super::member;
 use crate::columns::Columns;
+use crate::duration::duration;
 
 /// Refusals that are listed one by one.
 const MAX_REFUSALS_LISTED: usize = 20;
 
 /// A node in short.
-pub(super) fn status(status: &Status) -> String {
+pub(super) fn status(status: &NodeStatus) -> String {
     let mut lines = vec![
         format!(
             "node {} (side {}, zone {}, incarnation {}), policy {}, up {}",
@@ -36,18 +44,18 @@
     lines.join("\n")
 }
 
-fn table_version(status: &Status) -> String {
+fn table_version(status: &NodeStatus) -> String {
     match status.table_number {
         0 => "none in force yet".to_owned(),
         number => format!("{number} ({})", status.table_digest),
     }
 }
 
-fn services(services: &BTreeMap<String, ServiceLoad>) -> String {
+fn services(services: &[ServiceLoad]) -> String {
     let mut columns = Columns::new(&["service", "in flight", "limit", "queued", "admitted from"]);
-    for (service, load) in services {
+    for load in services {
         columns.add(vec![
-            service.clone(),
+            load.service.clone(),
             load.in_flight.to_string(),
             load.limit.to_string(),
             load.queued.to_string(),
@@ -57,28 +65,55 @@
     columns.render()
 }
 
-/// All servers that a node knows.
-pub(super) fn members(members: &Members) -> String {
-    let mut columns = Columns::new(&["service", "node", "side", "zone", "state"]);
-    for (service, servers) in members {
-        for server in servers {
-            columns.add(vec![
-                service.clone(),
-                server.node.clone(),
-                server.side.clone(),
-                server.zone.to_string(),
-                server.state.clone(),
-            ]);
-        }
+/// The table in force on all nodes that a node knows, those behind first.
+pub(super) fn versions(status: &NodeStatus, members: &Members) -> String {
+    let mut members: Vec<&KnownMember> = members.members.iter().collect();
+    members.sort_by_key(|known| (known.table_number, &known.table_digest));
+    let own = (status.table_number, &status.table_digest);
+    let is_behind = |known: &&&KnownMember| {
+        known.heard_seconds_ago.is_some() && (known.table_number, &known.table_digest) < own
+    };
+    let behind = members.iter().filter(is_behind).count();
+    let mut columns = Columns::new(&["node", "side", "zone", "table", "heard", "status"]);
+    for known in &members {
+        columns.add(vec![
+            known.node.clone(),
+            known.side.clone(),
+            known.zone.to_string(),
+            member::table(known),
+            member::heard(known),
+            known.status.clone(),
+        ]);
     }
-    match columns.is_empty() {
-        true => "no servers known".to_owned(),
-        false => columns.render(),
+    format!(
+        "{} nodes known, {behind} behind this one when last heard\n{}",
+        members.len(),
+        columns.render()
+    )
+}
+
+/// All nodes that a node knows.
+pub(super) fn members(members: &Members) -> String {
+    list(members.members.iter())
+}
+
+fn list<'a>(members: impl Iterator<Item = &'a KnownMember>) -> String {
+    let mut columns = Columns::new(&["node", "side", "zone", "services", "state", "why"]);
+    for known in members {
+        columns.add(vec![
+            known.node.clone(),
+            known.side.clone(),
+            known.zone.to_string(),
+            known.services.join(" "),
+            member::state(known),
+            member::why(known),
+        ]);
     }
+    columns.render()
 }
 
 /// Whether a node is leaving, and what it still carries.
-pub(super) fn leaving(node: &Leaving, members: &Members) -> String {
+pub(super) fn leaving(node: &LeavingStatus, members: &Members) -> String {
     let mut text = match node.leaving {
         true => format!(
             "this node is leaving; it still carries {} calls of callers and {} attempts for back ends",
@@ -86,16 +121,16 @@
         ),
         false => "this node is not leaving".to_owned(),
     };
-    let mut leaving = members.clone();
-    leaving.retain(|_, servers| {
-        servers.retain(|server| server.state == "leaving");
-        !servers.is_empty()
-    });
+    let leaving: Vec<&KnownMember> = members
+        .members
+        .iter()
+        .filter(|known| known.status == "leaving" || known.listing == "leaving")
+        .collect();
     if leaving.is_empty() {
-        text.push_str("\nno other server is known to be leaving");
+        text.push_str("\nno node is known to be leaving");
     } else {
-        text.push_str("\n\nservers known to be leaving:\n");
-        text.push_str(&self::members(&leaving));
+        text.push_str("\n\nnodes known to be leaving:\n");
+        text.push_str(&list(leaving.into_iter()));
     }
     text
 }
@@ -114,9 +149,9 @@
 }
 
 fn reasons(refusals: &[Refusal]) -> Vec<String> {
-    let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut counts: BTreeMap<(&str, RefusalReason), usize> = BTreeMap::new();
     for refusal in refusals {
-        let key = (refusal.service.as_str(), refusal.reason.as_str());
+        let key = (refusal.service.as_str(), refusal.reason);
         *counts.entry(key).or_default() += 1;
     }
     let mut counts: Vec<_> = counts.into_iter().collect();
@@ -124,7 +159,7 @@
     counts
         .into_iter()
         .map(|((service, reason), count)| {
-            let advice = super::advice::for_word(reason);
+            let advice = advice(reason);
             format!("{service}: {count} x {reason}. {advice}")
         })
         .collect()
@@ -144,8 +179,8 @@
         columns.add(vec![
             format!("{:.3} s", refusal.at_seconds),
             refusal.service.clone(),
-            refusal.outcome.clone(),
-            refusal.reason.clone(),
+            refusal.outcome.to_string(),
+            refusal.reason.to_string(),
             state(&refusal.state),
             refusal.request.clone(),
         ]);
@@ -180,16 +215,3 @@
         ),
     }
 }
-
-fn duration(seconds: f64) -> String {
-    const MINUTE: u64 = 60;
-    const HOUR: u64 = 60 * MINUTE;
-    const DAY: u64 = 24 * HOUR;
-    let seconds = seconds as u64;
-    match seconds {
-        0..MINUTE => format!("{seconds} s"),
-        MINUTE..HOUR => format!("{} min {} s", seconds / MINUTE, seconds % MINUTE),
-        HOUR..DAY => format!("{} h {} min", seconds / HOUR, seconds % HOUR / MINUTE),
-        _ => format!("{} d {} h", seconds / DAY, seconds % DAY / HOUR),
-    }
-}
--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -1,8 +1,11 @@
 //! What the control thread is told, and what it tells the tasks of calls.
 
+use std::time::Duration;
+
 use lifthollow_coordination::inbound::{Attempt, InboundEvent, InboundId};
 use lifthollow_coordination::outbound::{Call, CallId, OutboundEffect, OutboundEvent};
 use lifthollow_coordination::{NodeEvent, fleet::FleetEvent};
+use lifthollow_protocol::operators::KnownMember;
 use lifthollow_protocol::{AttemptResult, LoadReport};
 use lifthollow_state::{RetryAllowance, Timestamp};
 
@@ -34,6 +37,11 @@
         /// The attempt.
         id: InboundId,
     },
+    /// An operator wants to see all members.
+    MembersAsked {
+        /// Where they go.
+        reply: flume::Sender<Vec<KnownMember>>,
+    },
     /// A planned stop begins.
     Leave,
     /// The thread ends.
@@ -78,6 +86,13 @@
         let _ = self.0.send(input);
     }
 
+    /// Asks for all members; none if the control thread doesn't answer in time.
+    pub fn members(&self, timeout: Duration) -> Option<Vec<KnownMember>> {
+        let (reply, answer) = flume::bounded(1);
+        self.send(ControlInput::MembersAsked { reply });
+        answer.recv_timeout(timeout).ok()
+    }
+
     /// Reports an event of the caller's side.
     pub fn outbound(&self, event: OutboundEvent) {
         self.send(ControlInput::Event(NodeEvent::Outbound(event)));
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,5 +10,5 @@
 mod thread;
 
 pub use input::{AttemptEffect, ControlHandle, ControlInput};
-pub use snapshot::{ControlSnapshot, MemberSnapshot, ServiceSnapshot, SharedState};
+pub use snapshot::SharedState;
 pub use thread::{ControlParts, ControlThread};
--- a/crates/daemon/src/control/snapshot.rs
+++ b/crates/daemon/src/control/snapshot.rs
@@ -1,17 +1,18 @@
 //! What other threads may read of the control thread's state.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
+use lifthollow_coordination::fleet::{Listing, Member};
 use lifthollow_coordination::{Node, View};
-use lifthollow_state::{Server, ServerState, ServiceName, Timestamp};
-use serde::Serialize;
+use lifthollow_protocol::operators::{KnownMember, NodeStatus, ServiceLoad};
+use lifthollow_state::{ServerState, ServiceName, TableVersion, Timestamp};
 
 /// State posted by the control thread. Readers never make it wait.
 #[derive(Debug, Default)]
 pub struct SharedState {
     view: RwLock<View>,
-    snapshot: RwLock<Arc<ControlSnapshot>>,
+    status: RwLock<Arc<NodeStatus>>,
 }
 
 impl SharedState {
@@ -21,114 +22,54 @@
         view.clone()
     }
 
-    /// The last posted snapshot.
-    pub fn snapshot(&self) -> Arc<ControlSnapshot> {
-        let snapshot = self.snapshot.read();
-        snapshot.unwrap_or_else(PoisonError::into_inner).clone()
+    /// The last posted status.
+    pub fn status(&self) -> Arc<NodeStatus> {
+        let status = self.status.read();
+        status.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     pub(super) fn post_view(&self, view: View) {
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = view;
     }
 
-    pub(super) fn post_snapshot(&self, snapshot: ControlSnapshot) {
-        let mut posted = self
-            .snapshot
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        *posted = Arc::new(snapshot);
+    pub(super) fn post_status(&self, status: NodeStatus) {
+        let mut posted = self.status.write().unwrap_or_else(PoisonError::into_inner);
+        *posted = Arc::new(status);
     }
 }
 
-/// The control thread's state at one moment.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct ControlSnapshot {
-    /// The node's address.
-    pub node: String,
-    /// This life of the node.
-    pub incarnation: u64,
-    /// Its data centre.
-    pub side: String,
-    /// Its failure domain.
-    pub zone: u16,
-    /// The decisions it runs.
-    pub policy: String,
-    /// Seconds since the process started.
-    pub uptime_seconds: f64,
-    /// Whether a planned stop has begun.
-    pub leaving: bool,
-    /// Number of the table in force; 0 if there is none yet.
-    pub table_number: u64,
-    /// Digest of the table in force, in hexadecimal.
-    pub table_digest: String,
-    /// Calls of local callers that are not answered yet.
-    pub calls_in_progress: usize,
-    /// Attempts of other nodes that are queued or running.
-    pub attempts_in_progress: usize,
-    /// The services whose back ends stand beside the node.
-    pub services: BTreeMap<String, ServiceSnapshot>,
-    /// The servers known, by service.
-    pub members: BTreeMap<String, Vec<MemberSnapshot>>,
-}
-
-/// Load of one local service.
-#[derive(Clone, Debug, Serialize)]
-pub struct ServiceSnapshot {
-    /// Calls running at the back end.
-    pub in_flight: u32,
-    /// Calls waiting in the queue.
-    pub queued: u32,
-    /// Calls that may run at once now.
-    pub limit: u32,
-    /// Lowest priority admitted; 0 admits everything.
-    pub admission_level: u16,
-}
-
-/// One server as this node knows it.
-#[derive(Clone, Debug, Serialize)]
-pub struct MemberSnapshot {
-    /// The node's address.
-    pub node: String,
-    /// Its data centre.
-    pub side: String,
-    /// Its failure domain.
-    pub zone: u16,
-    /// `serving`, `suspected` or `leaving`.
-    pub state: String,
-}
-
-impl ControlSnapshot {
-    pub(super) fn of(node: &Node, now: Timestamp, calls: usize, leaving: bool) -> Self {
-        let settings = node.settings();
-        let version = node.view().table.version();
-        ControlSnapshot {
-            node: settings.node.to_string(),
-            incarnation: settings.incarnation.0,
-            side: settings.side.to_string(),
-            zone: settings.zone.0,
-            policy: settings.policy.to_string(),
-            uptime_seconds: now.as_secs_f64(),
-            leaving,
-            table_number: version.number,
-            table_digest: format!("{:016x}", version.digest),
-            calls_in_progress: calls,
-            attempts_in_progress: node.in_progress(),
-            services: local_services(node, now),
-            members: members(node),
-        }
+/// The node in short. Its cost does not grow with the members.
+pub(super) fn status(node: &Node, now: Timestamp, calls: usize, leaving: bool) -> NodeStatus {
+    let settings = node.settings();
+    let version = node.view().table.version();
+    NodeStatus {
+        node: settings.node.to_string(),
+        incarnation: settings.incarnation.0,
+        side: settings.side.to_string(),
+        zone: settings.zone.0,
+        policy: settings.policy.to_string(),
+        uptime_seconds: now.as_secs_f64(),
+        leaving,
+        table_number: version.number,
+        table_digest: digest(version),
+        calls_in_progress: calls,
+        attempts_in_progress: node.in_progress(),
+        services: local_services(node, now),
+        members_known: members_known(node),
     }
 }
 
-fn local_services(node: &Node, now: Timestamp) -> BTreeMap<String, ServiceSnapshot> {
+fn local_services(node: &Node, now: Timestamp) -> Vec<ServiceLoad> {
     let services = node.settings().services.iter();
     services
-        .map(|service| (service.to_string(), local_service(node, now, service)))
+        .map(|service| local_service(node, now, service))
         .collect()
 }
 
-fn local_service(node: &Node, now: Timestamp, service: &ServiceName) -> ServiceSnapshot {
+fn local_service(node: &Node, now: Timestamp, service: &ServiceName) -> ServiceLoad {
     let load = node.load(now, service);
-    ServiceSnapshot {
+    ServiceLoad {
+        service: service.to_string(),
         in_flight: load.in_flight,
         queued: load.queued,
         limit: load.limit,
@@ -136,26 +77,66 @@
     }
 }
 
-fn members(node: &Node) -> BTreeMap<String, Vec<MemberSnapshot>> {
+fn members_known(node: &Node) -> usize {
     let services = node.view().directory.services();
-    services
-        .map(|(service, servers)| {
-            let members = servers.iter().map(member).collect();
-            (service.to_string(), members)
-        })
-        .collect()
+    services.map(|(_, servers)| servers.len()).sum()
+}
+
+/// All members with what is known of each. Its cost grows with the members, so
+/// it is made only when an operator asks.
+pub(super) fn members(node: &Node, now: Timestamp) -> Vec<KnownMember> {
+    let members = node.fleet().members();
+    members.map(|member| known(node, member, now)).collect()
+}
+
+fn known(node: &Node, member: &Member, now: Timestamp) -> KnownMember {
+    let record = &member.record;
+    let seconds_since = |then: Timestamp| now.saturating_since(then).as_secs_f64();
+    let is_self = record.node == node.settings().node;
+    let version = match is_self {
+        true => node.view().table.version(),
+        false => member.table,
+    };
+    KnownMember {
+        node: record.node.to_string(),
+        incarnation: record.incarnation.0,
+        side: record.side.to_string(),
+        zone: record.zone.0,
+        services: record.services.iter().map(ServiceName::to_string).collect(),
+        status: record.status.as_str().to_owned(),
+        listing: listing_word(member.listing).to_owned(),
+        use_as: use_as(node.view(), member),
+        heard_seconds_ago: match is_self {
+            true => Some(Duration::ZERO.as_secs_f64()),
+            false => member.heard.map(seconds_since),
+        },
+        not_alive_seconds: member.not_alive_since.map(seconds_since),
+        table_number: version.number,
+        table_digest: digest(version),
+    }
 }
 
-fn member(server: &Server) -> MemberSnapshot {
-    let state = match server.state {
+/// What decisions make of a member, by the first of its services.
+fn use_as(view: &View, member: &Member) -> Option<String> {
+    let service = member.record.services.first()?;
+    let server = view.directory.server(service, member.record.node)?;
+    let word = match server.state {
         ServerState::Serving => "serving",
         ServerState::Suspected => "suspected",
         ServerState::Leaving => "leaving",
     };
-    MemberSnapshot {
-        node: server.node.to_string(),
-        side: server.side.to_string(),
-        zone: server.zone.0,
-        state: state.to_owned(),
+    Some(word.to_owned())
+}
+
+fn listing_word(listing: Listing) -> &'static str {
+    match listing {
+        Listing::Never => "never",
+        Listing::Live => "live",
+        Listing::Leaving => "leaving",
+        Listing::Dropped => "dropped",
     }
 }
+
+fn digest(version: TableVersion) -> String {
+    format!("{:016x}", version.digest)
+}
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -10,18 +10,19 @@
 use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, InboundId};
 use lifthollow_coordination::outbound::{CallAnswer, CallId, OutboundEffect, OutboundEvent};
 use lifthollow_coordination::{Node, NodeEffect, NodeEvent};
+use lifthollow_protocol::operators::{KnownMember, Outcome, Refusal, RefusalState};
 use lifthollow_protocol::{AttemptResult, RefusalReason};
 use lifthollow_state::{RetryAllowance, Timestamp};
 use lifthollow_transport::datagram::DatagramSender;
 
 use crate::clock::Clock;
 use crate::control::router::{Router, Subject};
-use crate::control::{AttemptEffect, ControlInput, ControlSnapshot, SharedState};
-use crate::operators::{Metrics, Outcome, Refusal, RefusalLog, RefusalState};
+use crate::control::{AttemptEffect, ControlInput, SharedState, snapshot};
+use crate::operators::{Metrics, RefusalLog, state_of_load, state_of_servers};
 use crate::platform::PlatformRequest;
 
-/// How often the state is posted for operators.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the node's status is posted for operators.
+const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What the control thread works with.
 pub struct ControlParts {
@@ -51,7 +52,7 @@
     router: Router,
     effects: Vec<NodeEffect>,
     leaving: bool,
-    next_snapshot: Timestamp,
+    next_status: Timestamp,
 }
 
 impl ControlThread {
@@ -62,7 +63,7 @@
             router: Router::default(),
             effects: Vec::new(),
             leaving: false,
-            next_snapshot: Timestamp::ZERO,
+            next_status: Timestamp::ZERO,
         }
     }
 
@@ -71,8 +72,8 @@
         self.handle(NodeEvent::Wake);
         loop {
             let now = self.parts.clock.now();
-            self.post_snapshot_if_due(now);
-            let wake = self.parts.node.next_wake(now).min(self.next_snapshot);
+            self.post_status_if_due(now);
+            let wake = self.parts.node.next_wake(now).min(self.next_status);
             let wake = self.parts.clock.instant(wake);
             match self.parts.inputs.recv_deadline(wake) {
                 Ok(ControlInput::Stop) | Err(RecvTimeoutError::Disconnected) => return,
@@ -118,6 +119,7 @@
             }
             ControlInput::Event(event) => self.take_in_event(event),
             ControlInput::AttemptReleased { id } => self.router.remove_inbound(id),
+            ControlInput::MembersAsked { reply } => self.tell_members(&reply),
             ControlInput::Leave => self.leave(),
             ControlInput::Stop => {}
         }
@@ -185,7 +187,7 @@
             CallAnswer::Unknown { reason, .. } => (*reason, Outcome::Unknown),
         };
         let view = self.parts.node.view();
-        let state = RefusalState::of_servers(view, &subject.service);
+        let state = state_of_servers(view, &subject.service);
         self.record_refusal(now, subject, reason, outcome, state);
     }
 
@@ -204,8 +206,8 @@
             at_seconds: now.as_secs_f64(),
             service: subject.service.to_string(),
             request: format!("{:032x}", subject.request.0),
-            outcome: outcome.as_str(),
-            reason: reason.as_str(),
+            outcome,
+            reason,
             state,
         });
     }
@@ -229,7 +231,7 @@
         };
         let load = self.parts.node.load(now, &subject.service);
         if let AttemptResult::NotRun { reason, .. } = result {
-            let state = RefusalState::of_load(load);
+            let state = state_of_load(load);
             self.record_refusal(now, subject, reason, Outcome::NotRun, state);
         }
         let effect = AttemptEffect::Answer {
@@ -261,13 +263,19 @@
         let _ = self.parts.platform.send(request);
     }
 
-    fn post_snapshot_if_due(&mut self, now: Timestamp) {
-        if now < self.next_snapshot {
+    /// Whoever asked may have given up waiting.
+    fn tell_members(&self, reply: &flume::Sender<Vec<KnownMember>>) {
+        let now = self.parts.clock.now();
+        let _ = reply.try_send(snapshot::members(&self.parts.node, now));
+    }
+
+    fn post_status_if_due(&mut self, now: Timestamp) {
+        if now < self.next_status {
             return;
         }
-        self.next_snapshot = now + SNAPSHOT_INTERVAL;
+        self.next_status = now + STATUS_INTERVAL;
         let calls = self.router.calls();
-        let snapshot = ControlSnapshot::of(&self.parts.node, now, calls, self.leaving);
-        self.parts.shared.post_snapshot(snapshot);
+        let status = snapshot::status(&self.parts.node, now, calls, self.leaving);
+        self.parts.shared.post_status(status);
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -195,6 +195,7 @@
     fn start_operators(&self) -> Result<OperatorsServer> {
         let state = OperatorsState {
             shared: self.shared.clone(),
+            control: self.control.clone(),
             refusals: self.refusals.clone(),
             metrics: self.metrics.clone(),
             buffered: self.buffered.clone(),
--- a/crates/daemon/src/operators/metrics.rs
+++ b/crates/daemon/src/operators/metrics.rs
@@ -9,10 +9,9 @@
 };
 
 use lifthollow_protocol::RefusalReason;
+use lifthollow_protocol::operators::NodeStatus;
 use lifthollow_state::ServiceName;
 
-use crate::control::ControlSnapshot;
-
 /// Upper bounds of the call duration's buckets, seconds.
 const DURATION_BUCKETS: [f64; 12] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
@@ -139,12 +138,13 @@
     }
 
     /// The metrics as Prometheus text, with gauges from the posted state.
-    pub fn render(&self, snapshot: &ControlSnapshot, buffered_bytes: usize) -> Result<String> {
-        self.table_number.set(snapshot.table_number as i64);
+    pub fn render(&self, status: &NodeStatus, buffered_bytes: usize) -> Result<String> {
+        self.table_number.set(status.table_number as i64);
         self.buffered_body_bytes.set(buffered_bytes as i64);
-        self.set_in_progress("calls", snapshot.calls_in_progress);
-        self.set_in_progress("attempts", snapshot.attempts_in_progress);
-        for (service, load) in &snapshot.services {
+        self.set_in_progress("calls", status.calls_in_progress);
+        self.set_in_progress("attempts", status.attempts_in_progress);
+        for load in &status.services {
+            let service = &load.service;
             self.set_load(service, "in_flight", load.in_flight);
             self.set_load(service, "queued", load.queued);
             self.set_load(service, "limit", load.limit);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -5,5 +5,5 @@
 mod server;
 
 pub use metrics::Metrics;
-pub use refusals::{Outcome, Refusal, RefusalLog, RefusalState};
+pub use refusals::{RefusalLog, state_of_load, state_of_servers};
 pub use server::{OperatorsServer, OperatorsState};
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -1,5 +1,5 @@
-//! The operators' HTTP port. It reads posted state only, so it never makes the
-//! control thread wait.
+//! The operators' HTTP port. It reads posted state, and asks the control thread
+//! for the members; it never makes that thread wait.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,15 +9,19 @@
 
 use anyhow::{Result, anyhow};
 use rouille::{Request, Response, Server, router};
-use serde::Serialize;
 
+use lifthollow_protocol::operators::{
+    Explanation, LeavingStatus, Members, NodeSnapshot, NodeStatus,
+};
 use lifthollow_transport::mux::BufferedBytes;
 
-use crate::control::{ControlSnapshot, SharedState};
-use crate::operators::{Metrics, Refusal, RefusalLog};
+use crate::control::{ControlHandle, SharedState};
+use crate::operators::{Metrics, RefusalLog};
 
 /// How often the server looks whether it shall stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the control thread may take to list the members.
+const MEMBERS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Threads that answer operators.
 const THREADS: usize = 2;
 
@@ -26,6 +30,8 @@
 pub struct OperatorsState {
     /// State posted by the control thread.
     pub shared: Arc<SharedState>,
+    /// Where the members are asked for.
+    pub control: ControlHandle,
     /// Recent refusals.
     pub refusals: Arc<RefusalLog>,
     /// Counters.
@@ -79,78 +85,63 @@
 fn answer(request: &Request, state: &OperatorsState) -> Response {
     router!(request,
         (GET) (/metrics) => { metrics(state) },
-        (GET) (/status) => { Response::json(&Status::of(&state.shared.snapshot())) },
-        (GET) (/members) => { Response::json(&state.shared.snapshot().members) },
-        (GET) (/leaving) => { Response::json(&Leaving::of(&state.shared.snapshot())) },
-        (GET) (/snapshot) => { Response::json(state.shared.snapshot().as_ref()) },
-        (GET) (/explain) => { Response::json(&Explanation::of(request, state)) },
+        (GET) (/status) => { Response::json(state.shared.status().as_ref()) },
+        (GET) (/members) => { members(state) },
+        (GET) (/leaving) => { Response::json(&leaving(&state.shared.status())) },
+        (GET) (/snapshot) => { snapshot(state) },
+        (GET) (/explain) => { Response::json(&explanation(request, state)) },
         _ => Response::empty_404()
     )
 }
 
 fn metrics(state: &OperatorsState) -> Response {
-    let snapshot = state.shared.snapshot();
-    match state.metrics.render(&snapshot, state.buffered.now()) {
+    let status = state.shared.status();
+    match state.metrics.render(&status, state.buffered.now()) {
         Ok(text) => Response::text(text),
         Err(error) => Response::text(error.to_string()).with_status_code(500),
     }
 }
 
-/// The node in short: the snapshot without the members.
-#[derive(Serialize)]
-struct Status {
-    #[serde(flatten)]
-    snapshot: ControlSnapshot,
-    members_known: usize,
+/// Asks the control thread, since the list is too long to be posted often.
+fn members(state: &OperatorsState) -> Response {
+    match state.control.members(MEMBERS_TIMEOUT) {
+        Some(members) => Response::json(&Members { members }),
+        None => no_answer(),
+    }
 }
 
-impl Status {
-    fn of(snapshot: &ControlSnapshot) -> Self {
-        let members_known = snapshot.members.values().map(Vec::len).sum();
-        let mut snapshot = snapshot.clone();
-        snapshot.members.clear();
-        Status {
-            snapshot,
-            members_known,
-        }
+fn snapshot(state: &OperatorsState) -> Response {
+    match state.control.members(MEMBERS_TIMEOUT) {
+        Some(members) => Response::json(&NodeSnapshot {
+            status: state.shared.status().as_ref().clone(),
+            members,
+            refusals: state.refusals.find(None, None),
+        }),
+        None => no_answer(),
     }
 }
 
-/// Whether the node is leaving and what it still carries.
-#[derive(Serialize)]
-struct Leaving {
-    leaving: bool,
-    calls_in_progress: usize,
-    attempts_in_progress: usize,
+fn no_answer() -> Response {
+    Response::text("the control thread does not answer").with_status_code(503)
 }
 
-impl Leaving {
-    fn of(snapshot: &ControlSnapshot) -> Self {
-        Leaving {
-            leaving: snapshot.leaving,
-            calls_in_progress: snapshot.calls_in_progress,
-            attempts_in_progress: snapshot.attempts_in_progress,
-        }
+/// Whether the node is leaving and what it still carries.
+fn leaving(status: &NodeStatus) -> LeavingStatus {
+    LeavingStatus {
+        leaving: status.leaving,
+        calls_in_progress: status.calls_in_progress,
+        attempts_in_progress: status.attempts_in_progress,
     }
 }
 
 /// Why a service or a request was refused on this node.
-#[derive(Serialize)]
-struct Explanation {
-    service: Option<String>,
-    request: Option<String>,
-    refusals: Vec<Refusal>,
-}
-
-impl Explanation {
-    fn of(request: &Request, state: &OperatorsState) -> Self {
-        let service = request.get_param("service");
-        let name = request.get_param("request");
-        let refusals = state.refusals.find(service.as_deref(), name.as_deref());
-        Explanation {
-            service,
-            request: name,
-            refusals,
-        }
+fn explanation(request: &Request, state: &OperatorsState) -> Explanation {
+    let service = request.get_param("service");
+    let name = request.get_param("request");
+    let refusals = state.refusals.find(service.as_deref(), name.as_deref());
+    Explanation {
+        service,
+        request: name,
+        refusals,
     }
 }
--- a/crates/daemon/src/traffic/answer.rs
+++ b/crates/daemon/src/traffic/answer.rs
@@ -9,9 +9,9 @@
 
 use lifthollow_protocol::RefusalReason;
 use lifthollow_protocol::frame::AnswerHead;
+use lifthollow_protocol::operators::Outcome;
 use lifthollow_transport::http::{AnyBody, header};
 
-use crate::operators::Outcome;
 use crate::traffic::caller_headers::HeaderFaults;
 use crate::traffic::request_body::ReadError;
 
--- a/crates/daemon/src/traffic/call.rs
+++ b/crates/daemon/src/traffic/call.rs
@@ -15,11 +15,11 @@
     AttemptId, Call, CallAnswer, CallId, OutboundEffect, OutboundEvent,
 };
 use lifthollow_protocol::RefusalReason;
+use lifthollow_protocol::operators::Outcome;
 use lifthollow_transport::http::AnyBody;
 use lifthollow_transport::http::server::CallHandler;
 
 use crate::control::{ControlHandle, ControlInput};
-use crate::operators::Outcome;
 use crate::traffic::caller_headers::{self, CallerHeaders};
 use crate::traffic::delivery::deliver;
 use crate::traffic::describe::{describe, request_head};
--- a/crates/protocol/src/answer.rs
+++ b/crates/protocol/src/answer.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
+use serde::{Deserialize, Serialize};
 
 /// Why a call was refused or given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+)]
 #[cbor(index_only)]
+#[serde(into = "&'static str", try_from = "String")]
 pub enum RefusalReason {
     /// The server has as much work as it can finish in time.
     #[n(0)]
@@ -76,13 +80,6 @@
         RefusalReason::NoQuorum,
     ];
 
-    /// The reason with this word.
-    pub fn from_word(word: &str) -> Option<Self> {
-        RefusalReason::ALL
-            .into_iter()
-            .find(|reason| reason.as_str() == word)
-    }
-
     /// The stable word written in headers, logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -105,6 +102,28 @@
     }
 }
 
+impl From<RefusalReason> for &'static str {
+    fn from(reason: RefusalReason) -> Self {
+        reason.as_str()
+    }
+}
+
+impl TryFrom<String> for RefusalReason {
+    type Error = UnknownReason;
+
+    fn try_from(word: String) -> Result<Self, Self::Error> {
+        RefusalReason::ALL
+            .into_iter()
+            .find(|reason| reason.as_str() == word)
+            .ok_or(UnknownReason)
+    }
+}
+
+/// The word names no reason that this version knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("unknown reason of a refusal")]
+pub struct UnknownReason;
+
 impl fmt::Display for RefusalReason {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(self.as_str())
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod frame;
 pub mod load;
+pub mod operators;
 
 pub use answer::{AttemptResult, RefusalReason};
 pub use control::{ControlError, ControlMessage};
