--- a/crates/sim/src/measure/mod.rs
+++ b/crates/sim/src/measure/mod.rs
@@ -5,5 +5,5 @@
 mod result;
 
 pub use best::{best_possible, best_rate};
-pub use recorder::{Recorder, RequestMeasure};
+pub use recorder::{Recorder, RequestMeasure, SentAttempt};
 pub use result::{RunResult, summarize};
--- a/crates/sim/src/world/event.rs
+++ b/crates/sim/src/world/event.rs
@@ -71,6 +71,8 @@
     RunArrives { wire: WireId },
     /// A back end has finished a piece of a run.
     RunAdvances { wire: WireId, epoch: u32 },
+    /// The deadline of a run has passed.
+    RunExpires { wire: WireId },
     /// A nested call of a run has ended.
     NestedEnds {
         wire: WireId,
@@ -165,6 +167,7 @@
             WorldEvent::AttemptCancelled { wire } => [10, wire.0, 0],
             WorldEvent::RunArrives { wire } => [11, wire.0, 0],
             WorldEvent::RunAdvances { wire, epoch } => [12, wire.0, u64::from(*epoch)],
+            WorldEvent::RunExpires { wire } => [28, wire.0, 0],
             WorldEvent::NestedEnds { wire, call, .. } => [13, wire.0, call.0],
             WorldEvent::RunAnswered { wire, .. } => [14, wire.0, 0],
             WorldEvent::RunClosed { wire } => [15, wire.0, 0],
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -159,6 +159,7 @@
             WorldEvent::AttemptCancelled { wire } => self.attempt_cancelled(wire),
             WorldEvent::RunArrives { wire } => self.run_arrives(wire),
             WorldEvent::RunAdvances { wire, epoch } => self.run_advances(wire, epoch),
+            WorldEvent::RunExpires { wire } => self.run_expires(wire),
             WorldEvent::NestedEnds {
                 wire,
                 epoch,
--- a/crates/sim/src/world/outbound_effects.rs
+++ b/crates/sim/src/world/outbound_effects.rs
@@ -12,6 +12,7 @@
 use super::ids::{MachineIndex, WireId};
 use super::records::AttemptRecord;
 use super::{CLOCK_TICK, TransportDefect, World};
+use crate::measure::SentAttempt;
 use crate::observe::{Observation, Told};
 
 impl World {
@@ -50,7 +51,12 @@
         let (kind, client_attempt) = (record.kind, record.client_attempt);
         let service_name = record.call.service.clone();
         let body_digest = record.operation.request.0;
-        self.recorder.attempt_sent(service, operation, first);
+        self.recorder.attempt_sent(&SentAttempt {
+            service,
+            operation,
+            client_attempt,
+            first,
+        });
         self.observe(Observation::AttemptSent {
             machine: index,
             service,
