Read the platform's service without the environment's proxy

Cause: ureq takes `http_proxy` from the environment by default, so a node on a machine with that variable asked the proxy for the table. Change: the agent has no proxy.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -120,9 +120,11 @@
     }
 }
 
+/// The platform is named by address; a proxy of the environment is not asked.
 fn agent() -> Agent {
     Agent::config_builder()
         .timeout_global(Some(FETCH_TIMEOUT))
+        .proxy(None)
         .build()
         .into()
 }
