Measure the load program's latencies beyond two microseconds

Cause: `Histogram::new` begins with room for the values 1 and 2 and grows only in `record`; `saturating_record` counts everything larger as 2. Every latency that the load program printed was 0.002 ms. Change: the histogram is made with bounds of up to an hour. Before: the new test, a back end of 30 ms, saw p50_ms 0.002. After: it passes.

--- a/crates/standin/src/load/account.rs
+++ b/crates/standin/src/load/account.rs
@@ -110,12 +110,15 @@
     latencies: Histogram<u64>,
 }
 
+/// Latencies above this are counted as this, microseconds.
+const LATENCY_HIGHEST_MICROS: u64 = 3_600_000_000;
 const LATENCY_DIGITS: u8 = 3;
 
 impl Account {
     /// An empty account that starts now.
     pub fn new() -> Self {
-        let latencies = Histogram::new(LATENCY_DIGITS).expect("the digits are between 0 and 5");
+        let latencies = Histogram::new_with_bounds(1, LATENCY_HIGHEST_MICROS, LATENCY_DIGITS)
+            .expect("constant bounds are valid");
         Account {
             started: Instant::now(),
             inner: Mutex::new(Inner {
--- a/crates/standin/tests/standin/load.rs
+++ b/crates/standin/tests/standin/load.rs
@@ -30,6 +30,18 @@
     assert!(ledger.calls.iter().all(|call| call.runs == 1));
 }
 
+#[test]
+fn latencies_are_measured_beyond_the_first_microseconds() {
+    let backend = Standin::start(&["backend", "--service", "s", "--service-ms", "30"]);
+    let entry = backend.address().to_string();
+    let load = ["load", "--entry", &entry, "--profile", "1:20", "--call"];
+    let options = ["service=s,timeout_ms=60000", "--patience-ms", "60000"];
+    let latencies = run_load(&[&load[..], &options].concat()).latencies;
+    // A sleep of the back end never ends early, so this bound holds on any machine.
+    assert!(latencies.p50_ms > 5.0, "{latencies:?}");
+    assert!(latencies.max_ms > latencies.p50_ms, "{latencies:?}");
+}
+
 #[test]
 fn clients_repeat_a_failed_request_as_often_as_told() {
     let backend = Standin::start(&["backend", "--service", "s", "--service-ms", "1"]);
