Claim idempotency keys at a majority of replicas before a run

Cause: a repeat of a call with an idempotency key could run again on another server, on the other side, or after a node was replaced. Change: claims (claimant, replica, roster, records bounded to 12 MiB, rejoin of replaced replicas) as state machines without I/O, their messages, and `lifthollow-sim claims-search`, a random search over repeats, replacements, pauses, cuts, loss, clock drift of 1% and changes of the roster. The nodes do not use it yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,9 +9,12 @@
 //! 2. [`outbound`]: calls from local callers to servers of other services;
 //! 3. [`inbound`]: attempts from other nodes to the back end beside this node.
 //!
+//! [`claims`] lets a call with an idempotency key run at most once.
+//!
 //! [`baseline`] holds the ordinary policies that lifthollow is compared with.
 
 pub mod baseline;
+pub mod claims;
 pub mod fleet;
 pub mod inbound;
 pub mod node;
--- /dev/null
+++ b/crates/coordination/tests/claims_roster.rs
@@ -0,0 +1,142 @@
+//! Which nodes are replicas, and how the roster changes.
+
+mod claims_support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use claims_support::*;
+use lifthollow_coordination::claims::roster::ReplicaSets;
+use lifthollow_coordination::claims::{ClaimSettings, Claims};
+use lifthollow_protocol::{ClaimMessage, RefusalReason, Roster, RosterMember};
+use lifthollow_state::{IdempotencyKey, Incarnation, Side, Zone};
+use quickcheck::{Gen, QuickCheck};
+
+const OLD_MEMBERS: [usize; 5] = [0, 1, 2, 3, 4];
+const NEW_MEMBERS: [usize; 5] = [1, 2, 3, 4, 5];
+const CALLER: usize = 6;
+const RETENTION: Duration = Duration::from_secs(630);
+
+fn hand_roster(fleet: &mut TestFleet, to: usize, roster: &Roster) {
+    fleet.inject(to, CALLER, ClaimMessage::Roster(roster.clone()));
+}
+
+/// 68 members in 17 zones on two sides.
+fn large_roster() -> Roster {
+    let members = (0..68).map(|index| RosterMember {
+        zone: Zone((index % 17) as u16),
+        side: Side::ALL[index % 17 % 2],
+        ..member(index)
+    });
+    Roster {
+        members: members.collect(),
+        ..Roster::default()
+    }
+}
+
+fn is_spread(key: u64) -> bool {
+    let roster = large_roster();
+    let replicas = ReplicaSets::of(&roster, IdempotencyKey(u128::from(key)));
+    let chosen = roster
+        .members
+        .iter()
+        .filter(|member| replicas.contains(member.node));
+    let zones: BTreeSet<Zone> = chosen.clone().map(|member| member.zone).collect();
+    let on_old_side = chosen.filter(|member| member.side == Side::Old).count();
+    zones.len() == 5 && (2..=3).contains(&on_old_side)
+}
+
+#[test]
+fn replicas_are_five_in_different_zones_with_three_on_a_side_at_most() {
+    QuickCheck::new()
+        .tests(500)
+        .rng(Gen::from_size_and_seed(100, 1))
+        .quickcheck(is_spread as fn(u64) -> bool);
+}
+
+#[test]
+fn without_a_roster_no_key_runs() {
+    let mut fleet = TestFleet::new();
+    fleet.claims = (0..NODES)
+        .map(|index| {
+            let settings = ClaimSettings::new(node(index), Incarnation(1), Roster::default(), 0);
+            Claims::new(fleet.now, settings)
+        })
+        .collect();
+    let (_, decision) = fleet.call(CALLER, BODY);
+    assert_eq!(reason_of(&decision), Some(RefusalReason::NoQuorum));
+}
+
+#[test]
+fn a_node_with_an_older_roster_learns_the_newer_one_and_claims_by_it() {
+    let mut fleet = TestFleet::new();
+    let change = roster(2, &NEW_MEMBERS, &OLD_MEMBERS);
+    for index in 0..6 {
+        hand_roster(&mut fleet, index, &change);
+    }
+    assert_eq!(fleet.claims[CALLER].roster().epoch, 1);
+    let (_, decision) = fleet.call(CALLER, BODY);
+    assert!(is_granted(&decision));
+    assert_eq!(fleet.claims[CALLER].roster().epoch, 2);
+}
+
+#[test]
+fn a_claim_made_before_a_change_holds_during_and_after_it() {
+    let mut fleet = TestFleet::new();
+    fleet.call(CALLER, BODY);
+    let change = roster(2, &NEW_MEMBERS, &OLD_MEMBERS);
+    hand_roster(&mut fleet, 5, &change);
+    let (_, during) = fleet.call(5, BODY);
+    assert!(is_unknown(&during));
+}
+
+#[test]
+fn during_a_change_a_majority_of_both_rosters_is_needed() {
+    let mut fleet = TestFleet::new();
+    let change = roster(2, &[3, 4, 5, 6], &OLD_MEMBERS);
+    for index in 0..NODES {
+        hand_roster(&mut fleet, index, &change);
+    }
+    fleet.cut(&[3, 4, 5, 6], &[0, 1, 2]);
+    let (_, decision) = fleet.call(CALLER, BODY);
+    assert_eq!(reason_of(&decision), Some(RefusalReason::NoQuorum));
+    fleet.heal();
+    let (_, decision) = fleet.call(CALLER, BODY);
+    assert!(is_granted(&decision));
+}
+
+#[test]
+fn after_the_end_of_a_change_replicas_vote_only_when_they_saw_all_claims() {
+    let mut fleet = TestFleet::new();
+    let change = roster(2, &NEW_MEMBERS, &OLD_MEMBERS);
+    let end = roster(3, &NEW_MEMBERS, &[]);
+    hand_roster(&mut fleet, 5, &change);
+    fleet.advance(Duration::from_secs(60));
+    hand_roster(&mut fleet, 5, &end);
+    assert!(!fleet.claims[5].report(fleet.now, KEY).votes);
+    fleet.advance(RETENTION);
+    assert!(fleet.claims[5].report(fleet.now, KEY).votes);
+}
+
+#[test]
+fn a_replica_that_missed_a_step_abstains_for_one_retention() {
+    let mut fleet = TestFleet::new();
+    let end = roster(3, &NEW_MEMBERS, &[]);
+    hand_roster(&mut fleet, 1, &end);
+    assert!(!fleet.claims[1].report(fleet.now, KEY).votes);
+    fleet.advance(RETENTION);
+    assert!(fleet.claims[1].report(fleet.now, KEY).votes);
+}
+
+#[test]
+fn two_rosters_of_one_epoch_do_not_mix() {
+    let mut fleet = TestFleet::new();
+    let some = roster(2, &NEW_MEMBERS, &OLD_MEMBERS);
+    let other = roster(2, &[0, 1, 2, 3, 5], &OLD_MEMBERS);
+    for index in 0..5 {
+        hand_roster(&mut fleet, index, &some);
+    }
+    hand_roster(&mut fleet, CALLER, &other);
+    let (_, decision) = fleet.call(CALLER, BODY);
+    assert_eq!(reason_of(&decision), Some(RefusalReason::NoQuorum));
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,10 +1,20 @@
 //! Typed messages between lifthollow processes and their minicbor encoding.
 //!
 //! [`answer`] says how an attempt ended, [`load`] what a server reports about
-//! its own load with every answer.
+//! its own load with every answer, [`claim`] how a node claims an idempotency
+//! key and [`roster`] at which nodes.
 
 pub mod answer;
+pub mod claim;
+pub mod fields;
 pub mod load;
+pub mod roster;
 
 pub use answer::{AttemptResult, RefusalReason};
+pub use claim::{
+    ClaimFinish, ClaimId, ClaimMessage, ClaimRelease, ClaimRequest, ClaimStored, ClaimVote,
+    KnownClaim, NextPage, RecordedAnswer, RecordedHeader, RecordedOutcome, RejoinPage,
+    RejoinRequest, Verdict,
+};
 pub use load::{AdmissionLevel, LoadReport};
+pub use roster::{Roster, RosterMember, RosterVersion};
--- /dev/null
+++ b/crates/sim/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! The commands of `lifthollow-sim`.
+
+pub mod claims_search;
