--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::LoadReport;
-use lifthollow_state::{NodeId, ServiceName, Side, Timestamp, Zone};
+use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
+use lifthollow_state::{Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
-use crate::fleet::{Fleet, FleetEffect, FleetEvent};
-use crate::inbound::{InboundEffect, InboundEvent, InboundPolicy};
-use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy};
+use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
+use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
+use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
 use crate::policy::PolicyKind;
+use crate::pressure::downstream_level;
+use crate::request_tree::RequestTree;
 use crate::view::View;
 
 /// What a node knows of itself from its settings.
@@ -17,12 +19,17 @@
 pub struct NodeSettings {
     /// The address other nodes reach it at.
     pub node: NodeId,
+    /// This life of the node: larger than that of any process that ran at the
+    /// address before. The daemon takes microseconds of wall-clock time.
+    pub incarnation: Incarnation,
     /// Its data centre.
     pub side: Side,
     /// Its failure domain.
     pub zone: Zone,
     /// The services whose back ends stand beside it.
     pub services: Vec<ServiceName>,
+    /// Nodes to ask first when the platform's list is not at hand.
+    pub seeds: Vec<NodeId>,
     /// The decisions it runs.
     pub policy: PolicyKind,
     /// Seed of every random choice the node makes.
@@ -58,12 +65,19 @@
 /// A node wakes at least this often, so that it notices pauses.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What a leaving node answers to new work; other servers take it at once.
+const LEAVING_ANSWER: AttemptResult = AttemptResult::NotRun {
+    reason: RefusalReason::Leaving,
+    retry_after: Duration::ZERO,
+};
+
 /// One process of lifthollow.
 pub struct Node {
     settings: NodeSettings,
     fleet: Fleet,
     outbound: Box<dyn OutboundPolicy>,
     inbound: Box<dyn InboundPolicy>,
+    request_tree: RequestTree,
     last_handled: Option<Timestamp>,
 }
 
@@ -71,11 +85,22 @@
     /// A node that knows nothing yet but its settings.
     pub fn new(settings: NodeSettings) -> Self {
         let (outbound, inbound) = policies(&settings);
+        Node::with_policies(settings, outbound, inbound)
+    }
+
+    /// A node that runs the given decisions in place of those its settings name,
+    /// so that checks can be tried on decisions that are wrong on purpose.
+    pub fn with_policies(
+        settings: NodeSettings,
+        outbound: Box<dyn OutboundPolicy>,
+        inbound: Box<dyn InboundPolicy>,
+    ) -> Self {
         Node {
+            fleet: Fleet::new(fleet_settings(&settings)),
             settings,
-            fleet: Fleet::default(),
             outbound,
             inbound,
+            request_tree: RequestTree::default(),
             last_handled: None,
         }
     }
@@ -90,9 +115,23 @@
         self.fleet.view()
     }
 
+    /// What is known of the fleet.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// The load of a local service, to be sent with every answer.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
-        self.inbound.load(now, service)
+        let mut load = self.inbound.load(now, self.fleet.view(), service);
+        load.leaving |= !self.fleet.takes_new_work();
+        load
+    }
+
+    /// The retries that an attempt was lent and has not spent, to be sent with
+    /// its answer. To be called once, when [`InboundEffect::Answer`] is carried
+    /// out: what the attempt's calls give back later stays spent.
+    pub fn settle_allowance(&mut self, id: InboundId) -> RetryAllowance {
+        self.request_tree.settle(id)
     }
 
     /// Attempts queued or running beside this node.
@@ -144,27 +183,76 @@
     fn handle_outbound(
         &mut self,
         now: Timestamp,
-        event: OutboundEvent,
+        mut event: OutboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
+        self.request_tree.before_outbound(&mut event);
         let mut outbound_effects = Vec::new();
         self.outbound
             .handle(now, self.fleet.view(), event, &mut outbound_effects);
+        self.request_tree.after_outbound(&outbound_effects);
         effects.extend(outbound_effects.into_iter().map(NodeEffect::Outbound));
     }
 
+    /// A planned stop is announced to the fleet as well. While the node leaves,
+    /// new attempts are refused as not run, whoever has not heard of it yet.
     fn handle_inbound(
         &mut self,
         now: Timestamp,
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
+        if event == InboundEvent::Leave {
+            self.handle_fleet(now, FleetEvent::Leave, effects);
+        }
+        if let InboundEvent::AttemptArrived { id, .. } = event
+            && !self.fleet.takes_new_work()
+        {
+            return self.refuse_while_leaving(id, &event, effects);
+        }
+        self.decide_inbound(now, event, effects);
+    }
+
+    fn refuse_while_leaving(
+        &mut self,
+        id: InboundId,
+        event: &InboundEvent,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        let result = LEAVING_ANSWER;
+        let refusal = InboundEffect::Answer { id, result };
+        self.request_tree.before_inbound(event);
+        self.request_tree
+            .after_inbound(std::slice::from_ref(&refusal));
+        effects.push(NodeEffect::Inbound(refusal));
+    }
+
+    fn decide_inbound(
+        &mut self,
+        now: Timestamp,
+        event: InboundEvent,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        self.request_tree.before_inbound(&event);
+        self.pass_on_pressure(now, &event);
         let mut inbound_effects = Vec::new();
         self.inbound
             .handle(now, self.fleet.view(), event, &mut inbound_effects);
+        self.request_tree.after_inbound(&inbound_effects);
         effects.extend(inbound_effects.into_iter().map(NodeEffect::Inbound));
     }
 
+    /// What the services needed further down refuse is refused here as well.
+    fn pass_on_pressure(&mut self, now: Timestamp, event: &InboundEvent) {
+        if let InboundEvent::AttemptArrived { attempt, .. } = event {
+            let graph = self.request_tree.call_graph();
+            let level = downstream_level(graph, &attempt.service, |needed| {
+                self.outbound.level(now, needed)
+            });
+            self.inbound.set_downstream_level(&attempt.service, level);
+        }
+    }
+
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
@@ -172,6 +260,18 @@
     }
 }
 
+fn fleet_settings(settings: &NodeSettings) -> FleetSettings {
+    FleetSettings {
+        node: settings.node,
+        incarnation: settings.incarnation,
+        side: settings.side,
+        zone: settings.zone,
+        services: settings.services.clone(),
+        seeds: settings.seeds.clone(),
+        seed: settings.seed,
+    }
+}
+
 fn policies(settings: &NodeSettings) -> (Box<dyn OutboundPolicy>, Box<dyn InboundPolicy>) {
     let side = settings.side;
     match settings.policy {
@@ -179,9 +279,13 @@
             Box::new(FixedOutbound::passthrough()),
             Box::new(FixedInbound::passthrough(side)),
         ),
-        PolicyKind::StaticLimits | PolicyKind::Lifthollow => (
+        PolicyKind::StaticLimits => (
             Box::new(FixedOutbound::static_limits()),
             Box::new(FixedInbound::static_limits(side)),
         ),
+        PolicyKind::Lifthollow => (
+            Box::new(Routing::new(settings.zone, settings.seed)),
+            Box::new(AdmissionControl::new(side, settings.seed)),
+        ),
     }
 }
--- a/crates/protocol/src/claim.rs
+++ b/crates/protocol/src/claim.rs
@@ -12,10 +12,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct ClaimId {
     /// The node that wants to run the call.
-    #[cbor(n(0), with = "crate::fields::node_id")]
+    #[cbor(n(0), with = "crate::control::codec::node_id")]
     pub node: NodeId,
     /// The life of that node.
-    #[cbor(n(1), with = "crate::fields::incarnation")]
+    #[cbor(n(1), with = "crate::control::codec::incarnation")]
     pub incarnation: Incarnation,
     /// Counts the claims of that process.
     #[n(2)]
@@ -91,7 +91,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ClaimRequest {
     /// The key.
-    #[cbor(n(0), with = "crate::fields::idempotency_key")]
+    #[cbor(n(0), with = "crate::control::codec::idempotency_key")]
     pub key: IdempotencyKey,
     /// Who wants it.
     #[n(1)]
@@ -108,7 +108,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ClaimVote {
     /// The key.
-    #[cbor(n(0), with = "crate::fields::idempotency_key")]
+    #[cbor(n(0), with = "crate::control::codec::idempotency_key")]
     pub key: IdempotencyKey,
     /// The claim that asked.
     #[n(1)]
@@ -144,7 +144,7 @@
     #[n(4)]
     Abstained {
         /// When it will vote again.
-        #[cbor(n(0), with = "crate::fields::milliseconds")]
+        #[cbor(n(0), with = "crate::control::codec::milliseconds")]
         votes_in: Duration,
     },
     /// The replica has another roster.
@@ -159,7 +159,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ClaimRelease {
     /// The key.
-    #[cbor(n(0), with = "crate::fields::idempotency_key")]
+    #[cbor(n(0), with = "crate::control::codec::idempotency_key")]
     pub key: IdempotencyKey,
     /// The claim given up.
     #[n(1)]
@@ -170,7 +170,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ClaimFinish {
     /// The key.
-    #[cbor(n(0), with = "crate::fields::idempotency_key")]
+    #[cbor(n(0), with = "crate::control::codec::idempotency_key")]
     pub key: IdempotencyKey,
     /// The claim under which it ran.
     #[n(1)]
@@ -196,13 +196,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct RejoinRequest {
     /// The life of the asking process.
-    #[cbor(n(0), with = "crate::fields::incarnation")]
+    #[cbor(n(0), with = "crate::control::codec::incarnation")]
     pub incarnation: Incarnation,
     /// The asking replica's roster.
     #[n(1)]
     pub roster: RosterVersion,
     /// Only keys from here on are wanted.
-    #[cbor(n(2), with = "crate::fields::idempotency_key")]
+    #[cbor(n(2), with = "crate::control::codec::idempotency_key")]
     pub from_key: IdempotencyKey,
 }
 
@@ -210,7 +210,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct KnownClaim {
     /// The key.
-    #[cbor(n(0), with = "crate::fields::idempotency_key")]
+    #[cbor(n(0), with = "crate::control::codec::idempotency_key")]
     pub key: IdempotencyKey,
     /// The holder.
     #[n(1)]
@@ -227,13 +227,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct RejoinPage {
     /// The life of the process that asked.
-    #[cbor(n(0), with = "crate::fields::incarnation")]
+    #[cbor(n(0), with = "crate::control::codec::incarnation")]
     pub incarnation: Incarnation,
     /// The answering replica's roster.
     #[n(1)]
     pub roster: RosterVersion,
     /// The `from_key` asked for.
-    #[cbor(n(2), with = "crate::fields::idempotency_key")]
+    #[cbor(n(2), with = "crate::control::codec::idempotency_key")]
     pub from_key: IdempotencyKey,
     /// Claims on keys that both replicas store.
     #[n(3)]
@@ -246,7 +246,9 @@
 /// Where the next [`RejoinPage`] begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 #[cbor(transparent)]
-pub struct NextPage(#[cbor(n(0), with = "crate::fields::idempotency_key")] pub IdempotencyKey);
+pub struct NextPage(
+    #[cbor(n(0), with = "crate::control::codec::idempotency_key")] pub IdempotencyKey,
+);
 
 /// Everything nodes say to each other about claims.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,12 +1,14 @@
 //! Typed messages between lifthollow processes and their minicbor encoding.
 //!
 //! [`answer`] says how an attempt ended, [`load`] what a server reports about
-//! its own load with every answer, [`claim`] how a node claims an idempotency
-//! key and [`roster`] at which nodes.
+//! its own load with every answer, [`control`] the datagrams between control
+//! threads, [`frame`] how calls cross between nodes,
+//! [`claim`] how a node claims an idempotency key and [`roster`] at which nodes.
 
 pub mod answer;
 pub mod claim;
-pub mod fields;
+pub mod control;
+pub mod frame;
 pub mod load;
 pub mod roster;
 
@@ -16,5 +18,6 @@
     KnownClaim, NextPage, RecordedAnswer, RecordedHeader, RecordedOutcome, RejoinPage,
     RejoinRequest, Verdict,
 };
+pub use control::{ControlError, ControlMessage};
 pub use load::{AdmissionLevel, LoadReport};
 pub use roster::{Roster, RosterMember, RosterVersion};
--- a/crates/protocol/src/roster.rs
+++ b/crates/protocol/src/roster.rs
@@ -8,13 +8,13 @@
 pub struct RosterMember {
     /// Where it is reached. A process replaced at the same address is the same
     /// member.
-    #[cbor(n(0), with = "crate::fields::node_id")]
+    #[cbor(n(0), with = "crate::control::codec::node_id")]
     pub node: NodeId,
     /// Its data centre.
-    #[cbor(n(1), with = "crate::fields::side")]
+    #[cbor(n(1), with = "crate::control::codec::side")]
     pub side: Side,
     /// Its failure domain.
-    #[cbor(n(2), with = "crate::fields::zone")]
+    #[cbor(n(2), with = "crate::control::codec::zone")]
     pub zone: Zone,
 }
 
--- a/crates/sim/src/commands/claims_search.rs
+++ b/crates/sim/src/commands/claims_search.rs
@@ -6,16 +6,16 @@
 use argh::FromArgs;
 use serde::Serialize;
 
-use lifthollow_sim::claims_search::Variant;
-use lifthollow_sim::claims_search::observer::Tallies;
-use lifthollow_sim::claims_search::search::{Finding, SearchReport, SearchSettings, search};
+use crate::claims_search::Variant;
+use crate::claims_search::observer::Tallies;
+use crate::claims_search::search::{Finding, SearchReport, SearchSettings, search};
 
 /// Search random histories of calls, repeats and faults for a key that runs
 /// twice. Fails if the variant `correct` breaks a promise, or if a broken
 /// variant is not found out. The last line is one JSON object.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "claims-search")]
-pub struct ClaimsSearch {
+pub struct ClaimsSearchCommand {
     /// histories to play at most (default 100000)
     #[argh(option, default = "100_000")]
     histories: u64,
@@ -41,23 +41,23 @@
     shrunk_steps: Option<usize>,
 }
 
-impl ClaimsSearch {
-    /// Runs the command.
-    pub fn run(&self) -> anyhow::Result<()> {
-        let started = Instant::now();
-        let report = search(SearchSettings {
-            histories: self.histories,
-            seed: self.seed,
-            variant: self.variant,
-        });
-        eprintln!("searched for {:.1} s", started.elapsed().as_secs_f64());
-        if let Some(finding) = &report.finding {
-            print_finding(finding);
-        }
-        println!("{}", serde_json::to_string(&self.summary(&report))?);
-        self.judge(&report)
+/// Carries out the command.
+pub fn execute(command: &ClaimsSearchCommand) -> anyhow::Result<()> {
+    let started = Instant::now();
+    let report = search(SearchSettings {
+        histories: command.histories,
+        seed: command.seed,
+        variant: command.variant,
+    });
+    eprintln!("searched for {:.1} s", started.elapsed().as_secs_f64());
+    if let Some(finding) = &report.finding {
+        print_finding(finding);
     }
+    println!("{}", serde_json::to_string(&command.summary(&report))?);
+    command.judge(&report)
+}
 
+impl ClaimsSearchCommand {
     fn summary(&self, report: &SearchReport) -> Summary {
         let finding = report.finding.as_ref();
         Summary {
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -1,27 +1,16 @@
 //! Entry point of `lifthollow-sim`.
 
-mod commands;
+use std::process::ExitCode;
 
-use argh::FromArgs;
+use lifthollow_sim::commands::{Arguments, execute};
 
-use commands::claims_search::ClaimsSearch;
-
-/// Deterministic simulation of lifthollow on a virtual clock.
-#[derive(FromArgs)]
-struct Arguments {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
-    ClaimsSearch(ClaimsSearch),
-}
-
-fn main() -> anyhow::Result<()> {
+fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    match arguments.command {
-        Command::ClaimsSearch(command) => command.run(),
+    match execute(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lifthollow-sim: {error:#}");
+            ExitCode::FAILURE
+        }
     }
 }
--- a/crates/sim/tests/claims_search.rs
+++ b/crates/sim/tests/claims_search.rs
@@ -72,23 +72,24 @@
         Variant::NoFence,
     ] {
         let report = search_variant(variant, HISTORIES_FOR_BROKEN);
-        let finding = report.finding.expect(variant.as_str());
+        let Some(finding) = report.finding else {
+            panic!("{variant} was not found");
+        };
         assert!(matches!(finding.violation, Violation::RanTwice { .. }));
         assert!(finding.shrunk.steps.len() <= finding.found.steps.len());
     }
 }
 
 #[test]
-fn a_history_played_twice_is_the_same() {
+fn a_search_made_twice_finds_the_same() {
     let once = search_variant(Variant::NoFence, HISTORIES_FOR_BROKEN).finding;
     let twice = search_variant(Variant::NoFence, HISTORIES_FOR_BROKEN).finding;
-    let numbers =
-        |finding: Option<_>| finding.map(|found: Found| (found.histories_needed, found.shrunk));
+    let numbers = |finding: Option<Finding>| {
+        finding.map(|finding| (finding.histories_needed, finding.shrunk))
+    };
     assert_eq!(numbers(once), numbers(twice));
 }
 
-type Found = lifthollow_sim::claims_search::search::Finding;
-
 /// Found by the search: replicas that were all replaced answered each other as
 /// if they knew every claim.
 #[test]
