--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,8 +4,10 @@
 //! one on every machine. Everything around it is modelled: [`mesh`] says what
 //! exists, [`scenario`] what disturbs it, [`world`] how it all behaves,
 //! [`observe`] checks what must always hold, [`measure`] computes the figures.
+//! [`claims_search`] is a search of its own for keys that run twice.
 //! The event queue and the virtual clock are those of the `simcore` library.
 
+pub mod claims_search;
 pub mod commands;
 pub mod measure;
 pub mod mesh;
