--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,8 +17,8 @@
 //! [`baseline`] holds the ordinary policies that lifthollow is compared with.
 
 pub mod baseline;
-pub mod class_floor;
 pub mod claims;
+pub mod class_floor;
 pub mod fleet;
 pub mod inbound;
 pub mod latency;
