--- a/crates/standin/src/backend/ledger.rs
+++ b/crates/standin/src/backend/ledger.rs
@@ -38,6 +38,8 @@
     pub body_digests: Vec<u64>,
     /// Calls that its runs made to other services.
     pub nested_calls: u32,
+    /// Time for which its runs held a slot, in microseconds.
+    pub slot_micros: u64,
     /// When it ran.
     pub times: RunTimes,
 }
@@ -118,12 +120,10 @@
     pub fn ended(&self, name: &CallName, slot_micros: u64, completed: bool) {
         let mut entries = self.lock();
         entries.totals.slot_micros += slot_micros;
-        if !completed {
-            return;
-        }
-        entries.totals.completed += 1;
+        entries.totals.completed += u64::from(completed);
         if let Some(record) = entries.calls.get_mut(name) {
-            record.completed += 1;
+            record.slot_micros += slot_micros;
+            record.completed += u32::from(completed);
         }
     }
 
@@ -186,6 +186,7 @@
             completed: 0,
             body_digests: Vec::new(),
             nested_calls: 0,
+            slot_micros: 0,
             times: RunTimes::default(),
         }
     }
--- a/crates/standin/src/experiment/process.rs
+++ b/crates/standin/src/experiment/process.rs
@@ -1,7 +1,7 @@
 //! Processes that an experiment starts, and stops again whatever happens.
 
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -13,6 +13,8 @@
 
 /// How long a started process may take until it says where it listens.
 pub const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Lines of output kept until they are taken; later ones only go to the log.
+const MAX_KEPT_LINES: usize = 10_000;
 const WAIT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// One process; dropping it kills it.
@@ -23,7 +25,7 @@
 }
 
 impl Process {
-    /// Starts `program`, with its standard error going to the file `log`.
+    /// Starts `program`; its standard output and standard error also go to the file `log`.
     pub fn start(
         name: &str,
         program: &Path,
@@ -31,6 +33,7 @@
         log: &Path,
     ) -> anyhow::Result<Self> {
         let log = File::create(log).with_context(|| format!("cannot write {}", log.display()))?;
+        let log_copy = log.try_clone()?;
         let mut child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
@@ -38,9 +41,9 @@
             .stderr(log)
             .spawn()
             .with_context(|| format!("cannot start {}", program.display()))?;
-        let (sender, lines) = flume::unbounded();
+        let (sender, lines) = flume::bounded(MAX_KEPT_LINES);
         if let Some(output) = child.stdout.take() {
-            std::thread::spawn(move || forward_lines(output, sender));
+            std::thread::spawn(move || forward_lines(output, &sender, log_copy));
         }
         Ok(Process {
             name: name.to_owned(),
@@ -104,11 +107,11 @@
     }
 }
 
-fn forward_lines(output: ChildStdout, sender: flume::Sender<String>) {
+/// Copies every line to the log, and keeps as many as there is room for.
+fn forward_lines(output: ChildStdout, sender: &flume::Sender<String>, mut log: File) {
     for line in BufReader::new(output).lines() {
         let Ok(line) = line else { return };
-        if sender.send(line).is_err() {
-            return;
-        }
+        let _ = writeln!(log, "{line}");
+        let _ = sender.try_send(line);
     }
 }
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -2,5 +2,7 @@
 
 mod backend;
 mod load;
+mod measures;
 mod platform;
+mod promises;
 mod support;
