--- a/crates/protocol/src/control/mod.rs
+++ b/crates/protocol/src/control/mod.rs
@@ -3,7 +3,7 @@
 //! A datagram is the CBOR array `[version, message]`. A node drops datagrams of
 //! another version, so a change of the format needs a new version number.
 
-mod codec;
+pub(crate) mod codec;
 mod fleet;
 mod member;
 mod table;
@@ -13,6 +13,8 @@
 use minicbor::encode::Write;
 use minicbor::{Decode, Decoder, Encode, Encoder};
 
+use crate::claim::ClaimMessage;
+
 pub use fleet::{BucketDigests, FleetBody, FleetHeader, FleetMessage, ProbeSequence};
 pub use member::{MemberRecord, MemberStatus};
 pub use table::{RowKey, TablePage, TableRequest};
@@ -35,6 +37,9 @@
     /// Membership and the table.
     #[n(0)]
     Fleet(#[n(0)] FleetMessage),
+    /// Claims on idempotency keys.
+    #[n(1)]
+    Claim(#[n(0)] ClaimMessage),
 }
 
 impl ControlMessage {
--- a/crates/sim/src/commands/mod.rs
+++ b/crates/sim/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The command line of `lifthollow-sim`.
 
+mod claims_search;
 mod list;
 mod report;
 mod run;
@@ -8,6 +9,7 @@
 use anyhow::Result;
 use argh::FromArgs;
 
+use claims_search::ClaimsSearchCommand;
 use list::ListCommand;
 use report::ReportCommand;
 use run::RunCommand;
@@ -26,6 +28,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    ClaimsSearch(ClaimsSearchCommand),
     List(ListCommand),
     Run(RunCommand),
     Sweep(SweepCommand),
@@ -35,6 +38,7 @@
 /// Carries out the command that the arguments name.
 pub fn execute(arguments: &Arguments) -> Result<()> {
     match &arguments.command {
+        Command::ClaimsSearch(command) => claims_search::execute(command),
         Command::List(command) => list::execute(command),
         Command::Run(command) => run::execute(command),
         Command::Sweep(command) => sweep::execute(command),
