--- a/crates/sim/src/world/calls.rs
+++ b/crates/sim/src/world/calls.rs
@@ -45,6 +45,7 @@
             service: visit.service,
             call,
             attempts: Vec::new(),
+            answered: false,
             open_attempts: 0,
             idle_since: self.now(),
         };
@@ -109,10 +110,13 @@
     }
 
     pub(super) fn call_cancelled(&mut self, call: CallId) {
+        let now = self.now();
         let Some(record) = self.calls.get(&call) else {
             return;
         };
         let machine = record.machine;
+        // Its maker hung up without an answer: what the node waited for counts.
+        self.recorder.refusal_delay(record.idle_for(now));
         let event = OutboundEvent::CallCancelled { call };
         self.feed_node(machine, NodeEvent::Outbound(event));
         self.forget_call(call);
--- a/crates/sim/src/world/outbound_effects.rs
+++ b/crates/sim/src/world/outbound_effects.rs
@@ -96,8 +96,9 @@
         };
         self.attempts.insert(wire, attempt_record);
         self.attempts_by_caller.insert((index, attempt_id), wire);
-        if let Some(delay) = self.network.stream_delay(index, server) {
-            self.schedule(WorldEvent::AttemptArrives { wire }, delay);
+        match self.network.stream_delay(index, server) {
+            Some(delay) => self.schedule(WorldEvent::AttemptArrives { wire }, delay),
+            None => self.close_server(wire),
         }
     }
 
@@ -186,10 +187,10 @@
             attempts: record.attempts.len() as u32,
             told,
         };
-        let refused = told != Told::Complete;
-        if refused && record.open_attempts == 0 {
-            let delay = now.saturating_since(record.idle_since);
-            self.recorder.refusal_delay(delay);
+        let idle = record.idle_for(now);
+        record.answered = true;
+        if told != Told::Complete {
+            self.recorder.refusal_delay(idle);
         }
         self.observe(observation);
         match answer {
--- a/crates/sim/src/world/records.rs
+++ b/crates/sim/src/world/records.rs
@@ -1,5 +1,7 @@
 //! Calls and attempts in progress, as the transport between nodes knows them.
 
+use std::time::Duration;
+
 use lifthollow_coordination::inbound::Attempt;
 use lifthollow_coordination::outbound::{AttemptId, Call, CallId};
 use lifthollow_protocol::AttemptResult;
@@ -53,12 +55,24 @@
     pub call: Call,
     /// Its attempts so far.
     pub attempts: Vec<WireId>,
+    /// Whether its node has answered it.
+    pub answered: bool,
     /// Attempts that its node still waits for.
     pub open_attempts: u32,
     /// When its node last stopped waiting for an attempt.
     pub idle_since: Timestamp,
 }
 
+impl CallRecord {
+    /// How long its node has had nothing to wait for.
+    pub fn idle_for(&self, now: Timestamp) -> Duration {
+        if self.open_attempts > 0 || self.answered {
+            return Duration::ZERO;
+        }
+        now.saturating_since(self.idle_since)
+    }
+}
+
 /// An attempt between two nodes.
 #[derive(Clone, Debug)]
 pub struct AttemptRecord {
--- a/crates/sim/tests/broken/mod.rs
+++ b/crates/sim/tests/broken/mod.rs
@@ -20,6 +20,8 @@
     DeniesRuns,
     /// Gives each of two calls the answer of the other.
     MixesAnswers,
+    /// Never tells callers that a call was given up.
+    ForgetsRefusals,
 }
 
 /// A fixed policy with one defect.
@@ -70,6 +72,13 @@
     }
 }
 
+fn is_not_refusal(effect: &OutboundEffect) -> bool {
+    match effect {
+        OutboundEffect::Answer { answer, .. } => matches!(answer, CallAnswer::Deliver { .. }),
+        _ => true,
+    }
+}
+
 fn deny_run(effect: &mut OutboundEffect) {
     let OutboundEffect::Answer { answer, .. } = effect else {
         return;
@@ -100,6 +109,7 @@
             OutboundDefect::RepeatsEverything => {}
             OutboundDefect::DeniesRuns => effects.iter_mut().for_each(deny_run),
             OutboundDefect::MixesAnswers => self.mix(effects),
+            OutboundDefect::ForgetsRefusals => effects.retain(is_not_refusal),
         }
     }
 
@@ -210,6 +220,11 @@
     with_outbound(settings, OutboundDefect::MixesAnswers)
 }
 
+/// Nodes that never tell callers that a call was given up.
+pub fn forgets_refusals(settings: NodeSettings) -> Node {
+    with_outbound(settings, OutboundDefect::ForgetsRefusals)
+}
+
 /// Nodes that refuse important attempts first.
 pub fn refuses_important(settings: NodeSettings) -> Node {
     with_inbound(settings, InboundDefect::RefusesImportant)
--- a/crates/sim/tests/observers.rs
+++ b/crates/sim/tests/observers.rs
@@ -4,6 +4,7 @@
 mod broken;
 
 use lifthollow_coordination::{Node, PolicyKind};
+use lifthollow_sim::measure::RunResult;
 use lifthollow_sim::mesh::Mesh;
 use lifthollow_sim::observe::{Observation, Observers, Violations};
 use lifthollow_sim::scenario::parse_scenario;
@@ -72,6 +73,10 @@
     node_factory: NodeFactory,
     defect: Option<TransportDefect>,
 ) -> Violations {
+    run(text, node_factory, defect).violations
+}
+
+fn run(text: &str, node_factory: NodeFactory, defect: Option<TransportDefect>) -> RunResult {
     let mesh = Mesh::by_name("midlands").unwrap();
     let scenario = parse_scenario("test.toml", "test", text, &mesh).unwrap();
     let settings = WorldSettings {
@@ -79,7 +84,7 @@
         defect,
         ..WorldSettings::new(PolicyKind::StaticLimits, 1)
     };
-    run_world(mesh, scenario, settings).violations
+    run_world(mesh, scenario, settings)
 }
 
 #[test]
@@ -106,6 +111,14 @@
     assert!(violations(STEADY, Node::new, defect).complete_answer > 0);
 }
 
+#[test]
+fn refusals_that_are_held_back_show_as_refusal_delay() {
+    let held = run(SILENCE, broken::forgets_refusals, None);
+    assert!(held.refusal_delay_seconds_p99 > 0.1);
+    let sound = run(SILENCE, Node::new, None);
+    assert!(sound.refusal_delay_seconds_p99 < 0.001);
+}
+
 #[test]
 fn not_run_truth_trips_on_denied_runs() {
     assert!(violations(SILENCE, broken::denies_runs, None).not_run_truth > 0);
--- a/crates/sim/tests/runs.rs
+++ b/crates/sim/tests/runs.rs
@@ -54,3 +54,27 @@
         assert!(result.retry_amplification > 2.0, "{result:?}");
     }
 }
+
+#[test]
+fn attempts_that_were_lost_on_the_way_do_not_hold_up_a_planned_stop() {
+    let text = r#"
+duration_seconds = 38
+load = 0.05
+
+[[fault]]
+kind = "cut"
+from = { side = "old" }
+to = { side = "new" }
+at = 2
+for = 3
+
+[[fault]]
+kind = "rolling-stop"
+target = { service = "catalogue", side = "new" }
+interval_seconds = 10
+down_seconds = 4
+at = 6
+"#;
+    let result = run("sofia", text, PolicyKind::StaticLimits, 1);
+    assert_eq!(result.violations.planned_stop, 0);
+}
