--- a/crates/transport/src/mux/client.rs
+++ b/crates/transport/src/mux/client.rs
@@ -160,13 +160,15 @@
         let _ = write_frames(frames, write_half).await;
         writer_streams.close();
     });
+    // Dropped, and thereby closed, if the greeting fails.
+    let connection = ClientConnection {
+        streams: streams.clone(),
+        next_stream: AtomicU32::new(1),
+    };
     let mut reader = FrameReader::new(read_half);
     reader.hello().await?;
-    tokio::spawn(run_reader(reader, streams.clone()));
-    Ok(ClientConnection {
-        streams,
-        next_stream: AtomicU32::new(1),
-    })
+    tokio::spawn(run_reader(reader, streams));
+    Ok(connection)
 }
 
 async fn run_reader(mut reader: FrameReader, streams: Arc<Streams>) {
