--- /dev/null
+++ b/crates/sim/src/commands/mod.rs
@@ -0,0 +1,43 @@
+//! The command line of `lifthollow-sim`.
+
+mod list;
+mod report;
+mod run;
+mod sweep;
+
+use anyhow::Result;
+use argh::FromArgs;
+
+use list::ListCommand;
+use report::ReportCommand;
+use run::RunCommand;
+use sweep::SweepCommand;
+
+/// Simulate a mesh of lifthollow nodes on a virtual clock.
+///
+/// Every run is deterministic: the same arguments give the same result and the
+/// same `trace_hash`.
+#[derive(FromArgs)]
+pub struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    List(ListCommand),
+    Run(RunCommand),
+    Sweep(SweepCommand),
+    Report(ReportCommand),
+}
+
+/// Carries out the command that the arguments name.
+pub fn execute(arguments: &Arguments) -> Result<()> {
+    match &arguments.command {
+        Command::List(command) => list::execute(command),
+        Command::Run(command) => run::execute(command),
+        Command::Sweep(command) => sweep::execute(command),
+        Command::Report(command) => report::execute(command),
+    }
+}
--- a/crates/state/src/table/mod.rs
+++ b/crates/state/src/table/mod.rs
@@ -9,6 +9,8 @@
 mod difference;
 mod document;
 mod edit;
+mod header;
+mod row;
 mod write;
 
 use std::collections::BTreeMap;
@@ -16,6 +18,8 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use document::Document;
+
 use crate::finding::Findings;
 use crate::{PriorityClass, ServiceName, Side};
 
@@ -36,14 +40,19 @@
 /// Reads and checks a table's file in full. `file_name` is used in the places
 /// of findings only.
 pub fn parse(file_name: &str, bytes: &[u8]) -> Result<Table, Findings> {
+    read_checked(file_name, bytes).map(|(_, table)| table)
+}
+
+/// A valid file as records and as a table.
+fn read_checked(file_name: &str, bytes: &[u8]) -> Result<(Document, Table), Findings> {
     let mut findings = Findings::default();
-    let document = document::Document::read(file_name, bytes, &mut findings);
+    let document = Document::read(file_name, bytes, &mut findings);
     if document.records.is_empty() && !findings.is_empty() {
         return Err(findings);
     }
     let table = check::check(&document, &mut findings);
     if findings.is_empty() {
-        return Ok(table);
+        return Ok((document, table));
     }
     findings.sort();
     Err(findings)
@@ -114,6 +123,31 @@
         }
     }
 
+    /// This table with some rows added or replaced and others removed, under
+    /// the number `number`. The cost of the digest grows with the changes only.
+    pub fn with_changes(
+        &self,
+        number: u64,
+        changed: impl IntoIterator<Item = TableRow>,
+        removed: impl IntoIterator<Item = (ServiceName, Side)>,
+    ) -> Self {
+        let mut rows = self.rows.clone();
+        let mut digest = self.version.digest;
+        for row in changed {
+            digest = digest.wrapping_add(row_digest(&row));
+            let replaced = rows.insert((row.service.clone(), row.side), row);
+            digest = digest.wrapping_sub(replaced.as_ref().map_or(0, row_digest));
+        }
+        for key in removed {
+            let removed = rows.remove(&key);
+            digest = digest.wrapping_sub(removed.as_ref().map_or(0, row_digest));
+        }
+        Table {
+            version: TableVersion { number, digest },
+            rows,
+        }
+    }
+
     /// The table's version.
     pub fn version(&self) -> TableVersion {
         self.version
@@ -137,10 +171,12 @@
     }
 }
 
+/// The sum of the rows' digests, so that it can be kept up to date row by row.
 fn digest_of(rows: &BTreeMap<(ServiceName, Side), TableRow>) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for row in rows.values() {
-        hasher.update(row.to_csv_line().as_bytes());
-    }
-    hasher.digest()
+    rows.values()
+        .fold(0, |digest, row| digest.wrapping_add(row_digest(row)))
+}
+
+fn row_digest(row: &TableRow) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(row.to_csv_line().as_bytes())
 }
