--- a/crates/daemon/src/traffic/call.rs
+++ b/crates/daemon/src/traffic/call.rs
@@ -15,6 +15,7 @@
     AttemptId, Call, CallAnswer, CallId, OutboundEffect, OutboundEvent,
 };
 use lifthollow_protocol::RefusalReason;
+use lifthollow_state::TableVersion;
 use lifthollow_transport::http::AnyBody;
 use lifthollow_transport::http::server::CallHandler;
 
@@ -30,9 +31,9 @@
 use crate::traffic::request_body::{self, ReadError, RequestBody};
 use crate::traffic::{Traffic, answer};
 
-/// When a caller may come back to a node that is leaving: long enough for the
-/// client's list of nodes to change.
-const RETRY_AFTER_LEAVING: Duration = Duration::from_secs(1);
+/// When a caller may come back to a node that is leaving or has just started:
+/// long enough for its list of nodes to change, or for the node to have a table.
+const RETRY_AFTER_REFUSAL: Duration = Duration::from_secs(1);
 
 impl CallHandler for Traffic {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnyBody> {
@@ -51,31 +52,49 @@
     in_progress: InProgressGuard,
 ) -> Response<AnyBody> {
     let arrived = traffic.clock.now();
+    let service = headers.service.clone();
+    let response = match refusal_at_the_door(&traffic, &headers) {
+        Some(reason) => answer::refused(Outcome::NotRun, reason, RETRY_AFTER_REFUSAL),
+        None => run(traffic.clone(), headers, request, in_progress).await,
+    };
+    let outcome = response.headers().get(answer::OUTCOME);
+    let outcome = outcome.and_then(|value| value.to_str().ok());
+    let duration = traffic.clock.now() - arrived;
+    traffic
+        .metrics
+        .answered(&service, outcome.unwrap_or_default(), duration);
+    response
+}
+
+/// Why a call is refused before anything is decided about it: the node is
+/// leaving, or has no table yet.
+fn refusal_at_the_door(traffic: &Traffic, headers: &CallerHeaders) -> Option<RefusalReason> {
     let parent = headers
         .context
         .and_then(|token| traffic.parents.find(token));
     if traffic.is_leaving() && parent.is_none() {
-        let reason = RefusalReason::Leaving;
-        return answer::refused(Outcome::NotRun, reason, RETRY_AFTER_LEAVING);
+        return Some(RefusalReason::Leaving);
     }
+    let version = traffic.shared.view().table.version();
+    (version == TableVersion::default()).then_some(RefusalReason::NoServer)
+}
+
+async fn run(
+    traffic: Arc<Traffic>,
+    headers: CallerHeaders,
+    request: Request<Incoming>,
+    in_progress: InProgressGuard,
+) -> Response<AnyBody> {
     let (parts, incoming) = request.into_parts();
     let body = match read_body(&traffic, &headers, incoming).await {
         Ok(body) => body,
         Err(error) => return answer::body_not_taken(&error),
     };
     let id = traffic.next_call();
-    let description = describe(&traffic, id, &headers, parent, &body);
+    let description = describe(&traffic, id, &headers, &body);
     let head = request_head(&parts, &headers, &body);
-    let service = headers.service;
-    let driver = CallDriver::start(traffic.clone(), id, description, head, body, in_progress);
-    let response = driver.run().await;
-    let outcome = response.headers().get(answer::OUTCOME);
-    let outcome = outcome.and_then(|value| value.to_str().ok());
-    let duration = traffic.clock.now() - arrived;
-    traffic
-        .metrics
-        .answered(&service, outcome.unwrap_or_default(), duration);
-    response
+    let driver = CallDriver::start(traffic, id, description, head, body, in_progress);
+    driver.run().await
 }
 
 async fn read_body(
@@ -251,6 +270,6 @@
 
     fn lost(&self) -> Response<AnyBody> {
         let reason = RefusalReason::AnswerLost;
-        answer::refused(Outcome::Unknown, reason, RETRY_AFTER_LEAVING)
+        answer::refused(Outcome::Unknown, reason, RETRY_AFTER_REFUSAL)
     }
 }
--- a/crates/daemon/src/traffic/describe.rs
+++ b/crates/daemon/src/traffic/describe.rs
@@ -6,8 +6,8 @@
 use hyper::http::request::Parts;
 use xxhash_rust::xxh3::Xxh3;
 
-use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::outbound::{Call, CallId};
+use lifthollow_coordination::retry::{AttemptNumber, entry_allowance};
 use lifthollow_state::{
     IdempotencyKey, Priority, PriorityClass, RequestContext, RequestId, RetryAllowance, TableRow,
     Timestamp,
@@ -21,8 +21,6 @@
 
 /// Deadline of a call of a service that the table does not know.
 const FALLBACK_DEADLINE: Duration = Duration::from_secs(1);
-/// Retries granted to a whole request at its entry.
-const ENTRY_ALLOWANCE: RetryAllowance = RetryAllowance(3);
 
 /// The call for the policy. A call that names a parent which is no longer in
 /// progress here belongs to no request known, and is granted no retries.
@@ -30,9 +28,11 @@
     traffic: &Traffic,
     id: CallId,
     headers: &CallerHeaders,
-    parent: Option<(InboundId, RequestContext)>,
     body: &RequestBody,
 ) -> Call {
+    let parent = headers
+        .context
+        .and_then(|token| traffic.parents.find(token));
     let view = traffic.shared.view();
     let row = view.table.any_row(&headers.service);
     let now = traffic.clock.now();
@@ -75,17 +75,16 @@
             user: request.user_priority(),
         },
         idempotency_key: None,
-        allowance: entry_allowance(headers),
+        allowance: granted_allowance(headers),
     }
 }
 
-fn entry_allowance(headers: &CallerHeaders) -> RetryAllowance {
-    let is_first = headers.attempt == 1 && headers.context.is_none();
-    if is_first {
-        ENTRY_ALLOWANCE
-    } else {
-        RetryAllowance(0)
+/// The retries that a whole request starts with.
+fn granted_allowance(headers: &CallerHeaders) -> RetryAllowance {
+    if headers.context.is_some() {
+        return RetryAllowance(0);
     }
+    entry_allowance(AttemptNumber(headers.attempt))
 }
 
 /// A nested call is never more important than its parent and never outlives it.
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -135,7 +135,7 @@
         platform_table: Some(platform.address),
         platform_machines: Some(platform.address),
         seed_nodes: Vec::new(),
-        policy: PolicyKind::StaticLimits,
+        policy: PolicyKind::Lifthollow,
         log_level: slog::Level::Info,
         random_seed: Some(1),
         call_threads: 2,
--- a/crates/transport/tests/streams.rs
+++ b/crates/transport/tests/streams.rs
@@ -73,10 +73,7 @@
     let OpenedAttempt { body, mut answer } = connection.open(open("/", false)).unwrap();
     let upload = tokio::spawn(send(body.unwrap(), LARGE_BODY_BYTES));
     let attempt = server.next().await;
-    let download = tokio::spawn(send(
-        attempt.answer.send_head(complete()),
-        LARGE_BODY_BYTES,
-    ));
+    let download = tokio::spawn(send(attempt.answer.send_head(complete()), LARGE_BODY_BYTES));
     let received = tokio::spawn(count(attempt.body));
     answer.head().await.unwrap();
     // The answer ends the stream, so the upload is awaited first.
@@ -96,19 +93,13 @@
     let (connection, buffered) = server.connect().await;
     let mut slow = connection.open(open("/slow", true)).unwrap().answer;
     let attempt = server.next().await;
-    let slow_sender = tokio::spawn(send(
-        attempt.answer.send_head(complete()),
-        LARGE_BODY_BYTES,
-    ));
+    let slow_sender = tokio::spawn(send(attempt.answer.send_head(complete()), LARGE_BODY_BYTES));
     slow.head().await.unwrap();
     eventually(|| buffered.now() == STREAM_WINDOW_BYTES).await;
 
     let mut fast = connection.open(open("/fast", true)).unwrap().answer;
     let attempt = server.next().await;
-    let fast_sender = tokio::spawn(send(
-        attempt.answer.send_head(complete()),
-        LARGE_BODY_BYTES,
-    ));
+    let fast_sender = tokio::spawn(send(attempt.answer.send_head(complete()), LARGE_BODY_BYTES));
     fast.head().await.unwrap();
     assert_eq!(count(fast.into_body()).await, LARGE_BODY_BYTES);
     fast_sender.await.unwrap();
