--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -220,7 +220,9 @@
         message: ControlMessage,
         outbox: &mut Outbox,
     ) {
-        let ControlMessage::Fleet(FleetMessage { header, body }) = message;
+        let ControlMessage::Fleet(FleetMessage { header, body }) = message else {
+            return;
+        };
         if from == self.node {
             return;
         }
--- a/crates/protocol/src/control/codec.rs
+++ b/crates/protocol/src/control/codec.rs
@@ -32,7 +32,11 @@
 
 use std::time::Duration;
 
-use lifthollow_state::{Incarnation, NodeId, PriorityClass, ServiceName, Side, TableVersion, Zone};
+use minicbor::bytes::ByteArray;
+
+use lifthollow_state::{
+    IdempotencyKey, Incarnation, NodeId, PriorityClass, ServiceName, Side, TableVersion, Zone,
+};
 
 /// Longest name of a service that is taken from the network.
 const MAX_SERVICE_NAME_BYTES: usize = 128;
@@ -96,3 +100,10 @@
     |duration| duration.as_millis() as u64,
     |milliseconds| Some(Duration::from_millis(milliseconds))
 );
+wire_form!(
+    idempotency_key,
+    IdempotencyKey,
+    ByteArray<16>,
+    |key| key.0.to_be_bytes().into(),
+    |bytes| Some(IdempotencyKey(u128::from_be_bytes(bytes.into())))
+);
