Say how many refusals are on record and from which class on calls are admitted

Cause: `explain` counted refusals without saying over what time, and showed the admission level as one number (351). Change: a first line with the count and the time that the record covers; the level is shown as class and user priority (critical/95).

--- a/crates/ctl/src/node/show.rs
+++ b/crates/ctl/src/node/show.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use lifthollow_protocol::RefusalReason;
 use lifthollow_protocol::operators::{
     Explanation, KnownMember, LeavingStatus, Members, NodeStatus, Refusal, RefusalState,
     ServiceLoad,
 };
+use lifthollow_protocol::{AdmissionLevel, RefusalReason};
 
 use super::advice::advice;
 use super::member;
@@ -52,14 +52,14 @@
 }
 
 fn services(services: &[ServiceLoad]) -> String {
-    let mut columns = Columns::new(&["service", "in flight", "limit", "queued", "admitted from"]);
+    let mut columns = Columns::new(&["service", "in flight", "limit", "queued", "admits from"]);
     for load in services {
         columns.add(vec![
             load.service.clone(),
             load.in_flight.to_string(),
             load.limit.to_string(),
             load.queued.to_string(),
-            load.admission_level.to_string(),
+            AdmissionLevel(load.admission_level).to_string(),
         ]);
     }
     columns.render()
@@ -142,12 +142,22 @@
                 the back end each record their own"
             .to_owned();
     }
-    let mut lines = reasons(&explanation.refusals);
+    let mut lines = vec![period(&explanation.refusals)];
+    lines.extend(reasons(&explanation.refusals));
     lines.push(String::new());
     lines.push(refusals(&explanation.refusals));
     lines.join("\n")
 }
 
+/// How many refusals the node still has, and over what time.
+fn period(refusals: &[Refusal]) -> String {
+    let newest = refusals.first().map_or(0.0, |refusal| refusal.at_seconds);
+    let oldest = refusals.last().map_or(0.0, |refusal| refusal.at_seconds);
+    let count = refusals.len();
+    let noun = if count == 1 { "refusal" } else { "refusals" };
+    format!("{count} {noun} on record, from {oldest:.1} s to {newest:.1} s after the node's start")
+}
+
 fn reasons(refusals: &[Refusal]) -> Vec<String> {
     let mut counts: BTreeMap<(&str, RefusalReason), usize> = BTreeMap::new();
     for refusal in refusals {
@@ -210,7 +220,8 @@
             admission_level,
             leaving,
         } => format!(
-            "{in_flight} of {limit} in flight, {queued} queued, admitted from {admission_level}{}",
+            "{in_flight} of {limit} in flight, {queued} queued, admits from {}{}",
+            AdmissionLevel(*admission_level),
             if *leaving { ", leaving" } else { "" }
         ),
     }
--- a/crates/daemon/tests/operators_client.rs
+++ b/crates/daemon/tests/operators_client.rs
@@ -122,8 +122,9 @@
     let answer = call(pair.callers(), request).await;
     assert_eq!(answer.status, StatusCode::NOT_FOUND);
     let text = ctl("explain", &pair.entry, &["--request", "till-7/1"]).await;
+    assert!(text.starts_with("1 refusal on record"), "{text}");
     assert!(
-        text.starts_with("tariffs: 1 x unknown_service. The table in force"),
+        text.contains("\ntariffs: 1 x unknown_service. The table in force"),
         "{text}"
     );
     assert!(text.contains("not-run"), "{text}");
--- a/crates/protocol/src/load.rs
+++ b/crates/protocol/src/load.rs
@@ -1,5 +1,7 @@
 //! What a server reports about its own load with every answer.
 
+use std::fmt;
+
 use minicbor::{Decode, Encode};
 
 use lifthollow_state::{Priority, PriorityClass};
@@ -32,6 +34,22 @@
     }
 }
 
+/// `everything`, or the lowest class that is admitted and the lowest user
+/// priority inside it, such as `critical/95`.
+impl fmt::Display for AdmissionLevel {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if *self == AdmissionLevel::OPEN {
+            return formatter.write_str("everything");
+        }
+        let class = match self.0 / USER_LEVELS {
+            0 => PriorityClass::Sheddable,
+            1 => PriorityClass::Normal,
+            _ => PriorityClass::Critical,
+        };
+        write!(formatter, "{class}/{}", self.0 % USER_LEVELS)
+    }
+}
+
 /// Load of one service on one server, as its own node sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct LoadReport {
