Split the check of settings into rules and values; run the page's example

Change: readers in `value`, numbers with bounds and default as constants. No change of what is accepted. The settings page's example and its list of keys are checked by a test.

--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,6 +1,7 @@
 //! The full check of the settings: texts to values.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::ops::RangeInclusive;
 use std::str::FromStr;
@@ -8,10 +9,14 @@
 use std::time::Duration;
 
 use lifthollow_coordination::policy::PolicyKind;
-use lifthollow_state::finding::{Place, bounded_number, unknown};
-use lifthollow_state::{Findings, ServiceName, Side, Zone};
+use lifthollow_state::Findings;
+use lifthollow_state::finding::{Place, bounded_number};
 
 use super::raw::{RawBackend, RawSettings, RawValue};
+use super::value::{
+    log_level, node_address, own_address, policy, random_seed, remote_address, remote_node_address,
+    service, side, zone,
+};
 use super::{
     BUFFERED_BODY_BYTES_BOUNDS, Backend, CALL_THREADS_BOUNDS, DEFAULT_BUFFERED_BODY_BYTES,
     DEFAULT_CALL_THREADS, DEFAULT_LOG_LEVEL, DEFAULT_MAX_HEADER_BYTES,
@@ -19,8 +24,33 @@
     Settings,
 };
 
-const ANY_ZONE: RangeInclusive<u16> = 0..=u16::MAX;
-const ANY_SEED: RangeInclusive<u64> = 0..=u64::MAX;
+/// A setting that is a number with a default.
+struct NumberSetting<T> {
+    key: Key,
+    bounds: RangeInclusive<T>,
+    default: T,
+}
+
+const CALL_THREADS: NumberSetting<usize> = NumberSetting {
+    key: Key::CallThreads,
+    bounds: CALL_THREADS_BOUNDS,
+    default: DEFAULT_CALL_THREADS,
+};
+const MAX_HEADER_BYTES: NumberSetting<usize> = NumberSetting {
+    key: Key::MaxHeaderBytes,
+    bounds: MAX_HEADER_BYTES_BOUNDS,
+    default: DEFAULT_MAX_HEADER_BYTES,
+};
+const BUFFERED_BODY_BYTES: NumberSetting<usize> = NumberSetting {
+    key: Key::BufferedBodyBytes,
+    bounds: BUFFERED_BODY_BYTES_BOUNDS,
+    default: DEFAULT_BUFFERED_BODY_BYTES,
+};
+const STOP_TIMEOUT_SECONDS: NumberSetting<u64> = NumberSetting {
+    key: Key::StopTimeoutSeconds,
+    bounds: STOP_TIMEOUT_SECONDS_BOUNDS,
+    default: DEFAULT_STOP_TIMEOUT_SECONDS,
+};
 
 /// Checks all settings. Every fault is added to `findings`; the result is only
 /// to be used if there is none.
@@ -36,43 +66,7 @@
     };
     checker.own_addresses();
     checker.has_source();
-    let node = checker.required(Key::Node, node_address);
-    let callers = checker.required(Key::Callers, own_address);
-    let operators = checker.required(Key::Operators, own_address);
-    let side = checker.required(Key::Side, side);
-    let zone = checker.required(Key::Zone, zone);
-    Some(Settings {
-        backends: checker.backends(),
-        platform_table: checker.optional(Key::PlatformTable, remote_address),
-        platform_machines: checker.optional(Key::PlatformMachines, remote_address),
-        seed_nodes: checker.seed_nodes(),
-        policy: checker
-            .optional(Key::Policy, policy)
-            .unwrap_or(PolicyKind::Lifthollow),
-        log_level: checker
-            .optional(Key::LogLevel, log_level)
-            .unwrap_or(DEFAULT_LOG_LEVEL),
-        random_seed: checker.number(Key::RandomSeed, &ANY_SEED),
-        call_threads: checker
-            .number(Key::CallThreads, &CALL_THREADS_BOUNDS)
-            .unwrap_or(DEFAULT_CALL_THREADS),
-        max_header_bytes: checker
-            .number(Key::MaxHeaderBytes, &MAX_HEADER_BYTES_BOUNDS)
-            .unwrap_or(DEFAULT_MAX_HEADER_BYTES),
-        buffered_body_bytes: checker
-            .number(Key::BufferedBodyBytes, &BUFFERED_BODY_BYTES_BOUNDS)
-            .unwrap_or(DEFAULT_BUFFERED_BODY_BYTES),
-        stop_timeout: Duration::from_secs(
-            checker
-                .number(Key::StopTimeoutSeconds, &STOP_TIMEOUT_SECONDS_BOUNDS)
-                .unwrap_or(DEFAULT_STOP_TIMEOUT_SECONDS),
-        ),
-        node: node?,
-        callers: callers?,
-        operators: operators?,
-        side: side?,
-        zone: zone?,
-    })
+    checker.settings()
 }
 
 struct Checker<'a> {
@@ -82,6 +76,36 @@
 }
 
 impl Checker<'_> {
+    fn settings(&mut self) -> Option<Settings> {
+        let node = self.required(Key::Node, node_address);
+        let callers = self.required(Key::Callers, own_address);
+        let operators = self.required(Key::Operators, own_address);
+        let side = self.required(Key::Side, side);
+        let zone = self.required(Key::Zone, zone);
+        Some(Settings {
+            backends: self.backends(),
+            platform_table: self.optional(Key::PlatformTable, remote_address),
+            platform_machines: self.optional(Key::PlatformMachines, remote_address),
+            seed_nodes: self.seed_nodes(),
+            policy: self
+                .optional(Key::Policy, policy)
+                .unwrap_or(PolicyKind::Lifthollow),
+            log_level: self
+                .optional(Key::LogLevel, log_level)
+                .unwrap_or(DEFAULT_LOG_LEVEL),
+            random_seed: self.optional(Key::RandomSeed, random_seed),
+            call_threads: self.number(&CALL_THREADS),
+            max_header_bytes: self.number(&MAX_HEADER_BYTES),
+            buffered_body_bytes: self.number(&BUFFERED_BODY_BYTES),
+            stop_timeout: Duration::from_secs(self.number(&STOP_TIMEOUT_SECONDS)),
+            node: node?,
+            callers: callers?,
+            operators: operators?,
+            side: side?,
+            zone: zone?,
+        })
+    }
+
     /// Reads one text; a fault is reported at its place.
     fn read<T>(
         &mut self,
@@ -104,12 +128,17 @@
         self.read(key.as_str(), &value, read)
     }
 
-    fn number<T>(&mut self, key: Key, bounds: &RangeInclusive<T>) -> Option<T>
+    /// A number inside its bounds, or its default.
+    fn number<T>(&mut self, setting: &NumberSetting<T>) -> T
     where
-        T: FromStr + PartialOrd + std::fmt::Display,
+        T: FromStr + PartialOrd + Display + Copy,
     {
-        let value = self.raw.values.get(&key).cloned()?;
-        self.read(key.as_str(), &value, |text| bounded_number(text, bounds))
+        let Some(value) = self.raw.values.get(&setting.key).cloned() else {
+            return setting.default;
+        };
+        let read = |text: &str| bounded_number(text, &setting.bounds);
+        self.read(setting.key.as_str(), &value, read)
+            .unwrap_or(setting.default)
     }
 
     fn required<T>(&mut self, key: Key, read: fn(&str) -> Result<T, String>) -> Option<T> {
@@ -205,58 +234,3 @@
         })
     }
 }
-
-fn service(text: &str) -> Result<ServiceName, String> {
-    ServiceName::from_str(text).map_err(|fault| unknown(text, fault))
-}
-
-fn side(text: &str) -> Result<Side, String> {
-    Side::from_str(text).map_err(|fault| unknown(text, fault))
-}
-
-fn zone(text: &str) -> Result<Zone, String> {
-    bounded_number(text, &ANY_ZONE).map(Zone)
-}
-
-fn policy(text: &str) -> Result<PolicyKind, String> {
-    PolicyKind::from_str(text).map_err(|fault| unknown(text, fault))
-}
-
-fn log_level(text: &str) -> Result<slog::Level, String> {
-    slog::Level::from_str(text).map_err(|()| {
-        unknown(
-            text,
-            "a log level is `critical`, `error`, `warning`, `info` or `debug`",
-        )
-    })
-}
-
-fn own_address(text: &str) -> Result<SocketAddr, String> {
-    SocketAddr::from_str(text).map_err(|_| unknown(text, "an address is IP:PORT"))
-}
-
-fn remote_address(text: &str) -> Result<SocketAddr, String> {
-    let address = own_address(text)?;
-    if address.port() == 0 || address.ip().is_unspecified() {
-        return Err(unknown(text, "it names no one place to connect to"));
-    }
-    Ok(address)
-}
-
-/// The node's address is its name for other nodes, so it must be one IP.
-fn node_address(text: &str) -> Result<SocketAddrV4, String> {
-    let address =
-        SocketAddrV4::from_str(text).map_err(|_| unknown(text, "a node's address is IPv4:PORT"))?;
-    if address.ip().is_unspecified() {
-        return Err(unknown(text, "other nodes need one IP to connect to"));
-    }
-    Ok(address)
-}
-
-fn remote_node_address(text: &str) -> Result<SocketAddrV4, String> {
-    let address = node_address(text)?;
-    if address.port() == 0 {
-        return Err(unknown(text, "it names no port to connect to"));
-    }
-    Ok(address)
-}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,13 +1,14 @@
 //! Settings of `lifthollowd`: a TOML file, overridden by flags, checked in full.
 //!
-//! [`file`] and [`flags`] collect texts with their places, [`check`] makes
-//! values of them; every fault of both is reported together.
+//! [`file`] and [`flags`] collect texts with their places, [`check`] makes values
+//! of them; every fault of both is reported together.
 
 mod check;
 mod file;
 mod flags;
 mod key;
 mod raw;
+mod value;
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::ops::RangeInclusive;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -162,6 +162,19 @@
     );
 }
 
+#[test]
+fn the_page_of_settings_has_a_valid_example_and_every_key() {
+    const PAGE: &str = include_str!("../../../docs/operators/settings.md");
+    let (_, rest) = PAGE.split_once("```toml").unwrap();
+    let (example, _) = rest.split_once("```").unwrap();
+    let settings = settings::parse(Some(("n.toml", example)), &flags(&[]));
+    assert!(settings.is_ok(), "{settings:?}");
+    for key in Key::ALL {
+        let row = format!("| `{key}` | `{}", key.flag());
+        assert!(PAGE.contains(&row), "{key}");
+    }
+}
+
 #[test]
 fn help_names_the_flag_of_every_setting() {
     let help = Flags::from_args(&["lifthollowd"], &["--help"]).unwrap_err();
