Show in status why the platform's last table was not taken

Cause: a published table that a node refuses showed only in that node's log. Change: the reader of the platform's service posts its last fault; `/status` carries it as `table_fault` and `lifthollowctl status` prints it, findings included, until a table is taken again.

--- a/crates/ctl/src/node/show.rs
+++ b/crates/ctl/src/node/show.rs
@@ -37,6 +37,10 @@
         ),
         format!("servers known: {}", status.members_known),
     ];
+    if let Some(fault) = &status.table_fault {
+        lines.push(String::new());
+        lines.push(format!("the platform's last table was not taken: {fault}"));
+    }
     if !status.services.is_empty() {
         lines.push(String::new());
         lines.push(services(&status.services));
--- a/crates/daemon/src/control/snapshot.rs
+++ b/crates/daemon/src/control/snapshot.rs
@@ -8,11 +8,13 @@
 use lifthollow_protocol::operators::{KnownMember, NodeStatus, ServiceLoad};
 use lifthollow_state::{ServerState, ServiceName, TableVersion, Timestamp};
 
-/// State posted by the control thread. Readers never make it wait.
+/// State posted by the control thread and by the reader of the platform's
+/// service. Readers never make them wait.
 #[derive(Debug, Default)]
 pub struct SharedState {
     view: RwLock<View>,
     status: RwLock<Arc<NodeStatus>>,
+    table_fault: RwLock<Option<String>>,
 }
 
 impl SharedState {
@@ -22,10 +24,26 @@
         view.clone()
     }
 
-    /// The last posted status.
-    pub fn status(&self) -> Arc<NodeStatus> {
+    /// The last posted status, with the last fault of the table.
+    pub fn status(&self) -> NodeStatus {
         let status = self.status.read();
-        status.unwrap_or_else(PoisonError::into_inner).clone()
+        let status = status.unwrap_or_else(PoisonError::into_inner).clone();
+        NodeStatus {
+            table_fault: self.table_fault(),
+            ..status.as_ref().clone()
+        }
+    }
+
+    /// Why the platform's last answer for the table was not taken, if it was not.
+    pub fn table_fault(&self) -> Option<String> {
+        let fault = self.table_fault.read();
+        fault.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The platform's service was read; `fault` says why its table was not taken.
+    pub fn post_table_fault(&self, fault: Option<String>) {
+        let posted = self.table_fault.write();
+        *posted.unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
     pub(super) fn post_view(&self, view: View) {
@@ -52,6 +70,7 @@
         leaving,
         table_number: version.number,
         table_digest: digest(version),
+        table_fault: None,
         calls_in_progress: calls,
         attempts_in_progress: node.in_progress(),
         services: local_services(node, now),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -257,6 +257,7 @@
         let reader = PlatformReader {
             table: self.settings.platform_table,
             machines: self.settings.platform_machines,
+            shared: self.shared.clone(),
             control: self.control.clone(),
             metrics: self.metrics.clone(),
             log: self.log.clone(),
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -85,7 +85,7 @@
 fn answer(request: &Request, state: &OperatorsState) -> Response {
     router!(request,
         (GET) (/metrics) => { metrics(state) },
-        (GET) (/status) => { Response::json(state.shared.status().as_ref()) },
+        (GET) (/status) => { Response::json(&state.shared.status()) },
         (GET) (/members) => { members(state) },
         (GET) (/leaving) => { Response::json(&leaving(&state.shared.status())) },
         (GET) (/snapshot) => { snapshot(state) },
@@ -113,7 +113,7 @@
 fn snapshot(state: &OperatorsState) -> Response {
     match state.control.members(MEMBERS_TIMEOUT) {
         Some(members) => Response::json(&NodeSnapshot {
-            status: state.shared.status().as_ref().clone(),
+            status: state.shared.status(),
             members,
             refusals: state.refusals.find(None, None),
         }),
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -12,7 +12,7 @@
 use lifthollow_coordination::fleet::{FetchFailed, FleetEvent, Machine};
 use lifthollow_state::{Findings, Table, table};
 
-use crate::control::ControlHandle;
+use crate::control::{ControlHandle, SharedState};
 use crate::machines;
 use crate::operators::Metrics;
 
@@ -47,6 +47,8 @@
     pub table: Option<SocketAddr>,
     /// Where the list of machines is.
     pub machines: Option<SocketAddr>,
+    /// Where the last fault is posted.
+    pub shared: Arc<SharedState>,
     /// Where results go.
     pub control: ControlHandle,
     /// Counters.
@@ -59,29 +61,25 @@
     /// Serves requests until the channel is closed.
     pub fn run(self, requests: flume::Receiver<PlatformRequest>) {
         let agent = agent();
-        let mut last_fault = None;
         while let Ok(request) = requests.recv() {
             match request {
-                PlatformRequest::Table => self.table(&agent, &mut last_fault),
+                PlatformRequest::Table => self.table(&agent),
                 PlatformRequest::Machines => self.machines(&agent),
             }
         }
     }
 
     /// A bad table is refused whole; its findings are logged once.
-    fn table(&self, agent: &Agent, last_fault: &mut Option<String>) {
+    fn table(&self, agent: &Agent) {
         let fetched = self.fetch_table(agent);
         self.metrics.fetched("table", fetched.is_ok());
-        match &fetched {
-            Ok(_) => *last_fault = None,
-            Err(error) => {
-                let fault = error.to_string();
-                if last_fault.as_ref() != Some(&fault) {
-                    self.log_table_fault(error);
-                    *last_fault = Some(fault);
-                }
-            }
+        let fault = fetched.as_ref().err().map(FetchError::to_string);
+        if let Err(error) = &fetched
+            && fault != self.shared.table_fault()
+        {
+            self.log_table_fault(error);
         }
+        self.shared.post_table_fault(fault);
         let result = fetched.map(Arc::new).map_err(|_| FetchFailed);
         self.control.fleet(FleetEvent::TableFetched(result));
     }
--- a/crates/daemon/tests/operators_client.rs
+++ b/crates/daemon/tests/operators_client.rs
@@ -8,7 +8,7 @@
 use lifthollow_daemon::daemon::Daemon;
 use lifthollow_protocol::RefusalReason;
 use lifthollow_protocol::operators::NodeSnapshot;
-use support::{Pair, backend, call, eventually, full, to_service};
+use support::{Pair, backend, call, eventually, full, table, to_service};
 
 const ROW: &str = "100,10,10,10,normal,yes,2000";
 
@@ -78,6 +78,30 @@
     pair.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_why_a_published_table_is_not_taken() {
+    let pair = pair().await;
+    let bad = table(2, "feeds,100,0,10,10,normal,yes,2000");
+    *pair.platform.table.lock().unwrap() = bad;
+    eventually(async || {
+        let text = ctl("status", &pair.entry, &[]).await;
+        text.contains("last table was not taken: refused: table:3:4: `max_in_flight`")
+    })
+    .await;
+    let text = ctl("status", &pair.entry, &[]).await;
+    assert!(text.contains("\ntable 1 ("), "{text}");
+    assert!(text.contains("\ntable:4:4: `max_in_flight`"), "{text}");
+    *pair.platform.table.lock().unwrap() = table(3, &format!("feeds,{ROW}"));
+    pair.wait_for_table(3).await;
+    // The new table may come from the other node before the platform is read again.
+    eventually(async || {
+        let text = ctl("status", &pair.entry, &[]).await;
+        !text.contains("not taken")
+    })
+    .await;
+    pair.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_and_members_show_a_node_that_the_list_says_leaves() {
     let pair = pair().await;
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -28,6 +28,8 @@
     pub table_number: u64,
     /// Digest of the table in force, in hexadecimal.
     pub table_digest: String,
+    /// Why the platform's last answer for the table was not taken, if it was not.
+    pub table_fault: Option<String>,
     /// Calls of local callers that are not answered yet.
     pub calls_in_progress: usize,
     /// Attempts of other nodes that are queued or running.
