Run calls with an idempotency key only under a claim

Cause: the claims stood beside the nodes unused. In the simulation at_most_once was violated by repeats after pauses, cuts and lost servers. Change: Node claims a key between admission and run (claims::gate); claim messages travel as control datagrams; answers of up to 1,000 bytes are recorded and replayed by daemon and simulation; a run starts only inside its start window. The daemon takes its roster from a CSV file (claim_roster, claim_bootstrap) and shows a key at /claims/SERVICE/KEY; the simulation's entry nodes are the roster.

--- a/crates/coordination/src/inbound/admission_control.rs
+++ b/crates/coordination/src/inbound/admission_control.rs
@@ -209,11 +209,11 @@
             InboundEvent::Leave => {
                 self.leaving = true;
                 self.for_each_service(view, effects, |admission, _, verdicts| {
-                    admission.leave(verdicts);
+                    admission.leave(now, verdicts);
                 });
             }
             // Health endpoints lag and mislead; what the node sees decides.
-            InboundEvent::HealthReported { .. } => {}
+            InboundEvent::HealthReported { .. } | InboundEvent::AnswerRecorded { .. } => {}
         }
     }
 
--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -1,30 +1,43 @@
-//! The lowest priority that a server admits.
+//! The lowest priority that gets through to the back end, as told upstream.
 //!
-//! Arrivals are counted by admission level in short windows. When a window had
-//! to turn admitted work away, or left a standing queue, the threshold rises to
-//! the level above which the demand just fits. When slots stayed free, it falls
-//! in proportion to the room. User priorities are uniform and the same for a
-//! whole request tree, so that every server sheds the same requests.
+//! The queue itself serves the most important first and turns the rest away.
+//! This is the estimate of where the line runs, so that callers further up
+//! refuse at once what would be turned away here.
+//!
+//! In short windows the surplus of demand over capacity is taken from what is
+//! seen here: the growth of the queue, plus what was turned away, less what free
+//! slots could have served. The line moves by a part of that surplus, and by a
+//! smaller part of the distance of the queue from a short target. User priorities are uniform and the same for a whole request tree,
+//! so that every server sheds the same requests.
 
 use std::time::Duration;
 
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
 
-/// How often the threshold is revised.
+/// How often the level is revised.
 const WINDOW: Duration = Duration::from_millis(100);
 /// Admission levels there are.
 const LEVELS: usize = 384;
+/// Levels over which the demand just above the line is averaged.
+const DENSITY_SPAN: usize = 64;
 /// Share of the demand counts kept from one window to the next.
-const DEMAND_MEMORY: f64 = 0.7;
-/// Slots in use, relative to the limit, at which the threshold stays.
+const DEMAND_MEMORY: f64 = 0.8;
+/// Slots in use, relative to the limit, at which the level stays.
 const TARGET_UTILIZATION: f64 = 0.95;
-/// Largest relative growth of the admitted levels in one window.
-const MAX_GROWTH: f64 = 0.3;
-/// Largest share of the admitted demand shut out in one window.
-const MAX_REDUCTION: f64 = 0.5;
-/// Standing queue, relative to the limit, that is not held against admission.
-const STANDING_QUEUE_SHARE: f64 = 0.5;
+/// Utilization below which the room is no longer extrapolated.
+const MIN_UTILIZATION: f64 = 0.05;
+/// Part of the surplus that one window corrects: callers learn of a new level
+/// only with later answers, so that more would overshoot.
+const SURPLUS_GAIN: f64 = 0.3;
+/// Part of the queue's distance from its target that one window corrects.
+const QUEUE_GAIN: f64 = 0.1;
+/// Calls that may wait, relative to those that run.
+const TARGET_QUEUE: f64 = 0.25;
+/// Largest share of the demand that one window shuts out.
+const MAX_RAISE: f64 = 0.3;
+/// Levels that one window lets in at most.
+const MAX_LOWERING: f64 = 64.0;
 
 /// What the server looks like between two events.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,7 +50,7 @@
     pub queued: usize,
 }
 
-/// Threshold of one service on one server.
+/// Admission level of one service on one server.
 #[derive(Clone, Debug)]
 pub struct AdmissionThreshold {
     level: u16,
@@ -45,16 +58,17 @@
     window: Window,
 }
 
-/// What was seen since the threshold was last revised.
+/// What was seen since the level was last revised.
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
     started: Timestamp,
     observed: Timestamp,
     arrivals: u32,
     turned_away: u32,
+    finished: u32,
     busy_seconds: f64,
-    shortest_queue: Option<usize>,
-    limit: u32,
+    queue_at_start: usize,
+    last: Occupancy,
 }
 
 impl Default for AdmissionThreshold {
@@ -68,7 +82,7 @@
 }
 
 impl AdmissionThreshold {
-    /// The lowest level admitted now.
+    /// The lowest level that gets through.
     pub fn level(&self) -> AdmissionLevel {
         AdmissionLevel(self.level)
     }
@@ -76,10 +90,10 @@
     /// Forgets what was seen, but keeps the level until it is revised.
     pub fn restart(&mut self, now: Timestamp) {
         self.demand.fill(0.0);
-        self.window = Window::starting_at(now);
+        self.window = Window::starting_at(now, 0);
     }
 
-    /// An attempt at or above the threshold arrived.
+    /// An attempt arrived.
     pub fn arrived(&mut self, level: AdmissionLevel) {
         self.window.arrivals += 1;
         if let Some(count) = self.demand.get_mut(usize::from(level.0)) {
@@ -87,37 +101,42 @@
         }
     }
 
-    /// An attempt at or above the threshold found no room, or was evicted.
+    /// An attempt found no room, or was evicted for another.
     pub fn turned_away(&mut self) {
         self.window.turned_away += 1;
     }
 
+    /// A run ended.
+    pub fn finished(&mut self) {
+        self.window.finished += 1;
+    }
+
     /// Accounts for the time since the last call, during which the server
-    /// looked like `occupancy`, and revises the threshold when it is due.
+    /// looked like `occupancy`, and revises the level when it is due.
     pub fn observe(&mut self, now: Timestamp, occupancy: Occupancy) {
         self.window.accumulate(now, occupancy);
         if now.saturating_since(self.window.started) >= WINDOW {
             self.revise();
-            self.window = Window::starting_at(now);
+            self.window = Window::starting_at(now, occupancy.queued);
         }
     }
 
     fn revise(&mut self) {
-        let excess = self.window.excess();
-        if excess > 0.0 {
-            self.raise(excess);
+        let correction = SURPLUS_GAIN * self.window.surplus() + QUEUE_GAIN * self.window.backlog();
+        let share = correction / f64::from(self.window.arrivals.max(1));
+        if share > 0.0 {
+            self.raise(share.min(MAX_RAISE));
         } else if self.level > 0 {
-            self.lower();
+            self.lower(-share);
         }
         for count in &mut self.demand {
             *count *= DEMAND_MEMORY;
         }
     }
 
-    /// Shuts out the least important share `excess` of the admitted demand.
-    fn raise(&mut self, excess: f64) {
-        let admitted: f64 = self.demand[usize::from(self.level)..].iter().sum();
-        let to_shut_out = admitted * excess.min(MAX_REDUCTION);
+    /// Shuts out the least important share of the demand above the line.
+    fn raise(&mut self, share: f64) {
+        let to_shut_out = share * self.demand_above_line();
         let mut shut_out = 0.0;
         while usize::from(self.level) < LEVELS - 1 && shut_out < to_shut_out {
             shut_out += self.demand[usize::from(self.level)];
@@ -125,24 +144,32 @@
         }
     }
 
-    /// Admits more levels, in proportion to the room there was.
-    fn lower(&mut self) {
-        let utilization = self.window.utilization();
-        let room = TARGET_UTILIZATION / utilization.max(f64::EPSILON) - 1.0;
-        if room <= 0.0 {
-            return;
-        }
-        let admitted_levels = f64::from(LEVELS as u16 - self.level);
-        let step = (admitted_levels * room.min(MAX_GROWTH)).ceil() as u16;
+    /// Lets in more, as a share of the demand above the line. The demand below
+    /// is not seen here; it is taken to be as dense as just above.
+    fn lower(&mut self, share: f64) {
+        let line = usize::from(self.level);
+        let near = &self.demand[line..(line + DENSITY_SPAN).min(LEVELS)];
+        let density = near.iter().sum::<f64>() / near.len() as f64;
+        let levels = if density > 0.0 {
+            share * self.demand_above_line() / density
+        } else {
+            MAX_LOWERING
+        };
+        let step = levels.min(MAX_LOWERING).ceil() as u16;
         self.level = self.level.saturating_sub(step);
     }
+
+    fn demand_above_line(&self) -> f64 {
+        self.demand[usize::from(self.level)..].iter().sum()
+    }
 }
 
 impl Window {
-    fn starting_at(now: Timestamp) -> Self {
+    fn starting_at(now: Timestamp, queued: usize) -> Self {
         Window {
             started: now,
             observed: now,
+            queue_at_start: queued,
             ..Window::default()
         }
     }
@@ -152,22 +179,26 @@
         let in_use = occupancy.running as f64 / f64::from(occupancy.limit.max(1));
         self.busy_seconds += elapsed * in_use.min(1.0);
         self.observed = now;
-        self.limit = occupancy.limit;
-        let shortest = self.shortest_queue.unwrap_or(occupancy.queued);
-        self.shortest_queue = Some(shortest.min(occupancy.queued));
+        self.last = occupancy;
     }
 
-    /// Share of the slots in use, on average.
-    fn utilization(&self) -> f64 {
-        let elapsed = self.observed.saturating_since(self.started).as_secs_f64();
-        self.busy_seconds / elapsed.max(f64::EPSILON)
+    /// Demand less capacity, in calls.
+    fn surplus(&self) -> f64 {
+        let growth = self.last.queued as f64 - self.queue_at_start as f64;
+        growth + f64::from(self.turned_away) - self.room()
     }
 
-    /// Share of the arrivals that were too many.
-    fn excess(&self) -> f64 {
-        let tolerated = f64::from(self.limit) * STANDING_QUEUE_SHARE;
-        let standing = self.shortest_queue.unwrap_or(0) as f64 - tolerated;
-        let too_many = f64::from(self.turned_away) + standing.max(0.0);
-        too_many / f64::from(self.arrivals.max(1))
+    /// Calls that wait beyond the target.
+    fn backlog(&self) -> f64 {
+        let target = f64::from(self.last.limit) * TARGET_QUEUE;
+        self.last.queued as f64 - target
+    }
+
+    /// Calls that free slots could have served.
+    fn room(&self) -> f64 {
+        let elapsed = self.observed.saturating_since(self.started).as_secs_f64();
+        let utilization = self.busy_seconds / elapsed.max(f64::EPSILON);
+        let free = (TARGET_UTILIZATION - utilization).max(0.0);
+        f64::from(self.finished.max(1)) * free / utilization.max(MIN_UTILIZATION)
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod baseline;
 pub mod claims;
+pub mod class_floor;
 pub mod fleet;
 pub mod inbound;
 pub mod latency;
--- a/crates/coordination/src/request_tree.rs
+++ b/crates/coordination/src/request_tree.rs
@@ -45,7 +45,8 @@
             InboundEvent::RunClosed { id } | InboundEvent::AttemptCancelled { id } => {
                 self.ended(*id);
             }
-            InboundEvent::HealthReported { .. }
+            InboundEvent::AnswerRecorded { .. }
+            | InboundEvent::HealthReported { .. }
             | InboundEvent::Wake
             | InboundEvent::Resumed { .. }
             | InboundEvent::Leave => {}
@@ -55,7 +56,7 @@
     /// Notes what the decisions mean for the attempts.
     pub fn after_inbound(&mut self, effects: &[InboundEffect]) {
         for effect in effects {
-            if let InboundEffect::Answer { id, .. } = effect {
+            if let InboundEffect::Answer { id, .. } | InboundEffect::Replay { id, .. } = effect {
                 self.call_graph.dropped(*id);
                 self.deadlines.remove(id);
             }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,9 +1,10 @@
 //! What operators see: metrics, status and recent refusals, over HTTP.
 
+mod claims;
 mod metrics;
 mod refusals;
 mod server;
 
 pub use metrics::Metrics;
-pub use refusals::{Outcome, Refusal, RefusalLog, RefusalState};
+pub use refusals::{RefusalLog, state_of_load, state_of_servers};
 pub use server::{OperatorsServer, OperatorsState};
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -8,15 +8,17 @@
 use std::time::Duration;
 
 use lifthollow_coordination::policy::PolicyKind;
+use lifthollow_protocol::Roster;
 use lifthollow_state::finding::{Place, bounded_number, unknown};
 use lifthollow_state::{Findings, ServiceName, Side, Zone};
 
+use super::claim_roster;
 use super::raw::{RawBackend, RawSettings, RawValue};
 use super::{
     BUFFERED_BODY_BYTES_BOUNDS, Backend, CALL_THREADS_BOUNDS, DEFAULT_BUFFERED_BODY_BYTES,
     DEFAULT_CALL_THREADS, DEFAULT_LOG_LEVEL, DEFAULT_MAX_HEADER_BYTES,
     DEFAULT_STOP_TIMEOUT_SECONDS, Key, MAX_HEADER_BYTES_BOUNDS, STOP_TIMEOUT_SECONDS_BOUNDS,
-    Settings,
+    Settings, read_text,
 };
 
 const ANY_ZONE: RangeInclusive<u16> = 0..=u16::MAX;
@@ -67,6 +69,10 @@
                 .number(Key::StopTimeoutSeconds, &STOP_TIMEOUT_SECONDS_BOUNDS)
                 .unwrap_or(DEFAULT_STOP_TIMEOUT_SECONDS),
         ),
+        claim_roster: checker.claim_roster(),
+        claim_bootstrap: checker
+            .optional(Key::ClaimBootstrap, yes_or_no)
+            .unwrap_or(false),
         node: node?,
         callers: callers?,
         operators: operators?,
@@ -177,6 +183,20 @@
             .collect()
     }
 
+    /// Reads and checks the roster file.
+    fn claim_roster(&mut self) -> Option<Roster> {
+        let value = self.raw.values.get(&Key::ClaimRoster).cloned()?;
+        let name = value.text.trim();
+        match read_text(name) {
+            Ok(text) => claim_roster::read(name, &text, self.findings),
+            Err(fault) => {
+                let message = format!("`{}`: {name}: {fault}", Key::ClaimRoster);
+                self.findings.add(value.place, message);
+                None
+            }
+        }
+    }
+
     fn backends(&mut self) -> Vec<Backend> {
         let raw_backends = std::mem::take(&mut self.raw.backends);
         let mut backends: Vec<Backend> = Vec::new();
@@ -218,6 +238,14 @@
     bounded_number(text, &ANY_ZONE).map(Zone)
 }
 
+fn yes_or_no(text: &str) -> Result<bool, String> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(unknown(text, "it is `yes` or `no`")),
+    }
+}
+
 fn policy(text: &str) -> Result<PolicyKind, String> {
     PolicyKind::from_str(text).map_err(|fault| unknown(text, fault))
 }
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -86,6 +86,14 @@
     /// longest time of a planned stop, 1 to 86400 (default 600)
     #[argh(option, arg_name = "seconds")]
     pub stop_timeout_seconds: Option<String>,
+    /// file (CSV) of the nodes that store claims on idempotency keys; without it
+    /// keys are not claimed and a repeated call may run again
+    #[argh(option, arg_name = "file")]
+    pub claim_roster: Option<String>,
+    /// yes only at the very first start of a fleet: no process of the roster
+    /// stored claims before (default: no)
+    #[argh(option, arg_name = "yes|no")]
+    pub claim_bootstrap: Option<String>,
 }
 
 impl Flags {
@@ -112,7 +120,7 @@
         }
     }
 
-    fn values(&self) -> [(Key, &Option<String>); 14] {
+    fn values(&self) -> [(Key, &Option<String>); 16] {
         [
             (Key::Node, &self.node),
             (Key::Callers, &self.callers),
@@ -128,6 +136,8 @@
             (Key::MaxHeaderBytes, &self.max_header_bytes),
             (Key::BufferedBodyBytes, &self.buffered_body_bytes),
             (Key::StopTimeoutSeconds, &self.stop_timeout_seconds),
+            (Key::ClaimRoster, &self.claim_roster),
+            (Key::ClaimBootstrap, &self.claim_bootstrap),
         ]
     }
 }
--- a/crates/daemon/src/settings/key.rs
+++ b/crates/daemon/src/settings/key.rs
@@ -37,11 +37,15 @@
     BufferedBodyBytes,
     /// `stop_timeout_seconds`
     StopTimeoutSeconds,
+    /// `claim_roster`
+    ClaimRoster,
+    /// `claim_bootstrap`
+    ClaimBootstrap,
 }
 
 impl Key {
     /// All settings, in the order of the documentation.
-    pub const ALL: [Key; 16] = [
+    pub const ALL: [Key; 18] = [
         Key::Node,
         Key::Callers,
         Key::Operators,
@@ -58,6 +62,8 @@
         Key::MaxHeaderBytes,
         Key::BufferedBodyBytes,
         Key::StopTimeoutSeconds,
+        Key::ClaimRoster,
+        Key::ClaimBootstrap,
     ];
 
     /// The key in the settings file.
@@ -79,6 +85,8 @@
             Key::MaxHeaderBytes => "max_header_bytes",
             Key::BufferedBodyBytes => "buffered_body_bytes",
             Key::StopTimeoutSeconds => "stop_timeout_seconds",
+            Key::ClaimRoster => "claim_roster",
+            Key::ClaimBootstrap => "claim_bootstrap",
         }
     }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod frame;
 pub mod load;
+pub mod operators;
 pub mod roster;
 
 pub use answer::{AttemptResult, RefusalReason};
--- a/crates/sim/src/commands/mod.rs
+++ b/crates/sim/src/commands/mod.rs
@@ -2,14 +2,18 @@
 
 mod claims_search;
 mod list;
+mod report;
 mod run;
+mod sweep;
 
 use anyhow::Result;
 use argh::FromArgs;
 
 use claims_search::ClaimsSearchCommand;
 use list::ListCommand;
+use report::ReportCommand;
 use run::RunCommand;
+use sweep::SweepCommand;
 
 /// Simulate a mesh of lifthollow nodes on a virtual clock.
 ///
@@ -27,6 +31,8 @@
     ClaimsSearch(ClaimsSearchCommand),
     List(ListCommand),
     Run(RunCommand),
+    Sweep(SweepCommand),
+    Report(ReportCommand),
 }
 
 /// Carries out the command that the arguments name.
@@ -35,5 +41,7 @@
         Command::ClaimsSearch(command) => claims_search::execute(command),
         Command::List(command) => list::execute(command),
         Command::Run(command) => run::execute(command),
+        Command::Sweep(command) => sweep::execute(command),
+        Command::Report(command) => report::execute(command),
     }
 }
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -24,6 +24,7 @@
 
 use lifthollow_coordination::NodeEffect;
 use lifthollow_coordination::outbound::{AttemptId, CallId};
+use lifthollow_protocol::Roster;
 use lifthollow_state::{NodeId, Timestamp};
 use simcore::{Event, EventHandler, SimulationContext};
 
@@ -61,6 +62,7 @@
     scenario: Scenario,
     machines: Vec<Machine>,
     seeds: Vec<NodeId>,
+    roster: Roster,
     by_address: BTreeMap<NodeId, MachineIndex>,
     network: Network,
     platform: Platform,
