--- a/crates/coordination/src/claims/replica.rs
+++ b/crates/coordination/src/claims/replica.rs
@@ -37,6 +37,8 @@
     pub record: Option<Record>,
     /// The key's replicas by this node's roster.
     pub replicas: ReplicaSets,
+    /// The epoch of that roster.
+    pub roster_epoch: u32,
 }
 
 /// The replica's part of the claims of one node.
@@ -230,6 +232,7 @@
             votes: self.may_vote(now, &replicas),
             record: self.store.get(key).cloned(),
             replicas,
+            roster_epoch: self.roster.epoch,
         }
     }
 
--- a/crates/coordination/tests/retry_bound.rs
+++ b/crates/coordination/tests/retry_bound.rs
@@ -207,9 +207,11 @@
 
     fn inbound_effect(&mut self, at: usize, effect: InboundEffect) {
         match effect {
-            InboundEffect::Run { id, .. } => self.pending.push(Pending::Run { at, id }),
+            InboundEffect::Run { id, .. } | InboundEffect::RunClaimed { id, .. } => {
+                self.pending.push(Pending::Run { at, id });
+            }
             InboundEffect::Answer { id, result } => self.answer(at, id, result),
-            InboundEffect::CancelRun { .. } => {}
+            InboundEffect::CancelRun { .. } | InboundEffect::Replay { .. } => {}
         }
     }
 
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -9,19 +9,21 @@
 use std::time::Duration;
 
 use lifthollow_coordination::policy::PolicyKind;
+use lifthollow_protocol::Roster;
 use lifthollow_state::Findings;
 use lifthollow_state::finding::{Place, bounded_number};
 
+use super::claim_roster;
 use super::raw::{RawBackend, RawSettings, RawValue};
 use super::value::{
     log_level, node_address, own_address, policy, random_seed, remote_address, remote_node_address,
-    service, side, zone,
+    service, side, yes_or_no, zone,
 };
 use super::{
     BUFFERED_BODY_BYTES_BOUNDS, Backend, CALL_THREADS_BOUNDS, DEFAULT_BUFFERED_BODY_BYTES,
     DEFAULT_CALL_THREADS, DEFAULT_LOG_LEVEL, DEFAULT_MAX_HEADER_BYTES,
     DEFAULT_STOP_TIMEOUT_SECONDS, Key, MAX_HEADER_BYTES_BOUNDS, STOP_TIMEOUT_SECONDS_BOUNDS,
-    Settings,
+    Settings, read_text,
 };
 
 /// A setting that is a number with a default.
@@ -98,6 +100,10 @@
             max_header_bytes: self.number(&MAX_HEADER_BYTES),
             buffered_body_bytes: self.number(&BUFFERED_BODY_BYTES),
             stop_timeout: Duration::from_secs(self.number(&STOP_TIMEOUT_SECONDS)),
+            claim_roster: self.claim_roster(),
+            claim_bootstrap: self
+                .optional(Key::ClaimBootstrap, yes_or_no)
+                .unwrap_or(false),
             node: node?,
             callers: callers?,
             operators: operators?,
@@ -206,6 +212,20 @@
             .collect()
     }
 
+    /// Reads and checks the roster file.
+    fn claim_roster(&mut self) -> Option<Roster> {
+        let value = self.raw.values.get(&Key::ClaimRoster).cloned()?;
+        let name = value.text.trim();
+        match read_text(name) {
+            Ok(text) => claim_roster::read(name, &text, self.findings),
+            Err(fault) => {
+                let message = format!("`{}`: {name}: {fault}", Key::ClaimRoster);
+                self.findings.add(value.place, message);
+                None
+            }
+        }
+    }
+
     fn backends(&mut self) -> Vec<Backend> {
         let raw_backends = std::mem::take(&mut self.raw.backends);
         let mut backends: Vec<Backend> = Vec::new();
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -207,3 +207,38 @@
         }
     }
 }
+
+/// `GET /claims/SERVICE/KEY`: what a node knows of an idempotency key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClaimStatus {
+    /// The service.
+    pub service: String,
+    /// The key as the caller wrote it.
+    pub key: String,
+    /// Epoch of the roster in force at the node.
+    pub roster_epoch: u32,
+    /// The key's replicas by that roster.
+    pub replicas: Vec<String>,
+    /// The key's replicas by the roster before, while a change is in progress.
+    pub previous_replicas: Vec<String>,
+    /// Whether this node is a replica of the key and may vote on it.
+    pub votes: bool,
+    /// This node's record of the key; none if it is no replica or the key is free.
+    pub record: Option<ClaimRecord>,
+}
+
+/// A replica's record of a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    /// `claimed`, `recovered`, `released`, `completed`, `answer_too_large` or
+    /// `answer_lost`.
+    pub state: String,
+    /// The node that claimed the key.
+    pub holder: String,
+    /// The life of that node.
+    pub holder_incarnation: u64,
+    /// HTTP status of the recorded answer.
+    pub status: Option<u16>,
+    /// Seconds until the record is forgotten.
+    pub expires_in_seconds: f64,
+}
--- a/crates/sim/src/world/lifecycle.rs
+++ b/crates/sim/src/world/lifecycle.rs
@@ -4,7 +4,7 @@
 
 use lifthollow_coordination::inbound::InboundEvent;
 use lifthollow_coordination::outbound::CallId;
-use lifthollow_coordination::{NodeEvent, NodeSettings};
+use lifthollow_coordination::{Node, NodeEvent};
 
 use super::backend::{BackEnd, ColdStart, RESTART_COLD_FACTOR, RESTART_WARM_UP};
 use super::event::{ClientAnswer, WorldEvent};
@@ -142,8 +142,7 @@
         }
         let seed = self.process_seeds.seed();
         self.machine_mut(index).incarnation += 1;
-        let settings = self.node_settings(index, seed);
-        let node = (self.settings.node_factory)(settings);
+        let node = self.new_node(index, seed);
         let machine = self.machine_mut(index);
         machine.node = node;
         machine.state = ProcessState::Running;
@@ -161,15 +160,18 @@
         self.feed_node(index, NodeEvent::Wake);
     }
 
-    pub(super) fn node_settings(&self, index: MachineIndex, seed: u64) -> NodeSettings {
+    fn new_node(&self, index: MachineIndex, seed: u64) -> Node {
         let machine = self.machine(index);
-        machine.spec.settings(ProcessSettings {
+        let process = ProcessSettings {
             mesh: &self.mesh,
             policy: self.settings.policy,
             incarnation: machine.incarnation,
             seeds: &self.seeds,
+            roster: &self.roster,
             seed,
-        })
+        };
+        let node = (self.settings.node_factory)(machine.spec.settings(process));
+        process.claim_keys(&machine.spec, node)
     }
 
     /// The machine is to be stopped: it is told, and serves what it has.
