--- a/crates/sim/src/scenario/builtin.rs
+++ b/crates/sim/src/scenario/builtin.rs
@@ -20,6 +20,7 @@
     builtin!("slow-deep"),
     builtin!("errors-deep"),
     builtin!("surge"),
+    builtin!("surge-all"),
     builtin!("bulk-pulls"),
     builtin!("hard-retry"),
     builtin!("cold-side"),
--- a/crates/sim/src/scenario/file.rs
+++ b/crates/sim/src/scenario/file.rs
@@ -1,67 +1,17 @@
-//! The scenario file as written, and its check against a mesh.
+//! Reading a scenario file and checking it against a mesh.
 
 use std::time::Duration;
 
 use lifthollow_state::Side;
-use serde::Deserialize;
 
+use super::entry::{FaultEntry, ScenarioFile};
+use super::field::Check;
 use super::{Fault, FaultKind, LeaveNotice, Scenario, ScenarioFinding, TableColumn, Target};
-use crate::mesh::{KindIndex, Mesh, ServiceIndex};
+use crate::mesh::Mesh;
 
 const DEFAULT_DURATION_SECONDS: f64 = 60.0;
 const DEFAULT_LOAD: f64 = 0.5;
 pub(super) const DEFAULT_WEIGHTS: [u32; 2] = [50, 50];
-const LONGEST_SECONDS: f64 = 86_400.0;
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ScenarioFile {
-    duration_seconds: Option<f64>,
-    load: Option<f64>,
-    weights: Option<[u32; 2]>,
-    #[serde(default)]
-    fault: Vec<toml::Spanned<FaultEntry>>,
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct FaultEntry {
-    kind: String,
-    at: f64,
-    #[serde(rename = "for")]
-    lasts: Option<f64>,
-    target: Option<TargetEntry>,
-    from: Option<TargetEntry>,
-    to: Option<TargetEntry>,
-    factor: Option<f64>,
-    rate: Option<f64>,
-    requests: Option<Vec<String>>,
-    repeats: Option<u32>,
-    timeout_factor: Option<f64>,
-    warm_up_seconds: Option<f64>,
-    healthy: Option<bool>,
-    one_way: Option<bool>,
-    period_seconds: Option<f64>,
-    column: Option<String>,
-    value: Option<u32>,
-    service: Option<String>,
-    to_side: Option<String>,
-    steps: Option<u32>,
-    interval_seconds: Option<f64>,
-    down_seconds: Option<f64>,
-    told: Option<String>,
-}
-
-#[derive(Clone, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct TargetEntry {
-    service: Option<String>,
-    side: Option<String>,
-    zone: Option<u16>,
-    server: Option<u16>,
-    #[serde(default)]
-    entry: bool,
-}
 
 /// Reads and checks a scenario for a mesh. All findings come back together.
 pub fn parse_scenario(
@@ -96,22 +46,7 @@
     format!("{file_name}:{line}")
 }
 
-/// The check of one file; collects findings and goes on.
-struct Check<'a> {
-    mesh: &'a Mesh,
-    file_name: &'a str,
-    place: String,
-    findings: Vec<ScenarioFinding>,
-}
-
 impl Check<'_> {
-    fn finding(&mut self, message: impl Into<String>) {
-        self.findings.push(ScenarioFinding {
-            place: self.place.clone(),
-            message: message.into(),
-        });
-    }
-
     fn scenario(&mut self, name: &str, text: &str, file: &ScenarioFile) -> Scenario {
         let seconds = file.duration_seconds.unwrap_or(DEFAULT_DURATION_SECONDS);
         let duration = self.seconds("duration_seconds", seconds);
@@ -246,106 +181,4 @@
             told,
         }
     }
-
-    fn target(&mut self, entry: Option<&TargetEntry>) -> Target {
-        let Some(entry) = entry else {
-            return Target::default();
-        };
-        let service = entry.service.as_deref().and_then(|name| self.service(name));
-        let side = entry.side.as_deref().and_then(|name| self.side(Some(name)));
-        if entry
-            .zone
-            .is_some_and(|zone| zone >= self.mesh.zones_per_side)
-        {
-            self.finding("`zone` is beyond the mesh's zones, which count from 0");
-        }
-        if let (Some(service), Some(server)) = (service, entry.server)
-            && server >= self.mesh.service(service).servers_per_side
-        {
-            self.finding("`server` is beyond the service's servers, which count from 0");
-        }
-        Target {
-            service,
-            side,
-            zone: entry.zone,
-            server: entry.server,
-            entry: entry.entry,
-        }
-    }
-
-    /// A service by name, or by its place: `deepest` is the one that most call
-    /// trees end in, `first` and `last` are the ends of the mesh's list.
-    fn service(&mut self, name: &str) -> Option<ServiceIndex> {
-        let found = match name {
-            "first" => Some(ServiceIndex(0)),
-            "last" => Some(ServiceIndex(self.mesh.services.len() - 1)),
-            "deepest" => Some(self.mesh.deepest_service()),
-            name => self.mesh.service_by_name(name),
-        };
-        if found.is_none() {
-            self.finding(format!("the mesh has no service `{name}`"));
-        }
-        found
-    }
-
-    fn side(&mut self, name: Option<&str>) -> Option<Side> {
-        let parsed = name?.parse();
-        if parsed.is_err() {
-            self.finding("a side is `old` or `new`");
-        }
-        parsed.ok()
-    }
-
-    /// Kinds by name, or by class: `critical`, `normal`, `sheddable`.
-    fn request_kinds(&mut self, names: Option<&[String]>) -> Vec<KindIndex> {
-        let mut kinds = Vec::new();
-        for name in names.unwrap_or_default() {
-            let found = self.mesh.kinds_by_name_or_class(name);
-            if found.is_empty() {
-                self.finding(format!(
-                    "the mesh has no kind or class of requests `{name}`"
-                ));
-            }
-            kinds.extend(found);
-        }
-        kinds
-    }
-
-    fn factor(&mut self, factor: Option<f64>) -> f64 {
-        let factor = self.required("factor", factor);
-        if !(factor > 0.0 && factor <= 1_000.0) {
-            self.finding("`factor` must be above 0 and at most 1000");
-        }
-        factor
-    }
-
-    fn rate(&mut self, rate: Option<f64>) -> f64 {
-        let rate = self.required("rate", rate);
-        if !(0.0..=1.0).contains(&rate) {
-            self.finding("`rate` must lie between 0 and 1");
-        }
-        rate
-    }
-
-    fn required<T: Default>(&mut self, field: &str, value: Option<T>) -> T {
-        if value.is_none() {
-            self.finding(format!("`{field}` is missing"));
-        }
-        value.unwrap_or_default()
-    }
-
-    fn required_seconds(&mut self, field: &str, value: Option<f64>) -> Duration {
-        let seconds = self.required(field, value);
-        self.seconds(field, seconds)
-    }
-
-    fn seconds(&mut self, field: &str, seconds: f64) -> Duration {
-        if !(0.0..=LONGEST_SECONDS).contains(&seconds) {
-            self.finding(format!(
-                "`{field}` must lie between 0 and {LONGEST_SECONDS}"
-            ));
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64(seconds)
-    }
 }
--- a/crates/sim/src/scenario/mod.rs
+++ b/crates/sim/src/scenario/mod.rs
@@ -2,6 +2,8 @@
 //! kinds, targets, sizes and times.
 
 mod builtin;
+mod entry;
+mod field;
 mod file;
 mod resolve;
 
