sim: overlapping faults end with the last one; fields of the wrong kind are findings

Cause: of two faults that take the same machine away, pause it or change the clients, the end of the first undid the second; a negative timeout_factor was accepted and a field that says nothing about its kind was ignored; times finer than the clock's microsecond could leave a fault in force for ever. Change: what a fault's end restores is computed from the faults still in force; fields are checked against their kind; times are whole microseconds.

--- a/crates/sim/src/scenario/entry.rs
+++ b/crates/sim/src/scenario/entry.rs
@@ -54,3 +54,53 @@
     #[serde(default)]
     pub(super) entry: bool,
 }
+
+impl FaultEntry {
+    /// Names of the fields that are given, besides `kind`, `at` and `for`.
+    pub(super) fn given_fields(&self) -> Vec<&'static str> {
+        let fields = [
+            ("target", self.target.is_some()),
+            ("from", self.from.is_some()),
+            ("to", self.to.is_some()),
+            ("factor", self.factor.is_some()),
+            ("rate", self.rate.is_some()),
+            ("requests", self.requests.is_some()),
+            ("repeats", self.repeats.is_some()),
+            ("timeout_factor", self.timeout_factor.is_some()),
+            ("warm_up_seconds", self.warm_up_seconds.is_some()),
+            ("healthy", self.healthy.is_some()),
+            ("one_way", self.one_way.is_some()),
+            ("period_seconds", self.period_seconds.is_some()),
+            ("column", self.column.is_some()),
+            ("value", self.value.is_some()),
+            ("service", self.service.is_some()),
+            ("to_side", self.to_side.is_some()),
+            ("steps", self.steps.is_some()),
+            ("interval_seconds", self.interval_seconds.is_some()),
+            ("down_seconds", self.down_seconds.is_some()),
+            ("told", self.told.is_some()),
+        ];
+        let given = fields.into_iter().filter(|(_, given)| *given);
+        given.map(|(name, _)| name).collect()
+    }
+}
+
+/// The fields of a kind of fault, besides `kind`, `at` and `for`.
+pub(super) fn used_fields(kind: &str) -> &'static [&'static str] {
+    match kind {
+        "slow" => &["target", "factor"],
+        "errors" => &["target", "rate"],
+        "surge" => &["requests", "factor"],
+        "hard-retry" => &["repeats", "timeout_factor"],
+        "cold" => &["target", "factor", "warm_up_seconds"],
+        "health" => &["target", "healthy"],
+        "loss" => &["from", "to", "rate"],
+        "cut" => &["from", "to", "one_way"],
+        "config-flap" => &["period_seconds"],
+        "cell" => &["target", "column", "value"],
+        "migrate" => &["service", "to_side", "steps"],
+        "rolling-stop" => &["target", "interval_seconds", "down_seconds", "told"],
+        "gone" | "kill" | "silent" | "pause" => &["target"],
+        _ => &[],
+    }
+}
--- a/crates/sim/src/scenario/field.rs
+++ b/crates/sim/src/scenario/field.rs
@@ -4,10 +4,11 @@
 
 use lifthollow_state::Side;
 
-use super::entry::TargetEntry;
+use super::entry::{FaultEntry, TargetEntry, used_fields};
 use super::{ScenarioFinding, Target};
 use crate::mesh::{KindIndex, Mesh, ServiceIndex};
 
+const LARGEST_FACTOR: f64 = 1_000.0;
 const LONGEST_SECONDS: f64 = 86_400.0;
 
 /// The check of one file; collects findings and goes on.
@@ -90,14 +91,27 @@
         kinds
     }
 
-    pub(super) fn factor(&mut self, factor: Option<f64>) -> f64 {
-        let factor = self.required("factor", factor);
-        if !(factor > 0.0 && factor <= 1_000.0) {
-            self.finding("`factor` must be above 0 and at most 1000");
+    pub(super) fn factor(&mut self, field: &str, factor: Option<f64>) -> f64 {
+        let factor = self.required(field, factor);
+        if !(factor > 0.0 && factor <= LARGEST_FACTOR) {
+            self.finding(format!(
+                "`{field}` must be above 0 and at most {LARGEST_FACTOR}"
+            ));
         }
         factor
     }
 
+    /// Fields that are given but say nothing about this kind of fault.
+    pub(super) fn unused_fields(&mut self, entry: &FaultEntry) {
+        let used = used_fields(&entry.kind);
+        for field in entry.given_fields() {
+            if !used.contains(&field) {
+                let kind = &entry.kind;
+                self.finding(format!("`{field}` is not a field of the kind `{kind}`"));
+            }
+        }
+    }
+
     pub(super) fn rate(&mut self, rate: Option<f64>) -> f64 {
         let rate = self.required("rate", rate);
         if !(0.0..=1.0).contains(&rate) {
@@ -125,6 +139,7 @@
             ));
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(seconds)
+        // Whole microseconds, the clock's resolution.
+        Duration::from_micros((seconds * 1e6).round() as u64)
     }
 }
--- a/crates/sim/src/scenario/file.rs
+++ b/crates/sim/src/scenario/file.rs
@@ -79,6 +79,7 @@
         }
         let lasts = entry.lasts.map(|seconds| self.seconds("for", seconds));
         let kind = self.kind(entry)?;
+        self.unused_fields(entry);
         Some(Fault { at, lasts, kind })
     }
 
@@ -87,7 +88,7 @@
         let kind = match entry.kind.as_str() {
             "slow" => FaultKind::Slow {
                 target,
-                factor: self.factor(entry.factor),
+                factor: self.factor("factor", entry.factor),
             },
             "errors" => FaultKind::Errors {
                 target,
@@ -95,15 +96,15 @@
             },
             "surge" => FaultKind::Surge {
                 kinds: self.request_kinds(entry.requests.as_deref()),
-                factor: self.factor(entry.factor),
+                factor: self.factor("factor", entry.factor),
             },
             "hard-retry" => FaultKind::HardRetry {
                 repeats: self.required("repeats", entry.repeats),
-                timeout_factor: entry.timeout_factor.unwrap_or(1.0),
+                timeout_factor: self.factor("timeout_factor", entry.timeout_factor.or(Some(1.0))),
             },
             "cold" => FaultKind::Cold {
                 target,
-                factor: self.factor(entry.factor),
+                factor: self.factor("factor", entry.factor),
                 warm_up: self.required_seconds("warm_up_seconds", entry.warm_up_seconds),
             },
             "gone" => FaultKind::Gone { target },
--- a/crates/sim/src/world/faults.rs
+++ b/crates/sim/src/world/faults.rs
@@ -43,16 +43,7 @@
                 self.refresh_back_end_faults();
             }
             FaultKind::Surge { .. } => self.refresh_surges(),
-            FaultKind::HardRetry {
-                repeats,
-                timeout_factor,
-            } => {
-                self.clients.behaviour = ClientBehaviour {
-                    attempts: repeats + 1,
-                    timeout_factor,
-                    regards_retry_after: false,
-                };
-            }
+            FaultKind::HardRetry { .. } => self.refresh_behaviour(),
             FaultKind::Cold {
                 target,
                 factor,
@@ -101,14 +92,14 @@
                 self.refresh_back_end_faults();
             }
             FaultKind::Surge { .. } => self.refresh_surges(),
-            FaultKind::HardRetry { .. } => self.clients.behaviour = ClientBehaviour::ORDINARY,
+            FaultKind::HardRetry { .. } => self.refresh_behaviour(),
             FaultKind::Gone { target } | FaultKind::Kill { target } => {
-                self.each(&target, World::machine_returns);
+                self.each(&target, World::return_unless_out);
             }
             FaultKind::Health { target, .. } => self.each(&target, |world, machine| {
                 world.machine_mut(machine).claimed_health = None;
             }),
-            FaultKind::Pause { target } => self.each(&target, World::resume),
+            FaultKind::Pause { target } => self.each(&target, World::resume_unless_paused),
             FaultKind::Loss { .. } | FaultKind::Cut { .. } => self.network.remove_fault(fault),
             FaultKind::ConfigDown | FaultKind::ConfigStale | FaultKind::ConfigFlap { .. } => {
                 self.platform.clear_state(fault);
@@ -151,16 +142,57 @@
         }
     }
 
+    /// The faults in force now.
+    fn active_faults(&self) -> Vec<FaultKind> {
+        let time = self.now().saturating_since(Timestamp::ZERO);
+        let faults = self.scenario.faults.iter();
+        let active = faults.filter(|fault| fault.active_at(time));
+        active.map(|fault| fault.kind.clone()).collect()
+    }
+
+    /// A machine comes back when the last fault that took it away has ended.
+    fn return_unless_out(&mut self, index: MachineIndex) {
+        let spec = &self.machine(index).spec;
+        let out = self.active_faults().iter().any(|kind| match kind {
+            FaultKind::Gone { target } | FaultKind::Kill { target } => spec.matches(target),
+            _ => false,
+        });
+        if !out {
+            self.machine_returns(index);
+        }
+    }
+
+    fn resume_unless_paused(&mut self, index: MachineIndex) {
+        let spec = &self.machine(index).spec;
+        let paused = self.active_faults().iter().any(|kind| match kind {
+            FaultKind::Pause { target } => spec.matches(target),
+            _ => false,
+        });
+        if !paused {
+            self.resume(index);
+        }
+    }
+
+    /// Clients behave as the last fault about them says, or as on other days.
+    fn refresh_behaviour(&mut self) {
+        let active = self.active_faults();
+        let mut behaviours = active.iter().filter_map(|kind| match kind {
+            FaultKind::HardRetry {
+                repeats,
+                timeout_factor,
+            } => Some(ClientBehaviour {
+                attempts: repeats + 1,
+                timeout_factor: *timeout_factor,
+                regards_retry_after: false,
+            }),
+            _ => None,
+        });
+        self.clients.behaviour = behaviours.next_back().unwrap_or(ClientBehaviour::ORDINARY);
+    }
+
     /// Recomputes what disturbs each back end from the faults in force.
     fn refresh_back_end_faults(&mut self) {
-        let time = self.now().saturating_since(Timestamp::ZERO);
-        let active: Vec<FaultKind> = self
-            .scenario
-            .faults
-            .iter()
-            .filter(|fault| fault.active_at(time))
-            .map(|fault| fault.kind.clone())
-            .collect();
+        let active = self.active_faults();
         for index in 0..self.machines.len() {
             self.refresh_back_end(MachineIndex(index), &active);
         }
--- a/crates/sim/tests/runs.rs
+++ b/crates/sim/tests/runs.rs
@@ -78,3 +78,25 @@
     let result = run("sofia", text, PolicyKind::StaticLimits, 1);
     assert_eq!(result.violations.planned_stop, 0);
 }
+
+#[test]
+fn a_machine_stays_away_until_the_last_fault_about_it_has_ended() {
+    let whole_side = r#"
+duration_seconds = 16
+weights = [100, 0]
+load = 0.1
+
+[[fault]]
+kind = "gone"
+target = { service = "feeds", side = "old" }
+at = 5
+for = 8
+"#;
+    let shorter_too = format!(
+        "{whole_side}\n[[fault]]\nkind = \"gone\"\ntarget = {{ side = \"old\", service = \"feeds\" }}\nat = 5\nfor = 2\n"
+    );
+    let once = run("midlands", whole_side, PolicyKind::StaticLimits, 1);
+    let twice = run("midlands", &shorter_too, PolicyKind::StaticLimits, 1);
+    assert!(once.goodput < once.offered);
+    assert!(twice.goodput <= once.goodput + once.goodput / 20);
+}
--- a/crates/sim/tests/scenario_files.rs
+++ b/crates/sim/tests/scenario_files.rs
@@ -57,3 +57,12 @@
     assert_eq!(twice.faults.len(), 2);
     assert!(twice.faults[1].at >= twice.faults[0].end());
 }
+
+#[test]
+fn a_field_that_says_nothing_about_its_kind_is_a_finding() {
+    let text = "[[fault]]\nkind = \"gone\"\nrate = 0.5\nat = 5\n";
+    let mesh = Mesh::by_name("sofia").unwrap();
+    let findings = parse_scenario("bad.toml", "bad", text, &mesh).unwrap_err();
+    assert_eq!(findings.len(), 1);
+    assert!(findings[0].message.contains("`rate`"));
+}
