--- a/crates/coordination/src/claims/mod.rs
+++ b/crates/coordination/src/claims/mod.rs
@@ -4,11 +4,12 @@
 //! [`claimant`] gets the grants, [`replica`] gives them. [`roster`] chooses a
 //! key's replicas, [`record`] is what they remember and [`rejoin`] how a
 //! replaced replica learns what it has forgotten. [`Claims`] is both parts of
-//! one node. The design is described in `docs/design/at-most-once.md`.
+//! one node, and [`gate`] puts them between admission and run. The design is described in `docs/design/at-most-once.md`.
 
 pub mod claimant;
 pub mod decision;
 pub mod delivery;
+pub mod gate;
 mod pending;
 pub mod record;
 pub mod rejoin;
--- a/crates/coordination/src/inbound/mod.rs
+++ b/crates/coordination/src/inbound/mod.rs
@@ -14,7 +14,9 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::{AdmissionLevel, AttemptResult, LoadReport, RefusalReason};
+use lifthollow_protocol::{
+    AdmissionLevel, AttemptResult, LoadReport, RecordedAnswer, RecordedOutcome, RefusalReason,
+};
 use lifthollow_state::{NodeId, RequestContext, ServiceName, Timestamp};
 
 use crate::View;
@@ -72,6 +74,15 @@
         /// How the back end treated it.
         result: RunResult,
     },
+    /// How a run under a claim ended, to be given to repeats of the call. It is
+    /// reported when the answer's last byte has passed, before
+    /// [`InboundEvent::RunClosed`]; without it the answer counts as lost.
+    AnswerRecorded {
+        /// The attempt.
+        id: InboundId,
+        /// The answer, if it is not too large.
+        outcome: RecordedOutcome,
+    },
     /// The back end is free of the run: the answer's last byte has passed, or
     /// the connection was closed.
     RunClosed {
@@ -111,6 +122,23 @@
         /// When the back end should give up.
         deadline: Timestamp,
     },
+    /// Run the attempt, whose idempotency key was claimed. If the run cannot start
+    /// in time, it must not start: [`RunResult::Refused`] is to be reported.
+    RunClaimed {
+        /// The attempt.
+        id: InboundId,
+        /// When the back end should give up.
+        deadline: Timestamp,
+        /// From here on the run must not start any more.
+        start_before: Timestamp,
+    },
+    /// Answer the caller's node with the answer recorded when the call ran.
+    Replay {
+        /// The attempt.
+        id: InboundId,
+        /// The complete answer.
+        answer: RecordedAnswer,
+    },
     /// Answer the caller's node: a refusal, or the result that the back end's
     /// answer amounts to. For `Completed` the answer's body follows.
     Answer {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,13 +1,15 @@
 //! Settings of `lifthollowd`: a TOML file, overridden by flags, checked in full.
 //!
-//! [`file`] and [`flags`] collect texts with their places, [`check`] makes
-//! values of them; every fault of both is reported together.
+//! [`file`] and [`flags`] collect texts with their places, [`check`] makes values
+//! of them; every fault of both is reported together.
 
 mod check;
+mod claim_roster;
 mod file;
 mod flags;
 mod key;
 mod raw;
+mod value;
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::ops::RangeInclusive;
@@ -15,6 +17,7 @@
 use std::time::Duration;
 
 use lifthollow_coordination::policy::PolicyKind;
+use lifthollow_protocol::Roster;
 use lifthollow_state::finding::Place;
 use lifthollow_state::{Findings, ServiceName, Side, Zone};
 
@@ -93,6 +96,11 @@
     pub buffered_body_bytes: usize,
     /// Longest time of a planned stop.
     pub stop_timeout: Duration,
+    /// The nodes that store claims on idempotency keys; without it keys are not
+    /// claimed.
+    pub claim_roster: Option<Roster>,
+    /// No process of the roster stored claims before.
+    pub claim_bootstrap: bool,
 }
 
 /// Reads the settings file that the flags name, if any, and checks it together
@@ -124,7 +132,16 @@
 }
 
 fn read_file(path: &str) -> Result<String, Findings> {
-    let text = match std::fs::metadata(path) {
+    read_text(path).map_err(|message| {
+        let mut findings = Findings::default();
+        findings.add(Place::File(Arc::from(path)), message);
+        findings
+    })
+}
+
+/// Reads a file that is not too large.
+fn read_text(path: &str) -> Result<String, String> {
+    match std::fs::metadata(path) {
         Ok(metadata) if metadata.len() > MAX_FILE_BYTES => {
             let size = metadata.len();
             Err(format!(
@@ -132,10 +149,5 @@
             ))
         }
         _ => std::fs::read_to_string(path).map_err(|error| format!("can't be read: {error}")),
-    };
-    text.map_err(|message| {
-        let mut findings = Findings::default();
-        findings.add(Place::File(Arc::from(path)), message);
-        findings
-    })
+    }
 }
--- a/crates/daemon/src/traffic/attempt.rs
+++ b/crates/daemon/src/traffic/attempt.rs
@@ -3,12 +3,14 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 
+use lifthollow_coordination::claims::gate::replay_result;
 use lifthollow_coordination::inbound::{Attempt, InboundEvent, InboundId};
-use lifthollow_protocol::frame::{AnswerHead, Open};
-use lifthollow_protocol::{AttemptResult, LoadReport};
+use lifthollow_protocol::frame::{AnswerHead, Header, Open};
+use lifthollow_protocol::{AttemptResult, LoadReport, RecordedAnswer};
 use lifthollow_state::{RetryAllowance, ServiceName, Timestamp};
 use lifthollow_transport::http::{BackendBody, BackendError, header};
 use lifthollow_transport::mux::{
@@ -20,6 +22,7 @@
 use crate::traffic::caller_headers;
 use crate::traffic::in_progress::InProgressGuard;
 use crate::traffic::parents::ParentGuard;
+use crate::traffic::record_answer::{headers_of, read_answer};
 use crate::traffic::run::{backend_request, run_result};
 
 /// Serves attempts as they arrive, each in a task of its own.
@@ -31,8 +34,8 @@
 
 async fn serve(traffic: Arc<Traffic>, incoming: IncomingAttempt) {
     let (mut task, open, body) = AttemptTask::start(traffic, incoming);
-    if let Some(deadline) = task.wait_for_admission().await {
-        task.run(&open, body, deadline).await;
+    if let Some(admission) = task.wait_for_admission().await {
+        task.run(&open, body, admission).await;
     }
 }
 
@@ -45,6 +48,8 @@
     cancel_signal: CancelSignal,
     /// Nothing more can be cancelled: the other node gave up, or has its answer.
     over: bool,
+    /// The run is under a claim, so that its answer is recorded.
+    claimed: bool,
     answer: Option<AnswerSender>,
     _parent: ParentGuard,
     _in_progress: InProgressGuard,
@@ -64,6 +69,13 @@
     unspent: RetryAllowance,
 }
 
+/// When a run must start and end.
+#[derive(Clone, Copy)]
+struct Admission {
+    deadline: Timestamp,
+    start_before: Option<Timestamp>,
+}
+
 type BackendAnswer = Result<Response<BackendBody>, BackendError>;
 
 impl AttemptTask {
@@ -79,6 +91,7 @@
             effects,
             cancel_signal: incoming.cancelled,
             over: false,
+            claimed: false,
             answer: Some(incoming.answer),
             _parent: traffic.parents.insert(id, context.clone()),
             _in_progress: traffic.in_progress.enter(),
@@ -98,13 +111,19 @@
         (task, open, incoming.body)
     }
 
-    /// Waits until the attempt may run, with the deadline for the back end, or is
-    /// over.
-    async fn wait_for_admission(&mut self) -> Option<Timestamp> {
+    /// Waits until the attempt may run or is over.
+    async fn wait_for_admission(&mut self) -> Option<Admission> {
         loop {
             tokio::select! {
                 effect = self.effects.recv_async() => match effect {
-                    Ok(AttemptEffect::Run { deadline }) => return Some(deadline),
+                    Ok(AttemptEffect::Run { deadline, start_before }) => {
+                        return Some(Admission { deadline, start_before });
+                    }
+                    Ok(AttemptEffect::Replay { answer, load, unspent }) => {
+                        let result = replay_result(&answer);
+                        self.replay(answer, DecidedAnswer { result, load, unspent }).await;
+                        return None;
+                    }
                     Ok(AttemptEffect::Answer { result, load, unspent }) => {
                         self.send_refusal(DecidedAnswer { result, load, unspent });
                         return None;
@@ -122,8 +141,9 @@
     }
 
     /// Runs the attempt; the back end is free of it at the end.
-    async fn run(&mut self, open: &Open, body: BodyReceiver, deadline: Timestamp) {
-        if let Some(answer) = self.wait_for_backend(open, body, deadline).await {
+    async fn run(&mut self, open: &Open, body: BodyReceiver, admission: Admission) {
+        self.claimed = admission.start_before.is_some();
+        if let Some(answer) = self.wait_for_backend(open, body, admission).await {
             self.report(InboundEvent::RunAnswered {
                 id: self.id,
                 result: run_result(&answer),
@@ -138,7 +158,7 @@
         &mut self,
         open: &Open,
         body: BodyReceiver,
-        deadline: Timestamp,
+        admission: Admission,
     ) -> Option<BackendAnswer> {
         let traffic = self.traffic.clone();
         let Some(pool) = traffic.backend(&self.service) else {
@@ -146,11 +166,16 @@
             return Some(Err(BackendError::NotSent(message)));
         };
         let token = traffic.parents.token(self.id);
-        let remaining = deadline - traffic.clock.now();
+        let remaining = admission.deadline - traffic.clock.now();
         let request = match backend_request(open, body, token, remaining) {
             Ok(request) => request,
             Err(error) => return Some(Err(BackendError::NotSent(error.to_string()))),
         };
+        let start_before = admission.start_before;
+        if start_before.is_some_and(|end| traffic.clock.now() >= end) {
+            let message = "the start window of the claim has passed".to_owned();
+            return Some(Err(BackendError::NotSent(message)));
+        }
         let running = pool.send(request);
         tokio::pin!(running);
         loop {
@@ -161,7 +186,7 @@
                     Ok(AttemptEffect::Answer { result, load, unspent }) => {
                         self.send_refusal(DecidedAnswer { result, load, unspent });
                     }
-                    Ok(AttemptEffect::Run { .. }) => {}
+                    Ok(AttemptEffect::Run { .. } | AttemptEffect::Replay { .. }) => {}
                     Err(_) => return None,
                 },
                 () = self.cancel_signal.cancelled(), if !self.over => self.report_cancelled(),
@@ -179,7 +204,7 @@
                         let decided = DecidedAnswer { result, load, unspent };
                         return self.send_answer(decided, answer).await;
                     }
-                    Ok(AttemptEffect::Run { .. }) => {}
+                    Ok(AttemptEffect::Run { .. } | AttemptEffect::Replay { .. }) => {}
                     Ok(AttemptEffect::CancelRun) | Err(_) => return,
                 },
                 () = self.cancel_signal.cancelled(), if !self.over => {
@@ -192,14 +217,15 @@
 
     async fn send_answer(&mut self, decided: DecidedAnswer, answer: BackendAnswer) {
         let is_complete = matches!(decided.result, AttemptResult::Completed { .. });
-        let (Ok(response), true) = (answer, is_complete) else {
+        let (Ok(mut response), true) = (answer, is_complete) else {
             return self.send_refusal(decided);
         };
+        let headers = header::end_to_end(response.headers(), caller_headers::is_own);
+        let beginning = self.record(&mut response, &headers).await;
         let Some(sender) = self.answer.take() else {
             return;
         };
         let (parts, body) = response.into_parts();
-        let headers = header::end_to_end(&parts.headers, caller_headers::is_own);
         let sender = sender.send_head(AnswerHead {
             result: decided.result,
             status: parts.status.as_u16(),
@@ -207,11 +233,43 @@
             load: decided.load,
             unspent: decided.unspent.0,
         });
-        self.send_body(sender, body).await;
+        self.send_body(sender, beginning, body).await;
     }
 
-    async fn send_body(&mut self, sender: BodySender, body: BackendBody) {
-        let sending = forward(sender, body);
+    /// Records the answer of a run under a claim. Returns what was read of the
+    /// body for it.
+    async fn record(&self, response: &mut Response<BackendBody>, headers: &[Header]) -> Vec<Bytes> {
+        if !self.claimed {
+            return Vec::new();
+        }
+        let read = read_answer(response, headers).await;
+        if let Some(outcome) = read.outcome {
+            let id = self.id;
+            self.report(InboundEvent::AnswerRecorded { id, outcome });
+        }
+        read.beginning
+    }
+
+    /// Answers with a recorded answer.
+    async fn replay(&mut self, answer: RecordedAnswer, decided: DecidedAnswer) {
+        let Some(sender) = self.answer.take() else {
+            return;
+        };
+        self.over = true;
+        let mut sender = sender.send_head(AnswerHead {
+            result: decided.result,
+            status: answer.status,
+            headers: headers_of(&answer),
+            load: decided.load,
+            unspent: decided.unspent.0,
+        });
+        if sender.send(Bytes::from(answer.body)).await.is_ok() {
+            sender.finish();
+        }
+    }
+
+    async fn send_body(&mut self, sender: BodySender, beginning: Vec<Bytes>, body: BackendBody) {
+        let sending = forward(sender, beginning, body);
         tokio::pin!(sending);
         loop {
             tokio::select! {
@@ -260,7 +318,12 @@
 }
 
 /// Sends the back end's body. If it breaks off, so does the stream.
-async fn forward(mut sender: BodySender, mut body: BackendBody) {
+async fn forward(mut sender: BodySender, beginning: Vec<Bytes>, mut body: BackendBody) {
+    for data in beginning {
+        if sender.send(data).await.is_err() {
+            return;
+        }
+    }
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             return;
