Learn what calls need apart for each calling service

Change: the call graph is learned for service, class and calling service; an answer carries the level for calls from there.

--- a/crates/coordination/src/inbound/mod.rs
+++ b/crates/coordination/src/inbound/mod.rs
@@ -143,8 +143,8 @@
     /// The load of a service, to be sent with every answer.
     fn load(&self, now: Timestamp, view: &View, service: &ServiceName) -> LoadReport;
 
-    /// Sets the lowest priority admitted by the services that nearly every call
-    /// of `service` needs further down. Baselines take no notice.
+    /// Sets the lowest priority admitted by the services that the next attempt
+    /// for `service` needs further down. Baselines take no notice.
     fn set_downstream_level(&mut self, _service: &ServiceName, _level: AdmissionLevel) {}
 
     /// Attempts that are queued or running.
--- a/crates/coordination/src/inbound/service_admission.rs
+++ b/crates/coordination/src/inbound/service_admission.rs
@@ -68,14 +68,15 @@
 }
 
 impl ServiceAdmission {
-    /// Sets the lowest priority admitted by the services needed further down.
+    /// Sets the lowest priority admitted by the services that the next attempt
+    /// needs further down.
     pub fn set_downstream(&mut self, level: AdmissionLevel) {
         self.downstream = level;
     }
 
-    /// The lowest priority admitted here and further down.
+    /// The lowest priority that gets through here.
     pub fn level(&self) -> AdmissionLevel {
-        self.threshold.level().max(self.downstream)
+        self.threshold.level()
     }
 
     /// Attempts that wait or run.
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
+use lifthollow_protocol::{AdmissionLevel, AttemptResult, LoadReport, RefusalReason};
 use lifthollow_state::{Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
@@ -10,7 +10,7 @@
 use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
 use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
 use crate::policy::PolicyKind;
-use crate::pressure::downstream_level;
+use crate::pressure::{CallSource, downstream_level};
 use crate::request_tree::RequestTree;
 use crate::view::View;
 
@@ -110,7 +110,24 @@
         &self.fleet
     }
 
-    /// The load of a local service, to be sent with every answer.
+    /// The load of a local service, to be sent with the answer of an attempt:
+    /// it includes what the services needed by calls from there refuse. To be
+    /// asked for before the attempt is settled.
+    pub fn load_for_caller(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        id: InboundId,
+    ) -> LoadReport {
+        let mut load = self.load(now, service);
+        if let Some(source) = self.request_tree.source(id) {
+            let needed = self.downstream_level(now, source);
+            load.admission_level = load.admission_level.max(needed);
+        }
+        load
+    }
+
+    /// The load of a local service.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
         let mut load = self.inbound.load(now, self.fleet.view(), service);
         load.leaving |= !self.fleet.takes_new_work();
@@ -211,7 +228,8 @@
     ) {
         let result = LEAVING_ANSWER;
         let refusal = InboundEffect::Answer { id, result };
-        self.request_tree.before_inbound(event);
+        self.request_tree
+            .before_inbound(&self.fleet.view().directory, event);
         self.request_tree
             .after_inbound(std::slice::from_ref(&refusal));
         effects.push(NodeEffect::Inbound(refusal));
@@ -223,7 +241,8 @@
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
-        self.request_tree.before_inbound(&event);
+        self.request_tree
+            .before_inbound(&self.fleet.view().directory, &event);
         self.pass_on_pressure(now, &event);
         let mut inbound_effects = Vec::new();
         self.inbound
@@ -234,15 +253,23 @@
 
     /// What the services needed further down refuse is refused here as well.
     fn pass_on_pressure(&mut self, now: Timestamp, event: &InboundEvent) {
-        if let InboundEvent::AttemptArrived { attempt, .. } = event {
-            let graph = self.request_tree.call_graph();
-            let level = downstream_level(graph, &attempt.service, |needed| {
-                self.outbound.level(now, self.fleet.view(), needed)
-            });
+        let InboundEvent::AttemptArrived { id, attempt } = event else {
+            return;
+        };
+        if let Some(source) = self.request_tree.source(*id) {
+            let level = self.downstream_level(now, source);
             self.inbound.set_downstream_level(&attempt.service, level);
         }
     }
 
+    /// The lowest priority that the services needed by calls from `source`
+    /// admit.
+    fn downstream_level(&self, now: Timestamp, source: &CallSource) -> AdmissionLevel {
+        downstream_level(self.request_tree.call_graph(), source, |needed| {
+            self.outbound.level(now, self.fleet.view(), needed)
+        })
+    }
+
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
--- a/crates/coordination/src/pressure/call_graph.rs
+++ b/crates/coordination/src/pressure/call_graph.rs
@@ -13,15 +13,25 @@
 /// A service called in at least this share of the runs is needed.
 const NEEDED_SHARE: f64 = 0.9;
 
+/// What tells calls of one service apart, as far as their needs go: calls of one
+/// class from one service mostly ask for the same operation.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallSource {
+    /// The service called.
+    pub service: ServiceName,
+    /// The service whose node calls; none for callers from outside.
+    pub caller: Option<ServiceName>,
+}
+
 /// A run beside this node and the services it has called so far.
 #[derive(Debug)]
 struct ActiveRun {
-    service: ServiceName,
+    source: CallSource,
     class: PriorityClass,
     called: BTreeSet<ServiceName>,
 }
 
-/// How often the runs of one service and class call each other service.
+/// How often the runs for one source and class call each other service.
 #[derive(Debug, Default)]
 struct CallShares {
     runs: u32,
@@ -32,14 +42,14 @@
 #[derive(Debug, Default)]
 pub struct CallGraph {
     active: BTreeMap<InboundId, ActiveRun>,
-    shares: BTreeMap<(ServiceName, PriorityClass), CallShares>,
+    shares: BTreeMap<(CallSource, PriorityClass), CallShares>,
 }
 
 impl CallGraph {
     /// An attempt has arrived that may run.
-    pub fn arrived(&mut self, id: InboundId, service: ServiceName, class: PriorityClass) {
+    pub fn arrived(&mut self, id: InboundId, source: CallSource, class: PriorityClass) {
         let run = ActiveRun {
-            service,
+            source,
             class,
             called: BTreeSet::new(),
         };
@@ -60,7 +70,7 @@
             return;
         };
         if success {
-            let key = (run.service, run.class);
+            let key = (run.source, run.class);
             self.shares.entry(key).or_default().learn(run.called);
         }
     }
@@ -70,15 +80,15 @@
         self.active.remove(&id);
     }
 
-    /// The services that nearly every run of `service` for a call of `class`
+    /// The services that nearly every run for a call of `class` from `source`
     /// needs.
     pub fn needed(
         &self,
-        service: &ServiceName,
+        source: &CallSource,
         class: PriorityClass,
     ) -> impl Iterator<Item = &ServiceName> {
         self.shares
-            .get(&(service.clone(), class))
+            .get(&(source.clone(), class))
             .filter(|shares| shares.runs >= MIN_RUNS)
             .into_iter()
             .flat_map(|shares| &shares.shares)
--- a/crates/coordination/src/pressure/downstream.rs
+++ b/crates/coordination/src/pressure/downstream.rs
@@ -3,9 +3,9 @@
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::{Priority, PriorityClass, ServiceName};
 
-use super::CallGraph;
+use super::{CallGraph, CallSource};
 
-/// The level below which calls of `service` would fail further down, where
+/// The level below which calls from `source` would fail further down, where
 /// `level_of` tells the level of a needed service.
 ///
 /// Classes are looked at from the least important: the level enters a class
@@ -13,12 +13,12 @@
 /// that does not need an overloaded service are never refused for it.
 pub fn downstream_level(
     graph: &CallGraph,
-    service: &ServiceName,
+    source: &CallSource,
     level_of: impl Fn(&ServiceName) -> AdmissionLevel,
 ) -> AdmissionLevel {
     let mut combined = AdmissionLevel::OPEN;
     for class in PriorityClass::ALL {
-        let needed = graph.needed(service, class);
+        let needed = graph.needed(source, class);
         let level = needed.map(&level_of).max().unwrap_or(AdmissionLevel::OPEN);
         if level <= first_of(class) {
             return combined;
--- a/crates/coordination/src/pressure/mod.rs
+++ b/crates/coordination/src/pressure/mod.rs
@@ -6,7 +6,9 @@
 //! is done, and reports as its own level to its callers in turn.
 
 pub mod call_graph;
+pub mod caller_index;
 pub mod downstream;
 
-pub use call_graph::CallGraph;
+pub use call_graph::{CallGraph, CallSource};
+pub use caller_index::CallerIndex;
 pub use downstream::downstream_level;
--- a/crates/coordination/src/request_tree.rs
+++ b/crates/coordination/src/request_tree.rs
@@ -5,12 +5,13 @@
 //! service needs.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_state::{Directory, RetryAllowance, Timestamp};
 
 use crate::inbound::{Attempt, InboundEffect, InboundEvent, InboundId, RunResult};
 use crate::outbound::{Call, CallId, OutboundEffect, OutboundEvent};
-use crate::pressure::CallGraph;
+use crate::pressure::{CallGraph, CallSource, CallerIndex};
 use crate::retry::AllowanceLedger;
 
 /// The attempts in progress beside a node and the calls nested below them.
@@ -18,8 +19,16 @@
 pub struct RequestTree {
     ledger: AllowanceLedger,
     call_graph: CallGraph,
+    callers: CallerIndex,
     parents: BTreeMap<CallId, InboundId>,
-    deadlines: BTreeMap<InboundId, Timestamp>,
+    attempts: BTreeMap<InboundId, AttemptOrigin>,
+}
+
+/// Where an attempt came from and how long it may take.
+#[derive(Debug)]
+struct AttemptOrigin {
+    source: CallSource,
+    deadline: Timestamp,
 }
 
 impl RequestTree {
@@ -28,15 +37,21 @@
         &self.call_graph
     }
 
+    /// Where an attempt came from, until it is settled.
+    pub fn source(&self, id: InboundId) -> Option<&CallSource> {
+        self.attempts.get(&id).map(|origin| &origin.source)
+    }
+
     /// The allowance that goes back with the answer of an attempt.
     pub fn settle(&mut self, id: InboundId) -> RetryAllowance {
+        self.attempts.remove(&id);
         self.ledger.settle(id)
     }
 
     /// Notes what an inbound event means before it is decided on.
-    pub fn before_inbound(&mut self, event: &InboundEvent) {
+    pub fn before_inbound(&mut self, directory: &Arc<Directory>, event: &InboundEvent) {
         match event {
-            InboundEvent::AttemptArrived { id, attempt } => self.arrived(*id, attempt),
+            InboundEvent::AttemptArrived { id, attempt } => self.arrived(directory, *id, attempt),
             InboundEvent::RunAnswered { id, result } => {
                 if let RunResult::Completed { success } = *result {
                     self.call_graph.completed(*id, success);
@@ -57,7 +72,6 @@
         for effect in effects {
             if let InboundEffect::Answer { id, .. } = effect {
                 self.call_graph.dropped(*id);
-                self.deadlines.remove(id);
             }
         }
     }
@@ -85,18 +99,23 @@
         }
     }
 
-    fn arrived(&mut self, id: InboundId, attempt: &Attempt) {
+    fn arrived(&mut self, directory: &Arc<Directory>, id: InboundId, attempt: &Attempt) {
         let context = &attempt.context;
+        let source = CallSource {
+            service: attempt.service.clone(),
+            caller: self.callers.service_of(directory, attempt.from),
+        };
+        let class = context.priority.class;
         self.ledger.open(id, context.allowance);
-        self.deadlines.insert(id, context.deadline);
-        let service = attempt.service.clone();
-        self.call_graph.arrived(id, service, context.priority.class);
+        self.call_graph.arrived(id, source.clone(), class);
+        let deadline = context.deadline;
+        self.attempts.insert(id, AttemptOrigin { source, deadline });
     }
 
     fn ended(&mut self, id: InboundId) {
         self.ledger.settle(id);
         self.call_graph.dropped(id);
-        self.deadlines.remove(&id);
+        self.attempts.remove(&id);
     }
 
     fn inherit(&mut self, call: CallId, description: &mut Call) {
@@ -105,8 +124,8 @@
         };
         let context = &mut description.context;
         context.allowance = self.ledger.lend(parent);
-        if let Some(deadline) = self.deadlines.get(&parent) {
-            context.deadline = context.deadline.min(*deadline);
+        if let Some(origin) = self.attempts.get(&parent) {
+            context.deadline = context.deadline.min(origin.deadline);
         }
         self.call_graph.called(parent, &description.service);
         self.parents.insert(call, parent);
--- a/crates/coordination/tests/pressure.rs
+++ b/crates/coordination/tests/pressure.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use lifthollow_coordination::inbound::InboundId;
-use lifthollow_coordination::pressure::{CallGraph, downstream_level};
+use lifthollow_coordination::pressure::{CallGraph, CallSource, downstream_level};
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::{Priority, PriorityClass, ServiceName};
 
@@ -11,12 +11,19 @@
     AdmissionLevel::of(Priority { class, user })
 }
 
+fn source(caller: Option<&str>) -> CallSource {
+    CallSource {
+        service: ServiceName::new("entry"),
+        caller: caller.map(ServiceName::new),
+    }
+}
+
 /// A graph in which runs of `entry` of `class` call `deep` in `of_ten` of ten
 /// cases.
 fn learn(graph: &mut CallGraph, class: PriorityClass, of_ten: u64) {
     for number in 0..100 {
         let id = InboundId(number);
-        graph.arrived(id, ServiceName::new("entry"), class);
+        graph.arrived(id, source(None), class);
         if number % 10 < of_ten {
             graph.called(id, &ServiceName::new("deep"));
         }
@@ -25,7 +32,7 @@
 }
 
 fn level_at_entry(graph: &CallGraph, deep: AdmissionLevel) -> AdmissionLevel {
-    downstream_level(graph, &ServiceName::new("entry"), |_| deep)
+    downstream_level(graph, &source(None), |_| deep)
 }
 
 #[test]
@@ -60,3 +67,13 @@
     let first_normal = level(PriorityClass::Normal, 0);
     assert_eq!(level_at_entry(&graph, deep), first_normal);
 }
+
+#[test]
+fn calls_from_another_service_do_not_feel_it() {
+    let mut graph = CallGraph::default();
+    learn(&mut graph, PriorityClass::Sheddable, 10);
+    let deep = level(PriorityClass::Normal, 0);
+    assert_eq!(level_at_entry(&graph, deep), deep);
+    let other = downstream_level(&graph, &source(Some("other")), |_| deep);
+    assert_eq!(other, AdmissionLevel::OPEN);
+}
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -226,7 +226,7 @@
         let Some(subject) = self.router.inbound_subject(id) else {
             return;
         };
-        let load = self.parts.node.load(now, &subject.service);
+        let load = self.parts.node.load_for_caller(now, &subject.service, id);
         if let AttemptResult::NotRun { reason, .. } = result {
             let state = RefusalState::of_load(load);
             self.record_refusal(now, subject, reason, Outcome::NotRun, state);
--- a/crates/sim/src/world/inbound_effects.rs
+++ b/crates/sim/src/world/inbound_effects.rs
@@ -155,7 +155,6 @@
             return;
         };
         record.answered = Some(result);
-        let unspent = record.ledger;
         let (caller, class) = (record.caller, record.attempt.context.priority.class);
         let service_name = record.attempt.service.clone();
         let ran = record.run.is_some();
@@ -174,7 +173,11 @@
             });
         }
         let machine = self.machine(index);
-        let load = machine.node.load(machine.local(now), &service_name);
+        let load = machine
+            .node
+            .load_for_caller(machine.local(now), &service_name, wire.inbound());
+        let node = &mut self.machine_mut(index).node;
+        let unspent = node.settle_allowance(wire.inbound());
         let answer = AttemptAnswer {
             result,
             load: Some(load),
