Keep the admission level steady where few calls arrive

Cause: with a limit of 2 a window saw about 10 arrivals; the level swung over the critical class and callers refused critical calls. Change: a window lasts until 20 arrivals (at most 400 ms); the level never shuts out demand below 0.9 of the capacity seen; callers admit everything while one side is open and otherwise take the mean of both.

--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -15,8 +15,14 @@
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
 
-/// How often the level is revised.
+/// How often the level is revised while there are enough arrivals to judge by.
 const WINDOW: Duration = Duration::from_millis(100);
+/// Arrivals that are enough.
+const MIN_ARRIVALS: u32 = 20;
+/// How long they are waited for.
+const MAX_WINDOW: Duration = Duration::from_millis(400);
+/// Demand above the line is not cut below this share of the capacity seen.
+const KEPT_CAPACITY: f64 = 0.9;
 /// Admission levels there are.
 const LEVELS: usize = 384;
 /// Levels over which the demand just above the line is averaged.
@@ -55,6 +61,8 @@
 pub struct AdmissionThreshold {
     level: u16,
     demand: Vec<f64>,
+    /// Runs that ended, remembered as long as the demand.
+    served: f64,
     window: Window,
 }
 
@@ -76,6 +84,7 @@
         AdmissionThreshold {
             level: 0,
             demand: vec![0.0; LEVELS],
+            served: 0.0,
             window: Window::default(),
         }
     }
@@ -90,6 +99,7 @@
     /// Forgets what was seen, but keeps the level until it is revised.
     pub fn restart(&mut self, now: Timestamp) {
         self.demand.fill(0.0);
+        self.served = 0.0;
         self.window = Window::starting_at(now, 0);
     }
 
@@ -109,13 +119,14 @@
     /// A run ended.
     pub fn finished(&mut self) {
         self.window.finished += 1;
+        self.served += 1.0;
     }
 
     /// Accounts for the time since the last call, during which the server
     /// looked like `occupancy`, and revises the level when it is due.
     pub fn observe(&mut self, now: Timestamp, occupancy: Occupancy) {
         self.window.accumulate(now, occupancy);
-        if now.saturating_since(self.window.started) >= WINDOW {
+        if self.window.is_over(now) {
             self.revise();
             self.window = Window::starting_at(now, occupancy.queued);
         }
@@ -132,11 +143,14 @@
         for count in &mut self.demand {
             *count *= DEMAND_MEMORY;
         }
+        self.served *= DEMAND_MEMORY;
     }
 
     /// Shuts out the least important share of the demand above the line.
     fn raise(&mut self, share: f64) {
-        let to_shut_out = share * self.demand_above_line();
+        let demand = self.demand_above_line();
+        let spare = demand - KEPT_CAPACITY * self.served;
+        let to_shut_out = (share * demand).min(spare);
         let mut shut_out = 0.0;
         while usize::from(self.level) < LEVELS - 1 && shut_out < to_shut_out {
             shut_out += self.demand[usize::from(self.level)];
@@ -174,6 +188,12 @@
         }
     }
 
+    fn is_over(&self, now: Timestamp) -> bool {
+        let elapsed = now.saturating_since(self.started);
+        let enough = self.arrivals >= MIN_ARRIVALS || elapsed >= MAX_WINDOW;
+        elapsed >= WINDOW && enough
+    }
+
     fn accumulate(&mut self, now: Timestamp, occupancy: Occupancy) {
         let elapsed = now.saturating_since(self.observed).as_secs_f64();
         let in_use = occupancy.running as f64 / f64::from(occupancy.limit.max(1));
--- a/crates/coordination/src/outbound/edge.rs
+++ b/crates/coordination/src/outbound/edge.rs
@@ -138,15 +138,20 @@
         }
     }
 
-    /// The lowest priority that the service admits: that of the more open side,
-    /// of those that have a weight.
+    /// The lowest priority that the service admits: everything while a side is
+    /// open, as it can take over; otherwise the mean of both sides.
     pub fn level(&self, now: Timestamp, view: &View) -> AdmissionLevel {
-        Side::ALL
+        let weights = self.weights(view);
+        let levels: Vec<AdmissionLevel> = Side::ALL
             .into_iter()
-            .filter(|side| self.weights(view).of(*side) > 0)
+            .filter(|side| weights.of(*side) > 0)
             .map(|side| self.side_level(now, view, side))
-            .min()
-            .unwrap_or(AdmissionLevel::OPEN)
+            .collect();
+        if levels.contains(&AdmissionLevel::OPEN) {
+            return AdmissionLevel::OPEN;
+        }
+        let sum: u16 = levels.iter().map(|level| level.0).sum();
+        AdmissionLevel(sum / levels.len().max(1) as u16)
     }
 
     /// The mean of what a side's servers said lately. Their calls are spread by
