--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -21,6 +21,8 @@
 const MIN_ARRIVALS: u32 = 20;
 /// How long they are waited for.
 const MAX_WINDOW: Duration = Duration::from_millis(400);
+/// Calls that free slots could have served, at which there is clearly room.
+const CLEAR_ROOM: f64 = 5.0;
 /// Demand above the line is not cut below this share of the capacity seen.
 const KEPT_CAPACITY: f64 = 0.9;
 /// Admission levels there are.
@@ -30,7 +32,7 @@
 /// Share of the demand counts kept from one window to the next.
 const DEMAND_MEMORY: f64 = 0.8;
 /// Slots in use, relative to the limit, at which the level stays.
-const TARGET_UTILIZATION: f64 = 0.95;
+const TARGET_UTILIZATION: f64 = 1.0;
 /// Utilization below which the room is no longer extrapolated.
 const MIN_UTILIZATION: f64 = 0.05;
 /// Part of the surplus that one window corrects: callers learn of a new level
@@ -38,8 +40,9 @@
 const SURPLUS_GAIN: f64 = 0.3;
 /// Part of the queue's distance from its target that one window corrects.
 const QUEUE_GAIN: f64 = 0.1;
-/// Calls that may wait, relative to those that run.
-const TARGET_QUEUE: f64 = 0.25;
+/// Calls that may wait, relative to the square root of those that run: that is
+/// how much the number of arrivals varies by chance.
+const TARGET_QUEUE: f64 = 0.8;
 /// Largest share of the demand that one window shuts out.
 const MAX_RAISE: f64 = 0.3;
 /// Levels that one window lets in at most.
@@ -191,7 +194,7 @@
     fn is_over(&self, now: Timestamp) -> bool {
         let elapsed = now.saturating_since(self.started);
         let enough = self.arrivals >= MIN_ARRIVALS || elapsed >= MAX_WINDOW;
-        elapsed >= WINDOW && enough
+        elapsed >= WINDOW && (enough || self.room() >= CLEAR_ROOM)
     }
 
     fn accumulate(&mut self, now: Timestamp, occupancy: Occupancy) {
@@ -210,7 +213,7 @@
 
     /// Calls that wait beyond the target.
     fn backlog(&self) -> f64 {
-        let target = f64::from(self.last.limit) * TARGET_QUEUE;
+        let target = f64::from(self.last.limit).sqrt() * TARGET_QUEUE;
         self.last.queued as f64 - target
     }
 
--- a/crates/sim/src/world/back_end_runs.rs
+++ b/crates/sim/src/world/back_end_runs.rs
@@ -4,6 +4,7 @@
 
 use lifthollow_coordination::inbound::RunResult;
 use lifthollow_coordination::outbound::CallId;
+use lifthollow_state::RetryAllowance;
 
 use super::event::WorldEvent;
 use super::ids::{MachineIndex, WireId};
@@ -188,7 +189,8 @@
         let Some(deadline) = self.run_mut(wire).map(|run| run.deadline) else {
             return;
         };
-        let allowance = self.lend_allowance(wire);
+        // The node lends the call its share of what its parent was lent.
+        let allowance = RetryAllowance::default();
         let origin = CallOrigin::Run { wire, epoch };
         let call = self.new_call(server, place, origin, deadline, allowance);
         if let Some(run) = self.run_mut(wire) {
@@ -257,6 +259,7 @@
         if run.phase == RunPhase::Ended {
             return;
         }
+        let was_queued = run.phase == RunPhase::Queued;
         run.phase = RunPhase::Ended;
         run.epoch += 1;
         let connected = std::mem::take(&mut run.connected);
@@ -267,7 +270,9 @@
         if let Some(back_end) = self.machines[server.0].back_end.as_mut() {
             back_end.running.remove(&wire);
             back_end.stuck.remove(&wire);
-            back_end.queue.retain(|queued| *queued != wire);
+            if was_queued {
+                back_end.queue.retain(|queued| *queued != wire);
+            }
             if connected {
                 back_end.release(reusable);
             }
@@ -287,7 +292,11 @@
         if !back_end.has_free_slot() {
             return None;
         }
-        back_end.queue.pop_front()
+        let next = back_end.queue.pop_front()?;
+        if let Some(run) = self.run_mut(next) {
+            run.phase = RunPhase::Connecting;
+        }
+        Some(next)
     }
 
     /// The node gave a run up: the back end stops it and frees its slot.
--- a/crates/sim/src/world/inbound_effects.rs
+++ b/crates/sim/src/world/inbound_effects.rs
@@ -4,7 +4,7 @@
 use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, RunResult};
 use lifthollow_coordination::outbound::AttemptAnswer;
 use lifthollow_protocol::AttemptResult;
-use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_state::Timestamp;
 
 use super::backend::Connection;
 use super::event::WorldEvent;
@@ -172,12 +172,11 @@
                 reason,
             });
         }
-        let machine = self.machine(index);
-        let load = machine
-            .node
-            .load_for_caller(machine.local(now), &service_name, wire.inbound());
-        let node = &mut self.machine_mut(index).node;
-        let unspent = node.settle_allowance(wire.inbound());
+        let id = wire.inbound();
+        let machine = self.machine_mut(index);
+        let now_there = machine.local(now);
+        let load = machine.node.load_for_caller(now_there, &service_name, id);
+        let unspent = machine.node.settle_allowance(id);
         let answer = AttemptAnswer {
             result,
             load: Some(load),
@@ -193,21 +192,4 @@
             self.close_server(wire);
         }
     }
-
-    /// Takes half of what an attempt's ledger holds, rounded up, for a nested call.
-    pub(super) fn lend_allowance(&mut self, wire: WireId) -> RetryAllowance {
-        let Some(record) = self.attempts.get_mut(&wire) else {
-            return RetryAllowance(0);
-        };
-        let lent = record.ledger.0.div_ceil(2);
-        record.ledger.0 -= lent;
-        RetryAllowance(lent)
-    }
-
-    /// Puts what a nested call did not spend back into the ledger.
-    pub(super) fn return_allowance(&mut self, wire: WireId, unspent: RetryAllowance) {
-        if let Some(record) = self.attempts.get_mut(&wire) {
-            record.ledger.0 = record.ledger.0.saturating_add(unspent.0);
-        }
-    }
 }
