Take over for a side that can't be reached, and avoid silent servers

Cause: silence was only compared inside a side, so that a whole side cut off was never left out; and calls that can't be repeated were sent to servers that already owed answers. Change: servers of the other side count as stand-ins if it has a weight; a call that can't be repeated first looks for a server heard of within the usual latency, on either side; a trial that times out ejects again; silence counts from the time that almost every answer takes, once.

--- a/crates/coordination/src/outbound/edge.rs
+++ b/crates/coordination/src/outbound/edge.rs
@@ -1,15 +1,17 @@
 //! One edge of the call graph: this node's calls to one service.
 
+mod choice;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use lifthollow_protocol::{AdmissionLevel, LoadReport, RefusalReason};
+use lifthollow_protocol::{AdmissionLevel, LoadReport};
 use lifthollow_state::{NodeId, Priority, Server, ServerState, ServiceName, Side, Timestamp, Zone};
 use rand::{Rng, RngExt};
 
 use super::AttemptId;
 use super::outlier_detection::SideServers;
-use super::server_choice::{Candidate, ChoiceContext, choose_server};
+use super::server_choice::Candidate;
 use super::server_state::{Outcome, ServerRecord};
 use super::side_choice::{SideChoice, SideWeights};
 use crate::View;
@@ -17,14 +19,10 @@
 use crate::latency::LatencyEstimate;
 use crate::retry::RetryBudget;
 
-/// A side takes over another's calls only below this utilization.
-const SPILL_UTILIZATION: f64 = 0.8;
 /// An attempt is not given up for another before this.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(50);
 /// Nor before this many times the time that almost every answer takes.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
-/// Utilization of a server that has no room.
-const FULL: f64 = 1.0;
 
 /// What a call asks of the choice of a server.
 #[derive(Clone, Debug)]
@@ -139,12 +137,13 @@
     }
 
     /// The lowest priority that the service admits: everything while a side is
-    /// open, as it can take over; otherwise the mean of both sides.
+    /// open, as it can take over; otherwise the mean of both sides. Sides that
+    /// can't be reached do not count.
     pub fn level(&self, now: Timestamp, view: &View) -> AdmissionLevel {
         let weights = self.weights(view);
         let levels: Vec<AdmissionLevel> = Side::ALL
             .into_iter()
-            .filter(|side| weights.of(*side) > 0)
+            .filter(|side| weights.of(*side) > 0 && self.is_reachable(now, view, *side))
             .map(|side| self.side_level(now, view, side))
             .collect();
         if levels.contains(&AdmissionLevel::OPEN) {
@@ -168,119 +167,39 @@
         AdmissionLevel(mean as u16)
     }
 
-    /// Chooses a server: the side by the table's weights, then the server.
-    pub fn choose(
-        &mut self,
-        now: Timestamp,
-        view: &View,
-        wanted: &Wanted<'_>,
-        random: &mut impl Rng,
-    ) -> Result<Chosen, RefusalReason> {
-        self.learn_servers(now, view);
-        let weights = self.weights(view);
-        let next = wanted.side.or_else(|| self.side_choice.next(weights));
-        let side = next.ok_or(RefusalReason::NoServer)?;
-        if self.side_level(now, view, side).admits(wanted.priority)
-            && let Some(server) = self.choose_on(now, view, side, wanted, random)
-        {
-            let spilled = false;
-            return Ok(Chosen {
-                server,
-                side,
-                spilled,
-            });
-        }
-        self.spill(now, view, side, weights, wanted, random)
-    }
-
-    /// The other side carries the call if its weight and its load allow it.
-    fn spill(
-        &self,
-        now: Timestamp,
-        view: &View,
-        side: Side,
-        weights: SideWeights,
-        wanted: &Wanted<'_>,
-        random: &mut impl Rng,
-    ) -> Result<Chosen, RefusalReason> {
-        let other = side.other();
-        let reason = if self.is_empty(view, side) {
-            RefusalReason::NoServer
-        } else {
-            RefusalReason::Overloaded
-        };
-        if weights.of(other) == 0
-            || !self.side_level(now, view, other).admits(wanted.priority)
-            || self.utilization(now, view, other) > SPILL_UTILIZATION
-        {
-            return Err(reason);
-        }
-        let server = self.choose_on(now, view, other, wanted, random);
-        server.ok_or(reason).map(|server| Chosen {
-            server,
-            side,
-            spilled: true,
-        })
-    }
-
-    fn choose_on(
-        &self,
-        now: Timestamp,
-        view: &View,
-        side: Side,
-        wanted: &Wanted<'_>,
-        random: &mut impl Rng,
-    ) -> Option<NodeId> {
-        let limit = self.limit(view, side);
-        let candidates: Vec<Candidate<'_>> = self
-            .routable(now, view, side)
-            .into_iter()
-            .filter(|candidate| !wanted.tried.contains(&candidate.node))
-            .filter(|candidate| {
-                !wanted.needs_room || candidate.record.utilization(now, limit) < FULL
-            })
-            .collect();
-        if let Some(node) = server_to_try(now, &candidates, wanted.may_try) {
-            return Some(node);
-        }
-        let in_use: Vec<Candidate<'_>> = candidates
-            .iter()
-            .filter(|candidate| candidate.record.ejection.is_in_use())
-            .copied()
-            .collect();
-        let context = ChoiceContext {
-            now,
-            zone: self.zone,
-            limit,
-            typical_latency: self.latency.mean(),
-        };
-        if in_use.is_empty() && wanted.tried.is_empty() {
-            return choose_server(&candidates, context, random);
-        }
-        choose_server(&in_use, context, random)
-    }
-
     /// Leaves out servers that fail while others do better.
     pub fn eject_outliers(&mut self, now: Timestamp, view: &View) {
         for server in self.servers.values_mut() {
             server.ejection.refresh(now);
         }
         for side in Side::ALL {
-            let outliers = SideServers {
-                servers: self
-                    .routable(now, view, side)
-                    .iter()
-                    .map(|candidate| (candidate.node, candidate.record))
-                    .collect(),
-                usual_latency: self.latency.high(),
-            }
-            .outliers(now);
-            for node in outliers {
+            for node in self.outliers(now, view, side) {
                 self.server_mut(now, node).ejection.eject(now);
             }
         }
     }
 
+    fn outliers(&self, now: Timestamp, view: &View, side: Side) -> Vec<NodeId> {
+        let records = |side| -> Vec<(NodeId, &ServerRecord)> {
+            self.routable(now, view, side)
+                .iter()
+                .map(|candidate| (candidate.node, candidate.record))
+                .collect()
+        };
+        let other = side.other();
+        let takes_over = self.weights(view).of(other) > 0;
+        let servers = SideServers {
+            servers: records(side),
+            stand_ins: if takes_over {
+                records(other)
+            } else {
+                Vec::new()
+            },
+            usual_latency: self.latency.high(),
+        };
+        servers.outliers(now)
+    }
+
     /// Forgets servers that are no longer listed.
     pub fn forget_unlisted(&mut self, view: &View) {
         let listed = view.directory.servers(&self.service);
@@ -324,6 +243,14 @@
         })
     }
 
+    /// Whether a side has a server in use.
+    fn is_reachable(&self, now: Timestamp, view: &View, side: Side) -> bool {
+        let servers = self.routable(now, view, side);
+        servers
+            .iter()
+            .any(|candidate| candidate.record.ejection.is_in_use())
+    }
+
     /// The table's weights; a side without servers has none.
     fn weights(&self, view: &View) -> SideWeights {
         let weight = |side| {
@@ -361,12 +288,3 @@
             .map_or(1, |row| row.max_in_flight)
     }
 }
-
-/// A server on trial that this call may try.
-fn server_to_try(now: Timestamp, candidates: &[Candidate<'_>], may_try: bool) -> Option<NodeId> {
-    candidates
-        .iter()
-        .filter(|candidate| candidate.record.ejection.is_on_trial() && candidate.record.is_idle())
-        .find(|candidate| may_try || candidate.record.ejection.trial_is_overdue(now))
-        .map(|candidate| candidate.node)
-}
--- a/crates/coordination/src/outbound/ejection.rs
+++ b/crates/coordination/src/outbound/ejection.rs
@@ -18,7 +18,7 @@
 const BASE_DURATION: Duration = Duration::from_millis(500);
 const MAX_DURATION: Duration = Duration::from_secs(4);
 /// A server on trial waits this long for a call that may be repeated.
-const TRIAL_PATIENCE: Duration = Duration::from_secs(2);
+const TRIAL_PATIENCE: Duration = Duration::from_secs(10);
 /// After this long without a failure, earlier ejections are forgotten.
 const FORGIVEN_AFTER: Duration = Duration::from_secs(30);
 
@@ -61,7 +61,8 @@
             Outcome::Succeeded | Outcome::Refused => self.succeeded(now),
             Outcome::Failed => self.failed(now, 0),
             Outcome::Unreachable => self.failed(now, 1),
-            Outcome::GivenUp => {}
+            Outcome::TimedOut if self.is_on_trial() => self.eject(now),
+            Outcome::TimedOut | Outcome::GivenUp => {}
         }
     }
 
--- a/crates/coordination/src/outbound/outlier_detection.rs
+++ b/crates/coordination/src/outbound/outlier_detection.rs
@@ -1,9 +1,10 @@
 //! Which servers are to be left out, seen beside the others of their side.
 //!
 //! A server is ejected only while others do clearly better, and never so many
-//! that a misread could empty a side: errors may take out half of it, silence
-//! and broken connections all but one. If everything fails or falls silent at
-//! once, the fault is not the servers' and none is ejected.
+//! that a misread could empty the service: errors may take out half of a side,
+//! silence and broken connections all that others stand in for. If everything
+//! fails or falls silent at once, the fault is not the servers' and none is
+//! ejected.
 
 use std::time::Duration;
 
@@ -14,8 +15,6 @@
 
 /// A server that owes an answer is not called silent before this.
 const MIN_SILENCE: Duration = Duration::from_millis(200);
-/// Nor before this many times the time that almost every answer takes.
-const SILENCE_FACTOR: u32 = 2;
 /// The others must fail at most this often, relative to the suspect.
 const CLEARLY_BETTER: f64 = 0.5;
 
@@ -23,6 +22,8 @@
 pub struct SideServers<'a> {
     /// Each with what was seen of it.
     pub servers: Vec<(NodeId, &'a ServerRecord)>,
+    /// The servers of the other side, if it may take over.
+    pub stand_ins: Vec<(NodeId, &'a ServerRecord)>,
     /// Time that almost every answer of the service takes.
     pub usual_latency: Duration,
 }
@@ -55,7 +56,7 @@
     fn floor(&self, evidence: Evidence) -> usize {
         match evidence {
             Evidence::Errors => self.servers.len().div_ceil(2),
-            Evidence::Silence => 1,
+            Evidence::Silence => 0,
         }
     }
 
@@ -67,7 +68,7 @@
     }
 
     fn is_silent(&self, now: Timestamp, server: &ServerRecord) -> bool {
-        server.silence(now) > MIN_SILENCE.max(self.usual_latency * SILENCE_FACTOR)
+        server.silence(now) > MIN_SILENCE.max(self.usual_latency)
     }
 
     fn others_do_better(&self, now: Timestamp, suspect: NodeId, evidence: Evidence) -> bool {
@@ -78,14 +79,23 @@
             .map(|(_, server)| *server)
             .collect();
         match evidence {
-            Evidence::Silence => others.iter().any(|server| {
-                !self.is_silent(now, server)
-                    && server.ejection.evidence() != Some(Evidence::Silence)
-            }),
+            Evidence::Silence => self.others_answer(now, &others),
             Evidence::Errors => self.fail_less(suspect, &others),
         }
     }
 
+    fn others_answer(&self, now: Timestamp, others: &[&ServerRecord]) -> bool {
+        let stand_ins = self.stand_ins.iter().map(|(_, server)| *server);
+        others
+            .iter()
+            .copied()
+            .chain(stand_ins.filter(|server| server.ejection.is_in_use()))
+            .any(|server| {
+                !self.is_silent(now, server)
+                    && server.ejection.evidence() != Some(Evidence::Silence)
+            })
+    }
+
     fn fail_less(&self, suspect: NodeId, others: &[&ServerRecord]) -> bool {
         let own_rate = self
             .servers
--- a/crates/coordination/src/outbound/routing.rs
+++ b/crates/coordination/src/outbound/routing.rs
@@ -255,7 +255,13 @@
     }
 
     /// Gives the current attempt up: its server must drop or cancel it.
-    fn abandon_attempt(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
+    fn abandon_attempt(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        outcome: Outcome,
+        effects: &mut Vec<OutboundEffect>,
+    ) {
         let Some(state) = self.calls.get(id) else {
             return;
         };
@@ -263,7 +269,7 @@
             return;
         };
         if let Some(edge) = self.edges.get_mut(&state.call.service) {
-            edge.learn(now, current.server, current.id, Outcome::GivenUp, None);
+            edge.learn(now, current.server, current.id, outcome, None);
             edge.closed(current.server, current.id);
         }
         effects.push(OutboundEffect::Cancel {
@@ -299,7 +305,7 @@
         };
         let deadline = state.call.context.deadline;
         if deadline <= now {
-            self.abandon_attempt(now, id, effects);
+            self.abandon_attempt(now, id, Outcome::TimedOut, effects);
             if let Some(state) = self.calls.get_mut(id) {
                 state.end_attempt(Failure::NO_ANSWER);
             }
@@ -308,7 +314,7 @@
         }
         self.calls.set_timer(id, deadline);
         if let Some(chosen) = self.choose_retry(now, view, id, Failure::NO_ANSWER) {
-            self.abandon_attempt(now, id, effects);
+            self.abandon_attempt(now, id, Outcome::TimedOut, effects);
             self.retry(now, id, Failure::NO_ANSWER, chosen, effects);
         }
     }
--- a/crates/coordination/src/outbound/routing/final_answer.rs
+++ b/crates/coordination/src/outbound/routing/final_answer.rs
@@ -6,6 +6,7 @@
 use super::Routing;
 use crate::View;
 use crate::outbound::call_state::Failure;
+use crate::outbound::server_state::Outcome;
 use crate::outbound::{
     AttemptAnswer, AttemptId, CallAnswer, CallId, OutboundEffect, OutboundPolicy,
 };
@@ -87,7 +88,7 @@
     }
 
     pub(super) fn cancel(&mut self, now: Timestamp, id: CallId, effects: &mut Vec<OutboundEffect>) {
-        self.abandon_attempt(now, id, effects);
+        self.abandon_attempt(now, id, Outcome::GivenUp, effects);
         self.calls.remove(id);
     }
 }
--- a/crates/coordination/src/outbound/server_state.rs
+++ b/crates/coordination/src/outbound/server_state.rs
@@ -28,6 +28,8 @@
     Failed,
     /// It did not answer, or could not be reached.
     Unreachable,
+    /// It took unusually long and was given up.
+    TimedOut,
     /// The attempt was given up for a reason of the caller's.
     GivenUp,
 }
@@ -83,12 +85,14 @@
         let elapsed = now.saturating_since(sent);
         match outcome {
             Outcome::Succeeded => self.latency.observe(now, elapsed),
-            Outcome::Unreachable | Outcome::GivenUp => self.latency.observe_at_least(now, elapsed),
+            Outcome::Unreachable | Outcome::TimedOut | Outcome::GivenUp => {
+                self.latency.observe_at_least(now, elapsed);
+            }
             Outcome::Refused | Outcome::Failed => {}
         }
         match outcome {
             Outcome::Succeeded | Outcome::Refused | Outcome::Failed => self.heard_of(now),
-            Outcome::Unreachable | Outcome::GivenUp => self.last_given_up = now,
+            Outcome::Unreachable | Outcome::TimedOut | Outcome::GivenUp => self.last_given_up = now,
         }
         self.ejection.record(now, outcome);
         Some(elapsed)
--- a/crates/coordination/tests/routing.rs
+++ b/crates/coordination/tests/routing.rs
@@ -54,6 +54,38 @@
     );
 }
 
+#[test]
+fn side_that_fell_silent_is_replaced_by_the_other() {
+    let mut driver = OutboundDriver::new(view((1, 1), 3, 3));
+    run_with_silent(&mut driver, &[], 0, 500);
+    let new_side: Vec<NodeId> = (101..104).map(node).collect();
+    run_with_silent(&mut driver, &new_side, 2500, 100);
+    let used = run_with_silent(&mut driver, &new_side, 3000, 200);
+    let lost = used
+        .iter()
+        .filter(|server| new_side.contains(server))
+        .count();
+    assert!(lost <= 6, "{lost} of 200 calls went to the silent side");
+}
+
+#[test]
+fn call_that_cannot_be_repeated_avoids_a_server_that_owes_an_answer() {
+    let mut driver = OutboundDriver::new(view((1, 0), 3, 0));
+    run_with_silent(&mut driver, &[], 0, 500);
+    let gray = node(2);
+    let used = run_with_silent(&mut driver, &[gray], 2500, 8);
+    assert!(used.contains(&gray));
+    driver.event(at(2510), OutboundEvent::Wake);
+    for number in 0..20 {
+        let now = at(2600 + number);
+        let critical = context(PriorityClass::Critical, 64, now + Duration::from_secs(1));
+        let effects = driver.call(now, critical, false);
+        let attempt = sent(&effects).expect("sent");
+        assert_ne!(attempt.server, gray);
+        driver.answer(now, attempt.attempt, SUCCESS, Some(load(OPEN)));
+    }
+}
+
 #[test]
 fn failures_of_all_servers_eject_none() {
     let mut driver = OutboundDriver::new(view((1, 0), 3, 0));
