--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,9 +12,12 @@
 //! Two matters cross both: [`retry`] bounds the retries of a whole request, and
 //! [`pressure`] carries refusals deep in the call graph towards the entry.
 //!
+//! [`claims`] lets a call with an idempotency key run at most once.
+//!
 //! [`baseline`] holds the ordinary policies that lifthollow is compared with.
 
 pub mod baseline;
+pub mod claims;
 pub mod class_floor;
 pub mod fleet;
 pub mod inbound;
