--- /dev/null
+++ b/crates/daemon/examples/hop_latency/arguments.rs
@@ -0,0 +1,25 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Measures what one hop through two lifthollowd processes adds to a direct call.
+#[derive(FromArgs)]
+pub struct Arguments {
+    /// the program to measure
+    #[argh(option, default = "PathBuf::from(\"target/release/lifthollowd\")")]
+    pub lifthollowd: PathBuf,
+    /// calls a second of the loaded phase (default 755)
+    #[argh(option, default = "755")]
+    pub rate: u32,
+    /// seconds of each measurement (default 4)
+    #[argh(option, default = "4")]
+    pub seconds: u64,
+    /// measurements of each kind in each phase (default 3)
+    #[argh(option, default = "3")]
+    pub rounds: u32,
+    /// also measure processor time by body size and by connections
+    #[argh(switch)]
+    pub slopes: bool,
+}
