--- a/crates/coordination/tests/fleet_configuration.rs
+++ b/crates/coordination/tests/fleet_configuration.rs
@@ -130,7 +130,9 @@
 fn a_change_that_does_not_amount_to_its_digest_is_discarded_and_all_rows_are_asked_for() {
     let mut network = Network::settled(NODES, ZONES, &table(1, 50));
     network.tamper = Some(Box::new(|_, to, message| {
-        let ControlMessage::Fleet(FleetMessage { body, .. }) = message;
+        let ControlMessage::Fleet(FleetMessage { body, .. }) = message else {
+            return;
+        };
         let FleetBody::TablePage(page) = body else {
             return;
         };
--- a/crates/daemon/examples/hop_latency/arguments.rs
+++ b/crates/daemon/examples/hop_latency/arguments.rs
@@ -10,6 +10,9 @@
     /// the program to measure
     #[argh(option, default = "PathBuf::from(\"target/release/lifthollowd\")")]
     pub lifthollowd: PathBuf,
+    /// worker threads for calls of each node
+    #[argh(option)]
+    pub call_threads: Option<String>,
     /// calls a second of the loaded phase (default 755)
     #[argh(option, default = "755")]
     pub rate: u32,
--- a/crates/daemon/examples/hop_latency/main.rs
+++ b/crates/daemon/examples/hop_latency/main.rs
@@ -44,7 +44,7 @@
 
 async fn measure(arguments: &Arguments) -> Result<()> {
     let surroundings = Surroundings::start().await?;
-    let nodes = NodePair::start(&arguments.lifthollowd, &surroundings).await?;
+    let nodes = NodePair::start(arguments, &surroundings).await?;
     let bench = Bench {
         seconds: Duration::from_secs(arguments.seconds),
         rounds: arguments.rounds,
--- a/crates/daemon/examples/hop_latency/nodes.rs
+++ b/crates/daemon/examples/hop_latency/nodes.rs
@@ -9,6 +9,7 @@
 use anyhow::{Context, Result, bail};
 use serde::Deserialize;
 
+use crate::arguments::Arguments;
 use crate::surroundings::{LOOPBACK, SERVICE, Surroundings};
 
 /// The system's unit of processor time in `/proc/PID/stat`: 1/100 s.
@@ -48,11 +49,17 @@
 
 impl NodePair {
     /// Starts both and waits until they know each other.
-    pub async fn start(program: &Path, surroundings: &Surroundings) -> Result<Self> {
+    pub async fn start(arguments: &Arguments, surroundings: &Surroundings) -> Result<Self> {
+        let program = &arguments.lifthollowd;
+        let mut more = Vec::new();
+        if let Some(call_threads) = &arguments.call_threads {
+            more.extend(["--call-threads", call_threads]);
+        }
+        let entry = Process::start(program, surroundings, &more)?;
         let backend = format!("{SERVICE}={}", surroundings.backend);
-        let server = Process::start(program, surroundings, &["--backend", &backend])?;
+        more.extend(["--backend", &backend]);
+        let server = Process::start(program, surroundings, &more)?;
         surroundings.list(&server.listening.node);
-        let entry = Process::start(program, surroundings, &[])?;
         for process in [&entry, &server] {
             process.wait_until_ready().await?;
         }
