daemon: the end of a run ends its route in the control thread

Cause: an attempt's task sent RunClosed and, a moment later, AttemptReleased; the control thread went back to sleep between the two and was woken twice. Change: RunClosed ends the route itself; AttemptReleased is sent only for attempts that never ran.

--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -125,15 +125,23 @@
         }
     }
 
+    /// An event that is the last one of its call or attempt ends the route too.
     fn take_in_event(&mut self, event: NodeEvent) {
-        let cancelled = match &event {
+        let cancelled_call = match &event {
             NodeEvent::Outbound(OutboundEvent::CallCancelled { call }) => Some(*call),
             _ => None,
         };
+        let closed_attempt = match &event {
+            NodeEvent::Inbound(InboundEvent::RunClosed { id }) => Some(*id),
+            _ => None,
+        };
         self.handle(event);
-        if let Some(call) = cancelled {
+        if let Some(call) = cancelled_call {
             self.router.remove_call(call);
         }
+        if let Some(attempt) = closed_attempt {
+            self.router.remove_inbound(attempt);
+        }
     }
 
     fn leave(&mut self) {
--- a/crates/daemon/src/traffic/attempt.rs
+++ b/crates/daemon/src/traffic/attempt.rs
@@ -46,14 +46,19 @@
     /// Nothing more can be cancelled: the other node gave up, or has its answer.
     over: bool,
     answer: Option<AnswerSender>,
+    /// Whether the control thread has been told of the run's end.
+    closed: bool,
     _parent: ParentGuard,
     _in_progress: InProgressGuard,
 }
 
-/// The attempt's number is forgotten when its task ends.
+/// The attempt's number is forgotten when its task ends; the end of a run tells
+/// that already.
 impl Drop for AttemptTask {
     fn drop(&mut self) {
-        self.release();
+        if !self.closed {
+            self.release();
+        }
     }
 }
 
@@ -80,6 +85,7 @@
             cancel_signal: incoming.cancelled,
             over: false,
             answer: Some(incoming.answer),
+            closed: false,
             _parent: traffic.parents.insert(id, context.clone()),
             _in_progress: traffic.in_progress.enter(),
             traffic,
@@ -130,6 +136,7 @@
             });
             self.pass_on(answer).await;
         }
+        self.closed = true;
         self.report(InboundEvent::RunClosed { id: self.id });
     }
 
