--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
-use lifthollow_state::{Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone};
+use lifthollow_protocol::{AttemptResult, ControlMessage, LoadReport, RefusalReason};
+use lifthollow_state::{
+    IdempotencyKey, Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone,
+};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
+use crate::claims::gate::{ClaimGate, GateEffect};
+use crate::claims::{ClaimSettings, Envelope, KeyReport};
 use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
 use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
 use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
@@ -78,6 +82,7 @@
     outbound: Box<dyn OutboundPolicy>,
     inbound: Box<dyn InboundPolicy>,
     request_tree: RequestTree,
+    claims: Option<ClaimGate>,
     last_handled: Option<Timestamp>,
 }
 
@@ -101,10 +106,25 @@
             outbound,
             inbound,
             request_tree: RequestTree::default(),
+            claims: None,
             last_handled: None,
         }
     }
 
+    /// Lets attempts with an idempotency key run only under a claim. Without this
+    /// they run like others.
+    pub fn with_claims(self, settings: ClaimSettings) -> Self {
+        Node {
+            claims: Some(ClaimGate::new(settings)),
+            ..self
+        }
+    }
+
+    /// What this node's replica knows of a key; none without claims.
+    pub fn key_report(&self, now: Timestamp, key: IdempotencyKey) -> Option<KeyReport> {
+        self.claims.as_ref()?.report(now, key)
+    }
+
     /// The settings the node was made with.
     pub fn settings(&self) -> &NodeSettings {
         &self.settings
@@ -145,6 +165,7 @@
             self.fleet.next_wake(),
             self.outbound.next_wake(),
             self.inbound.next_wake(),
+            self.claims.as_ref().and_then(ClaimGate::next_wake),
             Some(now + HEARTBEAT_INTERVAL),
         ];
         wakes.into_iter().flatten().min().unwrap_or(now)
@@ -178,6 +199,8 @@
         self.handle_fleet(now, FleetEvent::Wake, effects);
         self.handle_inbound(now, InboundEvent::Wake, effects);
         self.handle_outbound(now, OutboundEvent::Wake, effects);
+        let claimed = self.claims.as_mut().map(|claims| claims.wake(now));
+        self.carry_out_claims(now, claimed, effects);
     }
 
     fn handle_outbound(
@@ -233,13 +256,55 @@
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
+        let claimed = self
+            .claims
+            .as_mut()
+            .map(|claims| claims.observe(now, &event));
         self.request_tree.before_inbound(&event);
         self.pass_on_pressure(now, &event);
+        self.ask_inbound(now, event, effects);
+        self.carry_out_claims(now, claimed, effects);
+    }
+
+    /// Lets the inbound policy decide. What it wants to run is claimed first.
+    fn ask_inbound(&mut self, now: Timestamp, event: InboundEvent, effects: &mut Vec<NodeEffect>) {
         let mut inbound_effects = Vec::new();
         self.inbound
             .handle(now, self.fleet.view(), event, &mut inbound_effects);
         self.request_tree.after_inbound(&inbound_effects);
-        effects.extend(inbound_effects.into_iter().map(NodeEffect::Inbound));
+        for effect in inbound_effects {
+            match self.claims.as_mut() {
+                None => effects.push(NodeEffect::Inbound(effect)),
+                Some(claims) => {
+                    let claimed = claims.filter(now, effect);
+                    self.carry_out_claims(now, Some(claimed), effects);
+                }
+            }
+        }
+    }
+
+    fn carry_out_claims(
+        &mut self,
+        now: Timestamp,
+        claimed: Option<Vec<GateEffect>>,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        for effect in claimed.into_iter().flatten() {
+            match effect {
+                GateEffect::Send(Envelope { to, message }) => {
+                    let message = ControlMessage::Claim(message);
+                    effects.push(NodeEffect::Fleet(FleetEffect::Send { to, message }));
+                }
+                GateEffect::Inbound(effect) => {
+                    self.request_tree
+                        .after_inbound(std::slice::from_ref(&effect));
+                    effects.push(NodeEffect::Inbound(effect));
+                }
+                GateEffect::NotRun { id } => {
+                    self.ask_inbound(now, InboundEvent::RunClosed { id }, effects);
+                }
+            }
+        }
     }
 
     /// What the services needed further down refuse is refused here as well.
@@ -254,6 +319,15 @@
     }
 
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
+        if let FleetEvent::Message {
+            from,
+            message: ControlMessage::Claim(message),
+        } = event
+        {
+            let claims = self.claims.as_mut();
+            let claimed = claims.map(|claims| claims.receive(now, from, message));
+            return self.carry_out_claims(now, claimed, effects);
+        }
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
         effects.extend(fleet_effects.into_iter().map(NodeEffect::Fleet));
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,5 +1,6 @@
 //! What operators see: metrics, status and recent refusals, over HTTP.
 
+mod claims;
 mod metrics;
 mod refusals;
 mod server;
--- a/crates/daemon/src/settings/value.rs
+++ b/crates/daemon/src/settings/value.rs
@@ -28,6 +28,14 @@
     bounded_number(text, &ANY_SEED)
 }
 
+pub(super) fn yes_or_no(text: &str) -> Result<bool, String> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(unknown(text, "it is `yes` or `no`")),
+    }
+}
+
 pub(super) fn policy(text: &str) -> Result<PolicyKind, String> {
     PolicyKind::from_str(text).map_err(|fault| unknown(text, fault))
 }
