Show the claim of a key with lifthollowctl

Cause: operators could not see who claimed a key. Change: `lifthollowctl claim ADDRESS SERVICE KEY`. The port takes `/claims` with the parameters `service` and `key` in place of `/claims/SERVICE/KEY`: the HTTP client encodes parameters by itself, while a path would need an encoder of our own.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -36,6 +36,8 @@
     Members(MembersCommand),
     /// Who is leaving.
     Leaving(LeavingCommand),
+    /// What a node knows of an idempotency key.
+    Claim(ClaimCommand),
     /// A node's state to a file.
     Snapshot(SnapshotCommand),
 }
@@ -93,6 +95,22 @@
     pub address: String,
 }
 
+/// Show what a node knows of an idempotency key: which nodes are its replicas, and
+/// if this one is, who claimed the key and how the run ended.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "claim")]
+pub struct ClaimCommand {
+    /// the node's operators' address, IP:PORT
+    #[argh(positional)]
+    pub address: String,
+    /// the service that was called
+    #[argh(positional)]
+    pub service: String,
+    /// the key as the caller wrote it in `idempotency-key`
+    #[argh(positional)]
+    pub key: String,
+}
+
 /// Write a node's state to a new file (JSON), for a bug report.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "snapshot")]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -41,6 +41,7 @@
         Command::Explain(command) => node::explain(command),
         Command::Members(command) => node::members(&command.address),
         Command::Leaving(command) => node::leaving(&command.address),
+        Command::Claim(command) => node::claim(command),
         Command::Snapshot(command) => node::snapshot(command),
     }
 }
--- a/crates/ctl/src/node/mod.rs
+++ b/crates/ctl/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! Commands that ask a running node.
 
 mod advice;
+mod claim;
 mod client;
 mod member;
 mod show;
@@ -9,10 +10,12 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use lifthollow_protocol::operators::{Explanation, LeavingStatus, Members, NodeStatus};
+use lifthollow_protocol::operators::{
+    ClaimStatus, Explanation, LeavingStatus, Members, NodeStatus,
+};
 use lifthollow_state::finding::{Findings, Place, unknown};
 
-use crate::arguments::{ExplainCommand, SnapshotCommand, StatusCommand};
+use crate::arguments::{ClaimCommand, ExplainCommand, SnapshotCommand, StatusCommand};
 use crate::file;
 use crate::outcome::Report;
 use client::NodeClient;
@@ -56,6 +59,17 @@
     Ok(Report::done(show::explanation(&explanation)))
 }
 
+/// `claim`: what a node knows of an idempotency key.
+pub fn claim(command: &ClaimCommand) -> anyhow::Result<Report> {
+    let parameters = [
+        ("service", command.service.as_str()),
+        ("key", command.key.as_str()),
+    ];
+    let client = client_of(&command.address)?;
+    let claim: ClaimStatus = client.get("/claims", &parameters)?;
+    Ok(Report::done(claim::show(&claim)))
+}
+
 /// `snapshot`: a node's state to a file.
 pub fn snapshot(command: &SnapshotCommand) -> anyhow::Result<Report> {
     let client = client_of(&command.address)?;
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -94,7 +94,7 @@
         (GET) (/members) => { members(state) },
         (GET) (/leaving) => { Response::json(&leaving(&state.shared.status())) },
         (GET) (/snapshot) => { snapshot(state) },
-        (GET) (/claims/{service: String}/{key: String}) => { claim(&service, &key, state) },
+        (GET) (/claims) => { claim(request, state) },
         (GET) (/explain) => { Response::json(&explanation(request, state)) },
         _ => Response::empty_404()
     )
@@ -128,12 +128,17 @@
 }
 
 /// What this node knows of a key. Nodes without a roster know nothing.
-fn claim(service: &str, key: &str, state: &OperatorsState) -> Response {
-    let id = IdempotencyKey::from_name(&ServiceName::new(service), key);
+/// Service and key are parameters, so that a key may be any text.
+fn claim(request: &Request, state: &OperatorsState) -> Response {
+    let (Some(service), Some(key)) = (request.get_param("service"), request.get_param("key"))
+    else {
+        return Response::text("the parameters are `service` and `key`").with_status_code(400);
+    };
+    let id = IdempotencyKey::from_name(&ServiceName::new(&service), &key);
     match state.control.key_report(id, CONTROL_TIMEOUT) {
         Some(report) => {
             let now = state.clock.now();
-            Response::json(&claim_status(now, service, key, &report))
+            Response::json(&claim_status(now, &service, &key, &report))
         }
         None => Response::text("this node claims no keys or does not answer").with_status_code(503),
     }
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -12,7 +12,7 @@
 use lifthollow_state::{NodeId, Side, Zone};
 use lifthollow_transport::http::AnyBody;
 use support::{
-    Answer, LOOPBACK, Pair, Platform, backend, call, full, operators, settings, start, table,
+    Answer, LOOPBACK, Pair, Platform, backend, call, ctl, full, operators, settings, start, table,
     to_service,
 };
 
@@ -116,17 +116,40 @@
 async fn operators_see_the_claim_of_a_key() {
     let pair = claiming_pair(Arc::default()).await;
     call(pair.callers(), order("order-1", "10 lev")).await;
-    let claim = operators(&pair.server, "/claims/orders/order-1").await;
+    let claim = operators(&pair.server, "/claims?service=orders&key=order-1").await;
     assert_eq!(claim["votes"], true);
     assert_eq!(claim["record"]["state"], "completed");
     assert_eq!(claim["record"]["status"], 201);
     let node = pair.server.addresses().node.to_string();
     assert_eq!(claim["record"]["holder"], node);
-    let unknown = operators(&pair.server, "/claims/orders/order-2").await;
+    let unknown = operators(&pair.server, "/claims?service=orders&key=order-2").await;
     assert!(unknown["record"].is_null());
     pair.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_client_shows_the_claim_of_a_key_with_slashes() {
+    let pair = claiming_pair(Arc::default()).await;
+    call(pair.callers(), order("till-7/order 1", "10 lev")).await;
+    let text = ctl("claim", &pair.server, &["orders", "till-7/order 1"]).await;
+    let node = pair.server.addresses().node;
+    assert!(
+        text.starts_with("orders till-7/order 1: completed, status 201 ("),
+        "{text}"
+    );
+    assert!(
+        text.contains(&format!("\nclaimed by {node} (incarnation ")),
+        "{text}"
+    );
+    assert!(
+        text.ends_with(&format!("\nreplicas by roster 1: {node}")),
+        "{text}"
+    );
+    let text = ctl("claim", &pair.server, &["orders", "till-7/order 2"]).await;
+    assert!(text.starts_with("orders till-7/order 2: free; "), "{text}");
+    pair.stop().await;
+}
+
 #[test]
 fn faults_of_the_roster_file_are_reported_together_with_their_places() {
     let directory = std::env::temp_dir();
--- a/crates/daemon/tests/operators_client.rs
+++ b/crates/daemon/tests/operators_client.rs
@@ -2,26 +2,13 @@
 
 mod support;
 
-use argh::FromArgs;
 use hyper::StatusCode;
-use lifthollow_ctl::arguments::Arguments;
-use lifthollow_daemon::daemon::Daemon;
 use lifthollow_protocol::RefusalReason;
 use lifthollow_protocol::operators::NodeSnapshot;
-use support::{Pair, backend, call, eventually, full, table, to_service};
+use support::{Pair, backend, call, ctl, eventually, full, table, to_service};
 
 const ROW: &str = "100,10,10,10,normal,yes,2000";
 
-/// What a command of the client prints about a node.
-async fn ctl(command: &str, daemon: &Daemon, options: &[&str]) -> String {
-    let address = daemon.addresses().operators.to_string();
-    let words: Vec<&str> = [&[command, &address], options].concat();
-    let arguments = Arguments::from_args(&["lifthollowctl"], &words).expect("a valid command");
-    let run = move || lifthollow_ctl::run(&arguments.command);
-    let report = tokio::task::spawn_blocking(run).await.unwrap();
-    report.unwrap_or_else(|error| panic!("{error:#}")).text
-}
-
 async fn pair() -> Pair {
     let answer = |_| -> futures_util::future::BoxFuture<'static, _> {
         Box::pin(async { hyper::Response::new(full("ok")) })
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use argh::FromArgs;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Full};
@@ -16,6 +17,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use lifthollow_coordination::PolicyKind;
+use lifthollow_ctl::arguments::Arguments;
 use lifthollow_daemon::daemon::Daemon;
 use lifthollow_daemon::settings::{Backend, Settings};
 use lifthollow_state::{NodeId, ServiceName, Side, Zone};
@@ -215,6 +217,16 @@
     serde_json::from_str(&answer.text).unwrap()
 }
 
+/// What a command of the client prints about a node.
+pub async fn ctl(command: &str, daemon: &Daemon, options: &[&str]) -> String {
+    let address = daemon.addresses().operators.to_string();
+    let words: Vec<&str> = [&[command, &address], options].concat();
+    let arguments = Arguments::from_args(&["lifthollowctl"], &words).expect("a valid command");
+    let run = move || lifthollow_ctl::run(&arguments.command);
+    let report = tokio::task::spawn_blocking(run).await.unwrap();
+    report.unwrap_or_else(|error| panic!("{error:#}")).text
+}
+
 pub fn get(path: &str) -> Request<AnyBody> {
     let request = Request::get(path).header("host", "test");
     request.body(full("")).unwrap()
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -208,7 +208,7 @@
     }
 }
 
-/// `GET /claims/SERVICE/KEY`: what a node knows of an idempotency key.
+/// `GET /claims?service=SERVICE&key=KEY`: what a node knows of an idempotency key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClaimStatus {
     /// The service.
