--- a/crates/sim/src/world/outbound_effects.rs
+++ b/crates/sim/src/world/outbound_effects.rs
@@ -12,6 +12,7 @@
 use super::ids::{MachineIndex, WireId};
 use super::records::AttemptRecord;
 use super::{CLOCK_TICK, TransportDefect, World};
+use crate::measure::SentAttempt;
 use crate::observe::{Observation, Told};
 
 impl World {
@@ -50,7 +51,12 @@
         let (kind, client_attempt) = (record.kind, record.client_attempt);
         let service_name = record.call.service.clone();
         let body_digest = record.operation.request.0;
-        self.recorder.attempt_sent(service, operation, first);
+        self.recorder.attempt_sent(&SentAttempt {
+            service,
+            operation,
+            client_attempt,
+            first,
+        });
         self.observe(Observation::AttemptSent {
             machine: index,
             service,
@@ -90,8 +96,9 @@
         };
         self.attempts.insert(wire, attempt_record);
         self.attempts_by_caller.insert((index, attempt_id), wire);
-        if let Some(delay) = self.network.stream_delay(index, server) {
-            self.schedule(WorldEvent::AttemptArrives { wire }, delay);
+        match self.network.stream_delay(index, server) {
+            Some(delay) => self.schedule(WorldEvent::AttemptArrives { wire }, delay),
+            None => self.close_server(wire),
         }
     }
 
@@ -180,10 +187,10 @@
             attempts: record.attempts.len() as u32,
             told,
         };
-        let refused = told != Told::Complete;
-        if refused && record.open_attempts == 0 {
-            let delay = now.saturating_since(record.idle_since);
-            self.recorder.refusal_delay(delay);
+        let idle = record.idle_for(now);
+        record.answered = true;
+        if told != Told::Complete {
+            self.recorder.refusal_delay(idle);
         }
         self.observe(observation);
         match answer {
