Measure recovery only in seconds with load

Cause: the load prints seconds while it waits for its last answers; with nothing offered they counted as normal and could end a recovery too early. Change: a plan has phases of whole seconds, and a report keeps only those; the bench watches 11 s after an overload in place of 9 (a recovery of up to 6 s is seen), and 4 s before it in place of 5.

--- a/crates/standin/src/experiment/bench.rs
+++ b/crates/standin/src/experiment/bench.rs
@@ -9,7 +9,7 @@
 use super::arguments::{Logs, Programs, temporary_logs};
 use super::cluster::{Cluster, SIDES};
 use super::interrupt::Interrupt;
-use super::load_process::{LoadPlan, LoadReport, mix_of};
+use super::load_process::{LoadPhase, LoadPlan, LoadReport, mix_of};
 use super::measures::{Disturbance, Measures};
 use super::mesh::Mesh;
 use super::overload::OverloadKind;
@@ -45,9 +45,9 @@
 const WEIGHTS: [u32; 2] = [50, 50];
 /// Slots of each server: few, so that slots and not processors are scarce.
 const SLOTS: usize = 3;
-const BEFORE_SECONDS: usize = 5;
+const BEFORE_SECONDS: usize = 4;
 const OVERLOAD_SECONDS: usize = 5;
-const AFTER_SECONDS: usize = 9;
+const AFTER_SECONDS: usize = 11;
 const NORMAL_LOAD: f64 = 0.6;
 const CLIENT_ATTEMPTS: u32 = 4;
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -170,9 +170,20 @@
         LoadPlan {
             name: "bench".to_owned(),
             calls: mix_of(mesh),
-            profile: format!(
-                "{BEFORE_SECONDS}:{normal},{OVERLOAD_SECONDS}:{overload},{AFTER_SECONDS}:{normal}"
-            ),
+            phases: vec![
+                LoadPhase {
+                    seconds: BEFORE_SECONDS,
+                    rate: normal,
+                },
+                LoadPhase {
+                    seconds: OVERLOAD_SECONDS,
+                    rate: overload,
+                },
+                LoadPhase {
+                    seconds: AFTER_SECONDS,
+                    rate: normal,
+                },
+            ],
             attempts: CLIENT_ATTEMPTS,
             honour_retry_after: false,
             patience: PATIENCE,
--- a/crates/standin/src/experiment/demo.rs
+++ b/crates/standin/src/experiment/demo.rs
@@ -7,7 +7,7 @@
 use super::arguments::{Programs, temporary_logs};
 use super::cluster::{Cluster, SIDES};
 use super::interrupt::Interrupt;
-use super::load_process::{LoadPlan, LoadProcess, LoadReport, mix_of};
+use super::load_process::{LoadPhase, LoadPlan, LoadProcess, LoadReport, mix_of};
 use super::measures::{Disturbance, Measures};
 use super::mesh::Mesh;
 use super::promises::Promises;
@@ -120,7 +120,20 @@
         LoadPlan {
             name: "demo".to_owned(),
             calls: mix_of(&self.cluster.mesh),
-            profile: format!("{before}:{normal},{SURGE_SECONDS}:{surge},{AFTER_SECONDS}:{normal}"),
+            phases: vec![
+                LoadPhase {
+                    seconds: before,
+                    rate: normal,
+                },
+                LoadPhase {
+                    seconds: SURGE_SECONDS,
+                    rate: surge,
+                },
+                LoadPhase {
+                    seconds: AFTER_SECONDS,
+                    rate: normal,
+                },
+            ],
             attempts: CLIENT_ATTEMPTS,
             honour_retry_after: false,
             patience: PATIENCE,
--- a/crates/standin/src/experiment/faults/mod.rs
+++ b/crates/standin/src/experiment/faults/mod.rs
@@ -15,7 +15,7 @@
 use super::arguments::{Logs, Programs, temporary_logs};
 use super::cluster::Cluster;
 use super::interrupt::Interrupt;
-use super::load_process::{LoadPlan, LoadProcess, LoadReport, mix_of};
+use super::load_process::{LoadPhase, LoadPlan, LoadProcess, LoadReport, mix_of};
 use super::mesh::Mesh;
 use super::promises::{Promises, Verdict};
 use crate::json_lines;
@@ -145,7 +145,10 @@
     LoadPlan {
         name: "calls".to_owned(),
         calls: mix_of(mesh),
-        profile: format!("{LOAD_SECONDS}:{rate}"),
+        phases: vec![LoadPhase {
+            seconds: LOAD_SECONDS,
+            rate,
+        }],
         attempts: CLIENT_ATTEMPTS,
         honour_retry_after: true,
         patience: PATIENCE,
@@ -157,7 +160,10 @@
     LoadPlan {
         name: "streams".to_owned(),
         calls: vec![STREAM_CALL.to_owned()],
-        profile: format!("{LOAD_SECONDS}:{STREAMS_PER_SECOND}"),
+        phases: vec![LoadPhase {
+            seconds: LOAD_SECONDS,
+            rate: STREAMS_PER_SECOND,
+        }],
         attempts: 1,
         honour_retry_after: true,
         patience: STREAM_PATIENCE,
--- a/crates/standin/src/experiment/load_process.rs
+++ b/crates/standin/src/experiment/load_process.rs
@@ -11,6 +11,15 @@
 use super::process::Process;
 use crate::load::{Counts, Latencies, RequestRecord, SecondLine, Summary};
 
+/// A stretch of whole seconds with one rate.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadPhase {
+    /// Its length.
+    pub seconds: usize,
+    /// Requests a second.
+    pub rate: f64,
+}
+
 /// What clients do.
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
@@ -18,8 +27,8 @@
     pub name: String,
     /// Kinds of calls, as flags of the load; see [`mix_of`].
     pub calls: Vec<String>,
-    /// Phases as `seconds:rate` joined by commas.
-    pub profile: String,
+    /// Rates over time.
+    pub phases: Vec<LoadPhase>,
     /// Attempts of one request.
     pub attempts: u32,
     /// Whether clients wait as long as a refusal says.
@@ -30,8 +39,23 @@
     pub seed: u64,
 }
 
+impl LoadPlan {
+    /// Length of all phases.
+    pub fn seconds(&self) -> usize {
+        self.phases.iter().map(|phase| phase.seconds).sum()
+    }
+
+    /// The phases as the load's flag takes them.
+    fn profile(&self) -> String {
+        let phases = self.phases.iter();
+        let texts = phases.map(|phase| format!("{}:{}", phase.seconds, phase.rate));
+        texts.collect::<Vec<_>>().join(",")
+    }
+}
+
 /// A running load.
 pub struct LoadProcess {
+    planned_seconds: usize,
     process: Process,
     records: PathBuf,
     lines: Vec<String>,
@@ -39,7 +63,7 @@
 
 /// All that a load reported.
 pub struct LoadReport {
-    /// Its seconds.
+    /// Its planned seconds, without those in which it only waited for the last answers.
     pub seconds: Vec<SecondLine>,
     /// Its sums.
     pub summary: Counts,
@@ -68,6 +92,7 @@
         }
         let log = directory.join(format!("{}.log", plan.name));
         Ok(LoadProcess {
+            planned_seconds: plan.seconds(),
             process: Process::start("load", program, &arguments, &log)?,
             records,
             lines: Vec::new(),
@@ -98,7 +123,8 @@
             self.lines.push(line);
         }
         let last = self.lines.pop().context("the load printed nothing")?;
-        let seconds = self.lines.iter().map(|line| serde_json::from_str(line));
+        let planned = self.lines.iter().take(self.planned_seconds);
+        let seconds = planned.map(|line| serde_json::from_str(line));
         let seconds = seconds.collect::<Result<_, _>>()?;
         let last: Summary = serde_json::from_str(&last).context("the load's summary")?;
         Ok(LoadReport {
@@ -119,7 +145,7 @@
         "--name".to_owned(),
         plan.name.clone(),
         "--profile".to_owned(),
-        plan.profile.clone(),
+        plan.profile(),
         "--attempts".to_owned(),
         plan.attempts.to_string(),
         "--patience-ms".to_owned(),
