--- a/crates/sim/src/world/inbound_effects.rs
+++ b/crates/sim/src/world/inbound_effects.rs
@@ -224,9 +224,11 @@
                 reason,
             });
         }
+        let id = wire.inbound();
         let machine = self.machine_mut(index);
-        let load = machine.node.load(machine.local(now), &service_name);
-        let unspent = machine.node.settle_allowance(wire.inbound());
+        let now_there = machine.local(now);
+        let load = machine.node.load_for_caller(now_there, &service_name, id);
+        let unspent = machine.node.settle_allowance(id);
         let answer = AttemptAnswer {
             result,
             load: Some(load),
