--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use lifthollow_coordination::claims::KeyReport;
 use lifthollow_coordination::inbound::{Attempt, InboundEvent, InboundId};
 use lifthollow_coordination::outbound::{Call, CallId, OutboundEffect, OutboundEvent};
 use lifthollow_coordination::{NodeEvent, fleet::FleetEvent};
 use lifthollow_protocol::operators::KnownMember;
-use lifthollow_protocol::{AttemptResult, LoadReport};
-use lifthollow_state::{RetryAllowance, Timestamp};
+use lifthollow_protocol::{AttemptResult, LoadReport, RecordedAnswer};
+use lifthollow_state::{IdempotencyKey, RetryAllowance, Timestamp};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -32,6 +33,13 @@
     },
     /// Something else happened.
     Event(NodeEvent),
+    /// An operator asks what the node knows of a key.
+    KeyAsked {
+        /// The key.
+        key: IdempotencyKey,
+        /// Where the answer goes; none if the node claims no keys.
+        reply: flume::Sender<Option<KeyReport>>,
+    },
     /// The task of an attempt wants no more effects than those decided so far.
     AttemptReleased {
         /// The attempt.
@@ -55,6 +63,17 @@
     Run {
         /// When the back end should give up.
         deadline: Timestamp,
+        /// A run under a claim must not start from here on.
+        start_before: Option<Timestamp>,
+    },
+    /// Answer the caller's node with the answer recorded when the call ran.
+    Replay {
+        /// The answer.
+        answer: RecordedAnswer,
+        /// The load of this node.
+        load: LoadReport,
+        /// Retries lent with the attempt that were not spent.
+        unspent: RetryAllowance,
     },
     /// Answer the caller's node.
     Answer {
@@ -93,6 +112,14 @@
         answer.recv_timeout(timeout).ok()
     }
 
+    /// Asks what the node knows of a key; none if it claims no keys or doesn't
+    /// answer in time.
+    pub fn key_report(&self, key: IdempotencyKey, timeout: Duration) -> Option<KeyReport> {
+        let (reply, answer) = flume::bounded(1);
+        self.send(ControlInput::KeyAsked { key, reply });
+        answer.recv_timeout(timeout).ok().flatten()
+    }
+
     /// Reports an event of the caller's side.
     pub fn outbound(&self, event: OutboundEvent) {
         self.send(ControlInput::Event(NodeEvent::Outbound(event)));
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -13,15 +13,18 @@
 use lifthollow_protocol::operators::{
     Explanation, LeavingStatus, Members, NodeSnapshot, NodeStatus,
 };
+use lifthollow_state::{IdempotencyKey, ServiceName};
 use lifthollow_transport::mux::BufferedBytes;
 
+use crate::clock::Clock;
 use crate::control::{ControlHandle, SharedState};
+use crate::operators::claims::claim_status;
 use crate::operators::{Metrics, RefusalLog};
 
 /// How often the server looks whether it shall stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// How long the control thread may take to list the members.
-const MEMBERS_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the control thread may take to answer.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Threads that answer operators.
 const THREADS: usize = 2;
 
@@ -32,6 +35,8 @@
     pub shared: Arc<SharedState>,
     /// Where the members are asked for.
     pub control: ControlHandle,
+    /// The process's clock.
+    pub clock: Clock,
     /// Recent refusals.
     pub refusals: Arc<RefusalLog>,
     /// Counters.
@@ -85,10 +90,11 @@
 fn answer(request: &Request, state: &OperatorsState) -> Response {
     router!(request,
         (GET) (/metrics) => { metrics(state) },
-        (GET) (/status) => { Response::json(state.shared.status().as_ref()) },
+        (GET) (/status) => { Response::json(&state.shared.status()) },
         (GET) (/members) => { members(state) },
         (GET) (/leaving) => { Response::json(&leaving(&state.shared.status())) },
         (GET) (/snapshot) => { snapshot(state) },
+        (GET) (/claims/{service: String}/{key: String}) => { claim(&service, &key, state) },
         (GET) (/explain) => { Response::json(&explanation(request, state)) },
         _ => Response::empty_404()
     )
@@ -104,16 +110,16 @@
 
 /// Asks the control thread, since the list is too long to be posted often.
 fn members(state: &OperatorsState) -> Response {
-    match state.control.members(MEMBERS_TIMEOUT) {
+    match state.control.members(CONTROL_TIMEOUT) {
         Some(members) => Response::json(&Members { members }),
         None => no_answer(),
     }
 }
 
 fn snapshot(state: &OperatorsState) -> Response {
-    match state.control.members(MEMBERS_TIMEOUT) {
+    match state.control.members(CONTROL_TIMEOUT) {
         Some(members) => Response::json(&NodeSnapshot {
-            status: state.shared.status().as_ref().clone(),
+            status: state.shared.status(),
             members,
             refusals: state.refusals.find(None, None),
         }),
@@ -121,6 +127,18 @@
     }
 }
 
+/// What this node knows of a key. Nodes without a roster know nothing.
+fn claim(service: &str, key: &str, state: &OperatorsState) -> Response {
+    let id = IdempotencyKey::from_name(&ServiceName::new(service), key);
+    match state.control.key_report(id, CONTROL_TIMEOUT) {
+        Some(report) => {
+            let now = state.clock.now();
+            Response::json(&claim_status(now, service, key, &report))
+        }
+        None => Response::text("this node claims no keys or does not answer").with_status_code(503),
+    }
+}
+
 fn no_answer() -> Response {
     Response::text("the control thread does not answer").with_status_code(503)
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -142,6 +142,8 @@
         max_header_bytes: 16 * 1024,
         buffered_body_bytes: 64 * 1024,
         stop_timeout: Duration::from_secs(600),
+        claim_roster: None,
+        claim_bootstrap: false,
     }
 }
 
--- a/crates/sim/src/world/inbound_effects.rs
+++ b/crates/sim/src/world/inbound_effects.rs
@@ -1,9 +1,12 @@
 //! Attempts at their server's node: handed in, run, answered and cancelled.
 
+use std::time::Duration;
+
 use lifthollow_coordination::NodeEvent;
+use lifthollow_coordination::claims::gate::replay_result;
 use lifthollow_coordination::inbound::{InboundEffect, InboundEvent, RunResult};
 use lifthollow_coordination::outbound::AttemptAnswer;
-use lifthollow_protocol::AttemptResult;
+use lifthollow_protocol::{AttemptResult, RecordedAnswer, RecordedOutcome};
 use lifthollow_state::Timestamp;
 
 use super::backend::Connection;
@@ -48,6 +51,16 @@
             InboundEffect::Run { id, deadline } => {
                 self.begin_run(index, WireId::from_inbound(id), deadline);
             }
+            InboundEffect::RunClaimed {
+                id,
+                deadline,
+                start_before,
+            } => self.begin_claimed_run(index, WireId::from_inbound(id), deadline, start_before),
+            InboundEffect::Replay { id, answer } => {
+                let wire = WireId::from_inbound(id);
+                self.answer_attempt(index, wire, replay_result(&answer));
+                self.close_answer(wire);
+            }
             InboundEffect::Answer { id, result } => {
                 self.answer_attempt(index, WireId::from_inbound(id), result);
             }
@@ -68,6 +81,44 @@
         self.observe(Observation::RunCancelled { machine, wanted });
     }
 
+    /// A run whose start window has passed must not start.
+    fn begin_claimed_run(
+        &mut self,
+        index: MachineIndex,
+        wire: WireId,
+        deadline: Timestamp,
+        start_before: Timestamp,
+    ) {
+        if self.machine(index).local(self.now()) < start_before {
+            return self.begin_run(index, wire, deadline);
+        }
+        let result = RunResult::Refused {
+            retry_after: Duration::ZERO,
+        };
+        self.schedule(WorldEvent::RunAnswered { wire, result }, LOOPBACK_DELAY);
+        self.schedule(WorldEvent::RunClosed { wire }, LOOPBACK_DELAY);
+    }
+
+    /// The whole answer has passed: a run under a claim records it.
+    fn record_answer(&mut self, wire: WireId) {
+        let Some(record) = self.attempts.get(&wire) else {
+            return;
+        };
+        let Some(AttemptResult::Completed { success }) = record.answered else {
+            return;
+        };
+        let server = record.server;
+        let answer = RecordedAnswer {
+            status: if success { 200 } else { 500 },
+            ..RecordedAnswer::default()
+        };
+        let event = InboundEvent::AnswerRecorded {
+            id: wire.inbound(),
+            outcome: RecordedOutcome::Completed(answer),
+        };
+        self.feed_node(server, NodeEvent::Inbound(event));
+    }
+
     fn begin_run(&mut self, index: MachineIndex, wire: WireId, local_deadline: Timestamp) {
         let deadline = self.machine(index).global(local_deadline);
         let connection_cost = self.mesh.connection_cost;
@@ -124,6 +175,7 @@
         };
         let server = record.server;
         let id = wire.inbound();
+        self.record_answer(wire);
         self.feed_node(server, NodeEvent::Inbound(InboundEvent::RunClosed { id }));
         self.close_answer(wire);
         self.close_server(wire);
@@ -172,9 +224,11 @@
                 reason,
             });
         }
+        let id = wire.inbound();
         let machine = self.machine_mut(index);
-        let load = machine.node.load(machine.local(now), &service_name);
-        let unspent = machine.node.settle_allowance(wire.inbound());
+        let now_there = machine.local(now);
+        let load = machine.node.load_for_caller(now_there, &service_name, id);
+        let unspent = machine.node.settle_allowance(id);
         let answer = AttemptAnswer {
             result,
             load: Some(load),
--- a/crates/sim/src/world/machine.rs
+++ b/crates/sim/src/world/machine.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use lifthollow_coordination::claims::ClaimSettings;
 use lifthollow_coordination::{Node, NodeSettings, PolicyKind};
+use lifthollow_protocol::Roster;
 use lifthollow_state::{Incarnation, NodeId, ServiceName, Side, Timestamp, Zone};
 
 use super::backend::BackEnd;
@@ -10,6 +12,9 @@
 use crate::mesh::{Mesh, ServiceIndex};
 use crate::scenario::Target;
 
+/// The first process on a machine.
+pub const FIRST_INCARNATION: u64 = 1;
+
 /// Whether a process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessState {
@@ -34,6 +39,8 @@
     pub incarnation: u64,
     /// Nodes to ask first.
     pub seeds: &'a [NodeId],
+    /// Replicas of idempotency keys.
+    pub roster: &'a Roster,
     /// Seed of the process's random choices.
     pub seed: u64,
 }
@@ -113,6 +120,22 @@
     }
 }
 
+impl ProcessSettings<'_> {
+    /// Lets a node of the product claim idempotency keys. The fleet is taken to
+    /// be older than a claim when the simulation starts.
+    pub fn claim_keys(&self, spec: &MachineSpec, node: Node) -> Node {
+        if self.policy != PolicyKind::Lifthollow {
+            return node;
+        }
+        let incarnation = Incarnation(self.incarnation);
+        let settings = ClaimSettings::new(spec.node, incarnation, self.roster.clone(), self.seed);
+        node.with_claims(ClaimSettings {
+            bootstrap: self.incarnation == FIRST_INCARNATION,
+            ..settings
+        })
+    }
+}
+
 impl Machine {
     /// The process's own clock at a time of the simulation.
     pub fn local(&self, now: Timestamp) -> Timestamp {
