--- a/crates/coordination/src/inbound/admission_control.rs
+++ b/crates/coordination/src/inbound/admission_control.rs
@@ -213,7 +213,7 @@
                 });
             }
             // Health endpoints lag and mislead; what the node sees decides.
-            InboundEvent::HealthReported { .. } => {}
+            InboundEvent::HealthReported { .. } | InboundEvent::AnswerRecorded { .. } => {}
         }
     }
 
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -2,15 +2,21 @@
 
 use std::time::Duration;
 
-use lifthollow_protocol::{AttemptResult, LoadReport, RefusalReason};
-use lifthollow_state::{Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone};
+use lifthollow_protocol::{
+    AdmissionLevel, AttemptResult, ControlMessage, LoadReport, RefusalReason,
+};
+use lifthollow_state::{
+    IdempotencyKey, Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone,
+};
 
 use crate::baseline::{FixedInbound, FixedOutbound};
+use crate::claims::gate::{ClaimGate, GateEffect};
+use crate::claims::{ClaimSettings, Envelope, KeyReport};
 use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
 use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
 use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
 use crate::policy::PolicyKind;
-use crate::pressure::downstream_level;
+use crate::pressure::{CallSource, downstream_level};
 use crate::request_tree::RequestTree;
 use crate::view::View;
 
@@ -78,6 +84,7 @@
     outbound: Box<dyn OutboundPolicy>,
     inbound: Box<dyn InboundPolicy>,
     request_tree: RequestTree,
+    claims: Option<ClaimGate>,
     last_handled: Option<Timestamp>,
 }
 
@@ -101,10 +108,25 @@
             outbound,
             inbound,
             request_tree: RequestTree::default(),
+            claims: None,
             last_handled: None,
         }
     }
 
+    /// Lets attempts with an idempotency key run only under a claim. Without this
+    /// they run like others.
+    pub fn with_claims(self, settings: ClaimSettings) -> Self {
+        Node {
+            claims: Some(ClaimGate::new(settings)),
+            ..self
+        }
+    }
+
+    /// What this node's replica knows of a key; none without claims.
+    pub fn key_report(&self, now: Timestamp, key: IdempotencyKey) -> Option<KeyReport> {
+        self.claims.as_ref()?.report(now, key)
+    }
+
     /// The settings the node was made with.
     pub fn settings(&self) -> &NodeSettings {
         &self.settings
@@ -120,7 +142,24 @@
         &self.fleet
     }
 
-    /// The load of a local service, to be sent with every answer.
+    /// The load of a local service, to be sent with the answer of an attempt:
+    /// it includes what the services needed by calls from there refuse. To be
+    /// asked for before the attempt is settled.
+    pub fn load_for_caller(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        id: InboundId,
+    ) -> LoadReport {
+        let mut load = self.load(now, service);
+        if let Some(source) = self.request_tree.source(id) {
+            let needed = self.downstream_level(now, source);
+            load.admission_level = load.admission_level.max(needed);
+        }
+        load
+    }
+
+    /// The load of a local service.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
         let mut load = self.inbound.load(now, self.fleet.view(), service);
         load.leaving |= !self.fleet.takes_new_work();
@@ -145,6 +184,7 @@
             self.fleet.next_wake(),
             self.outbound.next_wake(),
             self.inbound.next_wake(),
+            self.claims.as_ref().and_then(ClaimGate::next_wake),
             Some(now + HEARTBEAT_INTERVAL),
         ];
         wakes.into_iter().flatten().min().unwrap_or(now)
@@ -178,6 +218,8 @@
         self.handle_fleet(now, FleetEvent::Wake, effects);
         self.handle_inbound(now, InboundEvent::Wake, effects);
         self.handle_outbound(now, OutboundEvent::Wake, effects);
+        let claimed = self.claims.as_mut().map(|claims| claims.wake(now));
+        self.carry_out_claims(now, claimed, effects);
     }
 
     fn handle_outbound(
@@ -221,7 +263,8 @@
     ) {
         let result = LEAVING_ANSWER;
         let refusal = InboundEffect::Answer { id, result };
-        self.request_tree.before_inbound(event);
+        self.request_tree
+            .before_inbound(&self.fleet.view().directory, event);
         self.request_tree
             .after_inbound(std::slice::from_ref(&refusal));
         effects.push(NodeEffect::Inbound(refusal));
@@ -233,27 +276,87 @@
         event: InboundEvent,
         effects: &mut Vec<NodeEffect>,
     ) {
-        self.request_tree.before_inbound(&event);
+        let claimed = self
+            .claims
+            .as_mut()
+            .map(|claims| claims.observe(now, &event));
+        self.request_tree
+            .before_inbound(&self.fleet.view().directory, &event);
         self.pass_on_pressure(now, &event);
+        self.ask_inbound(now, event, effects);
+        self.carry_out_claims(now, claimed, effects);
+    }
+
+    /// Lets the inbound policy decide. What it wants to run is claimed first.
+    fn ask_inbound(&mut self, now: Timestamp, event: InboundEvent, effects: &mut Vec<NodeEffect>) {
         let mut inbound_effects = Vec::new();
         self.inbound
             .handle(now, self.fleet.view(), event, &mut inbound_effects);
         self.request_tree.after_inbound(&inbound_effects);
-        effects.extend(inbound_effects.into_iter().map(NodeEffect::Inbound));
+        for effect in inbound_effects {
+            match self.claims.as_mut() {
+                None => effects.push(NodeEffect::Inbound(effect)),
+                Some(claims) => {
+                    let claimed = claims.filter(now, effect);
+                    self.carry_out_claims(now, Some(claimed), effects);
+                }
+            }
+        }
+    }
+
+    fn carry_out_claims(
+        &mut self,
+        now: Timestamp,
+        claimed: Option<Vec<GateEffect>>,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        for effect in claimed.into_iter().flatten() {
+            match effect {
+                GateEffect::Send(Envelope { to, message }) => {
+                    let message = ControlMessage::Claim(message);
+                    effects.push(NodeEffect::Fleet(FleetEffect::Send { to, message }));
+                }
+                GateEffect::Inbound(effect) => {
+                    self.request_tree
+                        .after_inbound(std::slice::from_ref(&effect));
+                    effects.push(NodeEffect::Inbound(effect));
+                }
+                GateEffect::NotRun { id } => {
+                    self.ask_inbound(now, InboundEvent::RunClosed { id }, effects);
+                }
+            }
+        }
     }
 
     /// What the services needed further down refuse is refused here as well.
     fn pass_on_pressure(&mut self, now: Timestamp, event: &InboundEvent) {
-        if let InboundEvent::AttemptArrived { attempt, .. } = event {
-            let graph = self.request_tree.call_graph();
-            let level = downstream_level(graph, &attempt.service, |needed| {
-                self.outbound.level(now, self.fleet.view(), needed)
-            });
+        let InboundEvent::AttemptArrived { id, attempt } = event else {
+            return;
+        };
+        if let Some(source) = self.request_tree.source(*id) {
+            let level = self.downstream_level(now, source);
             self.inbound.set_downstream_level(&attempt.service, level);
         }
     }
 
+    /// The lowest priority that the services needed by calls from `source`
+    /// admit.
+    fn downstream_level(&self, now: Timestamp, source: &CallSource) -> AdmissionLevel {
+        downstream_level(self.request_tree.call_graph(), source, |needed| {
+            self.outbound.level(now, self.fleet.view(), needed)
+        })
+    }
+
     fn handle_fleet(&mut self, now: Timestamp, event: FleetEvent, effects: &mut Vec<NodeEffect>) {
+        if let FleetEvent::Message {
+            from,
+            message: ControlMessage::Claim(message),
+        } = event
+        {
+            let claims = self.claims.as_mut();
+            let claimed = claims.map(|claims| claims.receive(now, from, message));
+            return self.carry_out_claims(now, claimed, effects);
+        }
         let mut fleet_effects = Vec::new();
         self.fleet.handle(now, event, &mut fleet_effects);
         effects.extend(fleet_effects.into_iter().map(NodeEffect::Fleet));
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use lifthollow_coordination::claims::ClaimSettings;
 use lifthollow_coordination::{Node, NodeSettings};
 use lifthollow_state::{Incarnation, NodeId, ServiceName};
 use lifthollow_transport::datagram::{DatagramReceiver, DatagramSender};
@@ -187,7 +188,7 @@
         let server = CallerServer::new(traffic.clone(), self.settings.max_header_bytes, stop);
         let callers_ended = self.runtime.spawn(async move { server.run(callers).await });
         addresses.log(&self.log);
-        let node = Node::new(self.node_settings());
+        let node = self.decisions();
         let control_thread = self.start_control(node, sockets.sender)?;
         Ok(Daemon {
             addresses,
@@ -204,10 +205,26 @@
         })
     }
 
+    fn decisions(&self) -> Node {
+        let settings = self.node_settings();
+        let (incarnation, seed) = (settings.incarnation, settings.seed);
+        let node = Node::new(settings);
+        let Some(roster) = &self.settings.claim_roster else {
+            warn!(self.log, "claims_off"; "detail" => "no claim_roster is set");
+            return node;
+        };
+        let claims = ClaimSettings::new(self.node, incarnation, roster.clone(), seed);
+        node.with_claims(ClaimSettings {
+            bootstrap: self.settings.claim_bootstrap,
+            ..claims
+        })
+    }
+
     fn start_operators(&self) -> Result<OperatorsServer> {
         let state = OperatorsState {
             shared: self.shared.clone(),
             control: self.control.clone(),
+            clock: self.clock,
             refusals: self.refusals.clone(),
             metrics: self.metrics.clone(),
             buffered: self.buffered.clone(),
