baseline: a call whose earlier attempt may have run is not called not run

Cause: after its last retry the fixed policy told the caller what the last attempt said. Change: the call remembers that an attempt may have run and is then *unknown*.

--- a/crates/coordination/src/baseline/fixed_outbound.rs
+++ b/crates/coordination/src/baseline/fixed_outbound.rs
@@ -34,6 +34,8 @@
     attempt: AttemptId,
     attempt_deadline: Timestamp,
     delivered: bool,
+    /// An earlier attempt may have run, so the call can't be called *not run*.
+    may_have_run: bool,
 }
 
 /// Smooth weighted round robin between sides, plain round robin inside.
@@ -78,6 +80,7 @@
             attempt: AttemptId(0),
             attempt_deadline: now,
             delivered: false,
+            may_have_run: false,
         };
         self.calls.insert(id, state);
         self.dispatch(now, view, id, effects);
@@ -134,6 +137,7 @@
         match answer.result {
             AttemptResult::Completed { success: true } => self.deliver(id, attempt, effects),
             AttemptResult::Completed { success: false } => {
+                state.may_have_run = true;
                 let may_retry = state.call.repeatable;
                 if !self.retry(now, view, id, may_retry, effects) {
                     self.deliver(id, attempt, effects);
@@ -145,6 +149,7 @@
                 }
             }
             AttemptResult::Unknown { reason } => {
+                state.may_have_run = true;
                 let may_retry = state.call.repeatable;
                 if !self.retry(now, view, id, may_retry, effects) {
                     self.give_up(id, reason, false, effects);
@@ -197,7 +202,7 @@
         };
         self.attempts.remove(&state.attempt);
         let retry_after = RETRY_AFTER;
-        let answer = if not_run {
+        let answer = if not_run && !state.may_have_run {
             CallAnswer::NotRun {
                 reason,
                 retry_after,
@@ -239,7 +244,10 @@
             .map(|(id, _)| *id)
             .collect();
         for id in expired {
-            let state = &self.calls[&id];
+            let Some(state) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            state.may_have_run = true;
             let may_retry = state.call.repeatable;
             effects.push(OutboundEffect::Cancel {
                 attempt: state.attempt,
