--- a/crates/coordination/src/claims/gate.rs
+++ b/crates/coordination/src/claims/gate.rs
@@ -68,6 +68,12 @@
         Some(self.claims.as_ref()?.report(now, key))
     }
 
+    /// Whether records are yet to be handed over before a planned stop.
+    pub fn is_handing_over(&self) -> bool {
+        let claims = self.claims.as_ref();
+        claims.is_some_and(|claims| claims.replica().is_handing_over())
+    }
+
     /// When [`ClaimGate::wake`] is wanted next.
     pub fn next_wake(&self) -> Option<Timestamp> {
         self.claims.as_ref()?.next_wake()
@@ -98,8 +104,9 @@
             }
             InboundEvent::RunClosed { id } => return self.run_closed(now, *id),
             InboundEvent::AttemptCancelled { id } => return self.cancelled(now, *id),
+            InboundEvent::Leave => return self.claim_event(now, ClaimEvent::Leave),
             InboundEvent::Resumed { .. } => return self.claim_event(now, ClaimEvent::Resumed),
-            InboundEvent::HealthReported { .. } | InboundEvent::Wake | InboundEvent::Leave => {}
+            InboundEvent::HealthReported { .. } | InboundEvent::Wake => {}
         }
         Vec::new()
     }
--- a/crates/coordination/src/claims/mod.rs
+++ b/crates/coordination/src/claims/mod.rs
@@ -10,6 +10,8 @@
 pub mod decision;
 pub mod delivery;
 pub mod gate;
+pub mod handover;
+mod page;
 mod pending;
 pub mod record;
 pub mod rejoin;
@@ -60,6 +62,8 @@
         /// The message.
         message: ClaimMessage,
     },
+    /// A planned stop has begun.
+    Leave,
     /// The process was paused: claims that are not decided are asked for again.
     Resumed,
     /// The time asked for with [`Claims::next_wake`] has come.
@@ -150,6 +154,7 @@
             ClaimEvent::Received { from, message } => {
                 self.receive(now, from, message, &mut produced);
             }
+            ClaimEvent::Leave => self.replica.leave(now),
             ClaimEvent::Resumed => self.restart_claims(now, &mut produced),
             ClaimEvent::Wake => self.wake(now, &mut produced),
         }
@@ -191,8 +196,9 @@
             }
             ClaimMessage::Vote(vote) => self.vote(now, from, &vote, effects),
             ClaimMessage::Release(release) => {
-                self.replica.release(now, &release);
-                confirm(from, release.claim, effects);
+                if self.replica.release(now, &release) {
+                    confirm(from, release.claim, effects);
+                }
             }
             ClaimMessage::Finish(finish) => {
                 if self.replica.finish(now, &finish) {
@@ -206,6 +212,13 @@
                 self.offer_roster(from, request.roster.epoch, effects);
                 effects.extend(page.map(|message| sending(from, message)));
             }
+            message @ (ClaimMessage::HandoverBegin(_)
+            | ClaimMessage::HandoverReady(_)
+            | ClaimMessage::HandoverPage(_)
+            | ClaimMessage::HandoverStored(_)) => {
+                let answer = self.replica.handover_message(now, from, message);
+                effects.extend(answer.map(|message| sending(from, message)));
+            }
             ClaimMessage::RejoinPage(page) => {
                 let request = self.replica.rejoin_page(now, from, &page);
                 effects.extend(request.map(|message| sending(from, message)));
--- a/crates/coordination/src/claims/replica.rs
+++ b/crates/coordination/src/claims/replica.rs
@@ -3,22 +3,18 @@
 use std::time::Duration;
 
 use lifthollow_protocol::{
-    ClaimFinish, ClaimMessage, ClaimRelease, ClaimRequest, ClaimVote, KnownClaim, NextPage,
-    RecordedOutcome, RejoinPage, RejoinRequest, Roster, RosterVersion, Verdict,
+    ClaimFinish, ClaimMessage, ClaimRelease, ClaimRequest, ClaimVote, KnownClaim, RejoinPage,
+    RejoinRequest, Roster, RosterMember, RosterVersion, Verdict,
 };
 use lifthollow_state::{IdempotencyKey, NodeId, Timestamp};
 
+use super::handover::{HandoverSender, Handovers};
+use super::page::take_page;
 use super::record::{Record, RecordState, RecordStore};
 use super::rejoin::Rejoin;
 use super::roster::{ReplicaSets, version_of};
 use super::settings::ClaimSettings;
 
-/// Upper bound of the claims in one [`RejoinPage`] in bytes, beyond the first, so
-/// that it fits into one datagram.
-const MAX_PAGE_BYTES: usize = 900;
-/// Encoded size of a claim without its recorded answer, in bytes, at most.
-const MAX_CLAIM_BYTES: usize = 56;
-
 /// A message and where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Envelope {
@@ -52,6 +48,9 @@
     /// From here on nothing that a predecessor voted for matters any more.
     votes_from: Timestamp,
     rejoin: Option<Rejoin>,
+    handover: Option<HandoverSender>,
+    handovers: Handovers,
+    settings: ClaimSettings,
     store: RecordStore,
 }
 
@@ -71,6 +70,9 @@
             roster_since: now,
             votes_from,
             rejoin: rejoin_of(now, settings),
+            handover: None,
+            handovers: Handovers::default(),
+            settings: settings.clone(),
             store: RecordStore::default(),
         }
     }
@@ -92,7 +94,9 @@
 
     /// When [`Replica::wake`] is wanted next.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        self.rejoin.as_ref().and_then(Rejoin::next_wake)
+        let rejoin = self.rejoin.as_ref().and_then(Rejoin::next_wake);
+        let handover = self.handover.as_ref().and_then(HandoverSender::next_wake);
+        rejoin.into_iter().chain(handover).min()
     }
 
     /// Forgets what has expired and goes on with rejoining.
@@ -102,16 +106,80 @@
             self.rejoin = None;
         }
         let version = self.roster_version;
-        let Some(rejoin) = &mut self.rejoin else {
-            return Vec::new();
-        };
-        rejoin
-            .wake(now, version)
+        let rejoin = self.rejoin.as_mut();
+        let requests = rejoin.map_or(Vec::new(), |rejoin| rejoin.wake(now, version));
+        requests
             .into_iter()
             .map(|(to, message)| Envelope { to, message })
+            .chain(self.wake_handover(now))
             .collect()
     }
 
+    /// A planned stop has begun. A replica that does not know all claims has
+    /// nothing to hand over.
+    pub fn leave(&mut self, now: Timestamp) {
+        if self.handover.is_some() || !self.roster.previous.is_empty() {
+            return;
+        }
+        let candidates = handover_candidates(&self.roster, self.node);
+        let sender = HandoverSender::new(
+            now,
+            self.settings.incarnation,
+            self.roster_version,
+            candidates,
+        );
+        self.handover = Some(sender);
+    }
+
+    /// Takes in a message about a handover and returns the answer.
+    pub fn handover_message(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: ClaimMessage,
+    ) -> Option<ClaimMessage> {
+        match message {
+            // A replica that stops itself keeps nothing for others.
+            ClaimMessage::HandoverBegin(_) if self.handover.is_some() => None,
+            ClaimMessage::HandoverBegin(begin) => {
+                let valid_until = now + self.settings.handover_validity;
+                self.handovers.begin(now, from, &begin, valid_until)
+            }
+            ClaimMessage::HandoverPage(page) => self.handovers.page(now, from, page),
+            ClaimMessage::HandoverReady(ready) => {
+                let is_informed = self.is_informed(now);
+                let sender = self.handover.as_mut().filter(|_| is_informed);
+                sender?.ready(now, from, &ready);
+                None
+            }
+            ClaimMessage::HandoverStored(stored) => {
+                self.handover.as_mut()?.stored(now, from, &stored);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the replica has handed its records over and votes no more.
+    pub fn is_sealed(&self) -> bool {
+        self.handover
+            .as_ref()
+            .is_some_and(HandoverSender::is_sealed)
+    }
+
+    /// Whether a handover is due or in progress.
+    pub fn is_handing_over(&self) -> bool {
+        let next_wake = self.handover.as_ref().and_then(HandoverSender::next_wake);
+        next_wake.is_some()
+    }
+
+    fn wake_handover(&mut self, now: Timestamp) -> Option<Envelope> {
+        let records = self.store.from(IdempotencyKey(0));
+        let records = records.filter(|(_, record)| record.state != RecordState::Released);
+        let claims = records.map(|(key, record)| known_claim(key, record));
+        self.handover.as_mut()?.wake(now, claims)
+    }
+
     /// Votes on a claim.
     pub fn request(&mut self, now: Timestamp, request: &ClaimRequest) -> ClaimVote {
         self.store.expire(now);
@@ -125,13 +193,17 @@
 
     /// Frees a key whose holder gave it back. A key that was learned from others
     /// stays, since another claim may hold it too.
-    pub fn release(&mut self, now: Timestamp, release: &ClaimRelease) {
+    /// False if the replica stops and the process that replaces it is to be told.
+    pub fn release(&mut self, now: Timestamp, release: &ClaimRelease) -> bool {
         self.store.expire(now);
+        if self.is_sealed() {
+            return false;
+        }
         let expires_at = now + self.retention;
         let body_digest = match self.store.get(release.key) {
             None => 0,
-            Some(known) if known.holder != release.claim => return,
-            Some(known) if known.state != RecordState::Claimed => return,
+            Some(known) if known.holder != release.claim => return true,
+            Some(known) if known.state != RecordState::Claimed => return true,
             Some(known) => known.body_digest,
         };
         let record = Record {
@@ -142,11 +214,15 @@
         };
         // A full store only loses a note that guards against reordering.
         let _ = self.store.put(release.key, record);
+        true
     }
 
     /// Records how a run ended. False if there is no room.
     pub fn finish(&mut self, now: Timestamp, finish: &ClaimFinish) -> bool {
         self.store.expire(now);
+        if self.is_sealed() {
+            return false;
+        }
         let known = self.store.get(finish.key);
         if known.is_some_and(|known| known.outcome().is_some()) {
             return true;
@@ -168,16 +244,21 @@
         request: &RejoinRequest,
     ) -> Option<ClaimMessage> {
         self.store.expire(now);
-        if request.roster != self.roster_version || !self.is_informed(now) {
+        if !request.settled {
+            return self.handovers.take_over(now, from, request);
+        }
+        if request.roster != self.roster_version || !self.is_informed(now) || self.is_sealed() {
             return None;
         }
-        let (claims, next) = self.page(from, request.from_key);
+        let (claims, next) = take_page(self.shared_claims(from, request.from_key));
         Some(ClaimMessage::RejoinPage(RejoinPage {
             incarnation: request.incarnation,
             roster: self.roster_version,
             from_key: request.from_key,
             claims,
             next,
+            settled: request.settled,
+            handed_over: false,
         }))
     }
 
@@ -277,7 +358,7 @@
 
     fn may_vote(&self, now: Timestamp, replicas: &ReplicaSets) -> bool {
         let has_learned = |rejoin: &Rejoin| rejoin.has_learned(&replicas.current);
-        let is_replica = replicas.contains(self.node);
+        let is_replica = replicas.contains(self.node) && !self.is_sealed();
         is_replica && (now >= self.votes_from || self.rejoin.as_ref().is_some_and(has_learned))
     }
 
@@ -304,27 +385,7 @@
             .from(from_key)
             .filter(|(_, record)| record.state != RecordState::Released)
             .filter(move |(key, _)| ReplicaSets::of(&self.roster, *key).contains(with))
-            .map(|(key, record)| KnownClaim {
-                key,
-                claim: record.holder,
-                body_digest: record.body_digest,
-                outcome: record.outcome().cloned(),
-            })
-    }
-
-    /// The claims of one page, and where the next one begins.
-    fn page(&self, with: NodeId, from_key: IdempotencyKey) -> (Vec<KnownClaim>, Option<NextPage>) {
-        let mut claims = Vec::new();
-        let mut bytes = 0;
-        for claim in self.shared_claims(with, from_key) {
-            let answer = claim.outcome.as_ref().map_or(0, RecordedOutcome::size);
-            bytes += MAX_CLAIM_BYTES + answer;
-            if bytes > MAX_PAGE_BYTES && !claims.is_empty() {
-                return (claims, Some(NextPage(claim.key)));
-            }
-            claims.push(claim);
-        }
-        (claims, None)
+            .map(|(key, record)| known_claim(key, record))
     }
 
     /// None if there is no room, so that the page is not counted as read.
@@ -349,6 +410,33 @@
     }
 }
 
+fn known_claim(key: IdempotencyKey, record: &Record) -> KnownClaim {
+    KnownClaim {
+        key,
+        claim: record.holder,
+        body_digest: record.body_digest,
+        outcome: record.outcome().cloned(),
+    }
+}
+
+/// Members of the other side first, since a side is often replaced as a whole.
+fn handover_candidates(roster: &Roster, node: NodeId) -> Vec<NodeId> {
+    let own = roster.members.iter().find(|member| member.node == node);
+    let Some(own) = own else {
+        return Vec::new();
+    };
+    let mut others: Vec<&RosterMember> = roster.members.iter().collect();
+    others.retain(|member| member.node != node);
+    others.sort_by_key(|member| {
+        (
+            member.side == own.side,
+            member.zone == own.zone,
+            member.node,
+        )
+    });
+    others.iter().map(|member| member.node).collect()
+}
+
 fn is_unreleased(record: &Record) -> bool {
     record.state != RecordState::Released
 }
@@ -360,6 +448,6 @@
     }
     let members = settings.roster.members.iter().map(|member| member.node);
     let starts_at = now + settings.settle_time();
-    let rejoin = Rejoin::new(settings.node, settings.incarnation, members, starts_at);
+    let rejoin = Rejoin::new(settings.node, settings.incarnation, members, now, starts_at);
     Some(rejoin)
 }
--- a/crates/coordination/src/claims/settings.rs
+++ b/crates/coordination/src/claims/settings.rs
@@ -24,6 +24,9 @@
     pub lifetime: Duration,
     /// A run starts at most this long after its claim was first sent.
     pub start_window: Duration,
+    /// How long the records of a replica that stopped as planned are kept for the
+    /// process that replaces it.
+    pub handover_validity: Duration,
     /// No process of this roster held claims before: vote at once. Only true for
     /// the very first start of a fleet.
     pub bootstrap: bool,
@@ -37,6 +40,9 @@
     /// Default of [`ClaimSettings::start_window`].
     pub const DEFAULT_START_WINDOW: Duration = Duration::from_secs(2);
 
+    /// Default of [`ClaimSettings::handover_validity`].
+    pub const DEFAULT_HANDOVER_VALIDITY: Duration = Duration::from_secs(15);
+
     /// Settings with the default times, for a process that may replace another.
     pub fn new(node: NodeId, incarnation: Incarnation, roster: Roster, seed: u64) -> Self {
         ClaimSettings {
@@ -45,6 +51,7 @@
             roster,
             lifetime: Self::DEFAULT_LIFETIME,
             start_window: Self::DEFAULT_START_WINDOW,
+            handover_validity: Self::DEFAULT_HANDOVER_VALIDITY,
             bootstrap: false,
             seed,
         }
@@ -57,9 +64,10 @@
     }
 
     /// How long a replaced replica waits on its own clock until every claim that
-    /// its predecessor voted for has either its majority or no chance of one.
+    /// its predecessor voted for has either its majority or no chance of one, and
+    /// no handover of an earlier process is valid any more.
     pub fn settle_time(&self) -> Duration {
-        stretch(self.start_window)
+        stretch(self.start_window.max(self.handover_validity))
     }
 }
 
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -127,6 +127,11 @@
         self.claims.as_ref()?.report(now, key)
     }
 
+    /// Whether the node, told to stop, has yet to hand its claims over.
+    pub fn is_handing_over(&self) -> bool {
+        self.claims.as_ref().is_some_and(ClaimGate::is_handing_over)
+    }
+
     /// The settings the node was made with.
     pub fn settings(&self) -> &NodeSettings {
         &self.settings
--- a/crates/daemon/src/control/input.rs
+++ b/crates/daemon/src/control/input.rs
@@ -40,6 +40,11 @@
         /// Where the answer goes; none if the node claims no keys.
         reply: flume::Sender<Option<KeyReport>>,
     },
+    /// A planned stop asks whether claims are yet to be handed over.
+    HandoverAsked {
+        /// Where the answer goes.
+        reply: flume::Sender<bool>,
+    },
     /// The task of an attempt wants no more effects than those decided so far.
     AttemptReleased {
         /// The attempt.
@@ -120,6 +125,13 @@
         answer.recv_timeout(timeout).ok().flatten()
     }
 
+    /// Asks whether claims are yet to be handed over.
+    pub async fn is_handing_over(&self) -> bool {
+        let (reply, answer) = flume::bounded(1);
+        self.send(ControlInput::HandoverAsked { reply });
+        answer.recv_async().await.unwrap_or(false)
+    }
+
     /// Reports an event of the caller's side.
     pub fn outbound(&self, event: OutboundEvent) {
         self.send(ControlInput::Event(NodeEvent::Outbound(event)));
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -123,6 +123,9 @@
                 let now = self.parts.clock.now();
                 let _ = reply.send(self.parts.node.key_report(now, key));
             }
+            ControlInput::HandoverAsked { reply } => {
+                let _ = reply.send(self.parts.node.is_handing_over());
+            }
             ControlInput::MembersAsked { reply } => self.tell_members(&reply),
             ControlInput::Leave => self.leave(),
             ControlInput::Stop => {}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -33,6 +33,8 @@
 /// How long a leaving node waits for other nodes to close their connections
 /// after the last call has ended.
 const GOODBYE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the handover of claims at a planned stop.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(10);
 /// How often it looks.
 const GOODBYE_POLL: Duration = Duration::from_millis(10);
 /// Connections to a back end before a table says how many there may be.
@@ -102,6 +104,7 @@
         if !nothing_cut {
             warn!(self.log, "stop_cut"; "in_progress" => self.traffic.in_progress.count());
         }
+        self.runtime.block_on(self.finish_handover());
         self.traffic.control.send(ControlInput::Stop);
         let _ = self.control_thread.join();
         self.operators.stop();
@@ -110,6 +113,18 @@
         nothing_cut
     }
 
+    /// Claims are handed to another node before the process ends.
+    async fn finish_handover(&self) {
+        let handed_over = timeout(HANDOVER_TIMEOUT, async {
+            while self.traffic.control.is_handing_over().await {
+                tokio::time::sleep(GOODBYE_POLL).await;
+            }
+        });
+        if handed_over.await.is_err() {
+            warn!(self.log, "claims_not_handed_over");
+        }
+    }
+
     async fn finish_calls(&self) -> bool {
         let finished = timeout(self.settings.stop_timeout, async {
             self.traffic.in_progress.none().await;
--- a/crates/protocol/src/claim.rs
+++ b/crates/protocol/src/claim.rs
@@ -204,6 +204,11 @@
     /// Only keys from here on are wanted.
     #[cbor(n(2), with = "crate::control::codec::idempotency_key")]
     pub from_key: IdempotencyKey,
+    /// Whether every claim that counted a vote of an earlier process has its
+    /// majority or no chance of one. Before that only records that were handed
+    /// over are wanted.
+    #[n(3)]
+    pub settled: bool,
 }
 
 /// A claim that a replica tells a rejoining one about.
@@ -241,6 +246,62 @@
     /// Where the next page begins; none if this one is the last.
     #[n(4)]
     pub next: Option<NextPage>,
+    /// The request's `settled`.
+    #[n(5)]
+    pub settled: bool,
+    /// The claims are all of those that the stopped process handed over.
+    #[n(6)]
+    pub handed_over: bool,
+}
+
+/// A replica that stops wants to hand its records over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HandoverBegin {
+    /// The life of the stopping process.
+    #[cbor(n(0), with = "crate::control::codec::incarnation")]
+    pub incarnation: Incarnation,
+    /// Its roster; only a process with the same may take the records over.
+    #[n(1)]
+    pub roster: RosterVersion,
+}
+
+/// The receiver of a [`HandoverBegin`] keeps what comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HandoverReady {
+    /// The life of the stopping process.
+    #[cbor(n(0), with = "crate::control::codec::incarnation")]
+    pub incarnation: Incarnation,
+}
+
+/// A part of the records of a stopping replica.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HandoverPage {
+    /// The life of the stopping process.
+    #[cbor(n(0), with = "crate::control::codec::incarnation")]
+    pub incarnation: Incarnation,
+    /// Where the page begins.
+    #[cbor(n(1), with = "crate::control::codec::idempotency_key")]
+    pub from_key: IdempotencyKey,
+    /// The records, in order of keys.
+    #[n(2)]
+    pub claims: Vec<KnownClaim>,
+    /// Where the next page begins; none if this one is the last.
+    #[n(3)]
+    pub next: Option<NextPage>,
+}
+
+/// Confirms a [`HandoverPage`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HandoverStored {
+    /// The life of the stopping process.
+    #[cbor(n(0), with = "crate::control::codec::incarnation")]
+    pub incarnation: Incarnation,
+    /// Where the page begins.
+    #[cbor(n(1), with = "crate::control::codec::idempotency_key")]
+    pub from_key: IdempotencyKey,
+    /// Where the next page begins.
+    #[n(2)]
+    pub next: Option<NextPage>,
 }
 
 /// Where the next [`RejoinPage`] begins.
@@ -277,4 +338,16 @@
     /// To a replaced replica.
     #[n(7)]
     RejoinPage(#[n(0)] RejoinPage),
+    /// From a stopping replica.
+    #[n(8)]
+    HandoverBegin(#[n(0)] HandoverBegin),
+    /// To a stopping replica.
+    #[n(9)]
+    HandoverReady(#[n(0)] HandoverReady),
+    /// From a stopping replica.
+    #[n(10)]
+    HandoverPage(#[n(0)] HandoverPage),
+    /// To a stopping replica.
+    #[n(11)]
+    HandoverStored(#[n(0)] HandoverStored),
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,8 +16,8 @@
 pub use answer::{AttemptResult, RefusalReason};
 pub use claim::{
     ClaimFinish, ClaimId, ClaimMessage, ClaimRelease, ClaimRequest, ClaimStored, ClaimVote,
-    KnownClaim, NextPage, RecordedAnswer, RecordedHeader, RecordedOutcome, RejoinPage,
-    RejoinRequest, Verdict,
+    HandoverBegin, HandoverPage, HandoverReady, HandoverStored, KnownClaim, NextPage,
+    RecordedAnswer, RecordedHeader, RecordedOutcome, RejoinPage, RejoinRequest, Verdict,
 };
 pub use control::{ControlError, ControlMessage};
 pub use load::{AdmissionLevel, LoadReport};
--- a/crates/protocol/tests/claim_messages.rs
+++ b/crates/protocol/tests/claim_messages.rs
@@ -55,6 +55,8 @@
         from_key: IdempotencyKey(u128::MAX),
         claims: vec![known],
         next: Some(NextPage(IdempotencyKey(u128::MAX))),
+        settled: true,
+        handed_over: true,
     })
 }
 
--- a/crates/sim/src/claims_search/fleet.rs
+++ b/crates/sim/src/claims_search/fleet.rs
@@ -13,6 +13,9 @@
 /// Start window of a claim.
 pub const START_WINDOW: Duration = Duration::from_secs(1);
 
+/// How long handed over records are kept.
+const HANDOVER_VALIDITY: Duration = Duration::from_secs(5);
+
 const FIRST_NODE: u64 = 0x0A00_0001_1F90;
 const NODE_STRIDE: u64 = 1 << 16;
 
@@ -81,6 +84,7 @@
         roster: roster(epoch),
         lifetime: LIFETIME,
         start_window: START_WINDOW,
+        handover_validity: HANDOVER_VALIDITY,
         bootstrap,
         seed: incarnation.0 ^ u64::from(index),
     }
--- a/crates/sim/src/claims_search/world.rs
+++ b/crates/sim/src/claims_search/world.rs
@@ -135,6 +135,10 @@
                 self.call(node, content, backend, run_millis);
             }
             Action::Replace { nodes } => self.replace(nodes),
+            Action::Leave { node } => {
+                let event = Happening::Claim(ClaimEvent::Leave);
+                self.schedule(self.now, node, None, event);
+            }
             Action::Pause { node, millis } => {
                 let paused_until = self.now + Duration::from_millis(u64::from(millis));
                 self.processes[usize::from(node)].paused_until = paused_until;
