--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -8,7 +8,7 @@
 use crate::baseline::{FixedInbound, FixedOutbound};
 use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
 use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
-use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
+use crate::outbound::{EdgeReport, OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
 use crate::policy::PolicyKind;
 use crate::pressure::{CallSource, downstream_level};
 use crate::request_tree::RequestTree;
@@ -137,6 +137,11 @@
         load
     }
 
+    /// What there is to tell operators of the services called from this node.
+    pub fn edges(&self, now: Timestamp) -> Vec<EdgeReport> {
+        self.outbound.reports(now, self.fleet.view())
+    }
+
     /// The load of a local service.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
         let mut load = self.inbound.load(now, self.fleet.view(), service);
--- a/crates/coordination/src/outbound/edge.rs
+++ b/crates/coordination/src/outbound/edge.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, RngExt};
 
 use super::AttemptId;
+use super::edge_report::{EdgeReport, SideCounts, SideReport};
 use super::outlier_detection::SideServers;
 use super::server_choice::Candidate;
 use super::server_state::{Outcome, ServerRecord};
@@ -61,6 +62,7 @@
     pub latency: LatencyEstimate,
     /// Retries that the edge can pay for.
     pub budget: RetryBudget,
+    counts: BTreeMap<Side, SideCounts>,
     /// Classes kept out after calls were refused without an attempt.
     pub class_floor: ClassFloor,
 }
@@ -75,6 +77,7 @@
             servers: BTreeMap::new(),
             latency: LatencyEstimate::default(),
             budget: RetryBudget::default(),
+            counts: BTreeMap::new(),
             class_floor: ClassFloor::default(),
         }
     }
@@ -243,6 +246,44 @@
         })
     }
 
+    /// Counts an attempt that is being sent.
+    pub fn count(&mut self, chosen: Chosen, is_retry: bool) {
+        let counts = self.counts.entry(chosen.side).or_default();
+        if is_retry {
+            counts.retries += 1;
+        } else {
+            counts.given += 1;
+            counts.spilled += u64::from(chosen.spilled);
+        }
+    }
+
+    /// What operators are told.
+    pub fn report(&self, now: Timestamp, view: &View) -> EdgeReport {
+        let sides = Side::ALL
+            .into_iter()
+            .filter(|side| view.table.row(&self.service, *side).is_some())
+            .map(|side| self.side_report(now, view, side));
+        EdgeReport {
+            service: self.service.clone(),
+            sides: sides.collect(),
+        }
+    }
+
+    fn side_report(&self, now: Timestamp, view: &View, side: Side) -> SideReport {
+        let servers = self.routable(now, view, side);
+        let in_use = servers
+            .iter()
+            .filter(|candidate| candidate.record.ejection.is_in_use())
+            .count();
+        SideReport {
+            side,
+            counts: self.counts.get(&side).copied().unwrap_or_default(),
+            servers_in_use: in_use,
+            servers_left_out: servers.len() - in_use,
+            level: self.side_level(now, view, side),
+        }
+    }
+
     /// Whether a side has a server in use.
     fn is_reachable(&self, now: Timestamp, view: &View, side: Side) -> bool {
         let servers = self.routable(now, view, side);
--- a/crates/coordination/src/outbound/mod.rs
+++ b/crates/coordination/src/outbound/mod.rs
@@ -12,6 +12,7 @@
 pub mod call_state;
 pub mod call_table;
 pub mod edge;
+pub mod edge_report;
 pub mod ejection;
 pub mod outlier_detection;
 pub mod retry_decision;
@@ -20,6 +21,7 @@
 pub mod server_state;
 pub mod side_choice;
 
+pub use edge_report::{EdgeReport, SideReport};
 pub use routing::Routing;
 
 use std::time::Duration;
@@ -175,4 +177,10 @@
     fn level(&self, _now: Timestamp, _view: &View, _service: &ServiceName) -> AdmissionLevel {
         AdmissionLevel::OPEN
     }
+
+    /// What there is to tell operators of the services called from this node.
+    /// Baselines tell nothing.
+    fn reports(&self, _now: Timestamp, _view: &View) -> Vec<EdgeReport> {
+        Vec::new()
+    }
 }
--- a/crates/coordination/src/outbound/routing.rs
+++ b/crates/coordination/src/outbound/routing.rs
@@ -22,7 +22,7 @@
 use super::retry_decision::allows_retry;
 use super::server_state::Outcome;
 use super::{AttemptAnswer, AttemptId, Call, CallId};
-use super::{OutboundEffect, OutboundEvent, OutboundPolicy};
+use super::{EdgeReport, OutboundEffect, OutboundEvent, OutboundPolicy};
 use crate::View;
 use crate::refusal::{GivenUp, RetryAfter};
 
@@ -184,6 +184,7 @@
         let Some(edge) = self.edges.get_mut(&state.call.service) else {
             return;
         };
+        edge.count(chosen, !state.tried.is_empty());
         self.next_attempt += 1;
         let attempt = AttemptId(self.next_attempt);
         state.side = Some(chosen.side);
@@ -350,6 +351,11 @@
         self.calls.next_timer()
     }
 
+    fn reports(&self, now: Timestamp, view: &View) -> Vec<EdgeReport> {
+        let edges = self.edges.values();
+        edges.map(|edge| edge.report(now, view)).collect()
+    }
+
     fn level(&self, now: Timestamp, view: &View, service: &ServiceName) -> AdmissionLevel {
         self.edges
             .get(service)
--- a/crates/coordination/tests/routing.rs
+++ b/crates/coordination/tests/routing.rs
@@ -243,6 +243,9 @@
         let deadline = at(1000);
         let effects = driver.call(at(30), context(PriorityClass::Normal, 64, deadline), true);
         assert_eq!(sent(&effects).is_some(), spills, "weights {weights:?}");
+        let report = &driver.policy.reports(at(30), &driver.view)[0];
+        let spilled: u64 = report.sides.iter().map(|side| side.counts.spilled).sum();
+        assert_eq!(spilled, u64::from(spills), "operators are told");
     }
 }
 
--- a/crates/daemon/src/control/snapshot.rs
+++ b/crates/daemon/src/control/snapshot.rs
@@ -5,7 +5,7 @@
 
 use lifthollow_coordination::fleet::{Listing, Member};
 use lifthollow_coordination::{Node, View};
-use lifthollow_protocol::operators::{KnownMember, NodeStatus, ServiceLoad};
+use lifthollow_protocol::operators::{EdgeStatus, KnownMember, NodeStatus, ServiceLoad};
 use lifthollow_state::{ServerState, ServiceName, TableVersion, Timestamp};
 
 /// State posted by the control thread. Readers never make it wait.
@@ -56,6 +56,7 @@
         attempts_in_progress: node.in_progress(),
         services: local_services(node, now),
         members_known: members_known(node),
+        edges: edges(node, now),
     }
 }
 
@@ -128,6 +129,25 @@
     Some(word.to_owned())
 }
 
+fn edges(node: &Node, now: Timestamp) -> Vec<EdgeStatus> {
+    let edges = node.edges(now);
+    let sides = edges
+        .iter()
+        .flat_map(|edge| edge.sides.iter().map(move |side| (edge, side)));
+    sides
+        .map(|(edge, side)| EdgeStatus {
+            service: edge.service.to_string(),
+            side: side.side.to_string(),
+            given: side.counts.given,
+            spilled: side.counts.spilled,
+            retries: side.counts.retries,
+            servers_in_use: side.servers_in_use,
+            servers_left_out: side.servers_left_out,
+            admission_level: side.level.0,
+        })
+        .collect()
+}
+
 fn listing_word(listing: Listing) -> &'static str {
     match listing {
         Listing::Never => "never",
--- a/crates/daemon/src/operators/metrics.rs
+++ b/crates/daemon/src/operators/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use lifthollow_protocol::RefusalReason;
-use lifthollow_protocol::operators::NodeStatus;
+use lifthollow_protocol::operators::{EdgeStatus, NodeStatus};
 use lifthollow_state::ServiceName;
 
 /// Upper bounds of the call duration's buckets, seconds.
@@ -28,6 +28,7 @@
     table_number: IntGauge,
     in_progress: IntGaugeVec,
     local_load: IntGaugeVec,
+    edges: IntGaugeVec,
     buffered_body_bytes: IntGauge,
 }
 
@@ -78,6 +79,12 @@
                 "Load beside this node: in_flight, queued, limit, admission_level.",
                 &["service", "what"],
             )?,
+            edges: gauge(
+                "lifthollow_edge",
+                "Calls from this node to a side of a service: given, spilled, retries (since \
+                 the start), servers_in_use, servers_left_out, admission_level.",
+                &["service", "side", "what"],
+            )?,
             buffered_body_bytes: IntGauge::new(
                 "lifthollow_buffered_body_bytes",
                 "Body bytes received from other nodes and not yet passed on.",
@@ -98,6 +105,7 @@
         registry.register(Box::new(self.table_number.clone()))?;
         registry.register(Box::new(self.in_progress.clone()))?;
         registry.register(Box::new(self.local_load.clone()))?;
+        registry.register(Box::new(self.edges.clone()))?;
         registry.register(Box::new(self.buffered_body_bytes.clone()))?;
         Ok(())
     }
@@ -150,6 +158,14 @@
             self.set_load(service, "limit", load.limit);
             self.set_load(service, "admission_level", u32::from(load.admission_level));
         }
+        for edge in &status.edges {
+            self.set_edge(edge, "given", edge.given as i64);
+            self.set_edge(edge, "spilled", edge.spilled as i64);
+            self.set_edge(edge, "retries", edge.retries as i64);
+            self.set_edge(edge, "servers_in_use", edge.servers_in_use as i64);
+            self.set_edge(edge, "servers_left_out", edge.servers_left_out as i64);
+            self.set_edge(edge, "admission_level", i64::from(edge.admission_level));
+        }
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(String::from_utf8(text)?)
@@ -161,6 +177,12 @@
             .set(count as i64);
     }
 
+    fn set_edge(&self, edge: &EdgeStatus, what: &str, value: i64) {
+        self.edges
+            .with_label_values(&[edge.service.as_str(), edge.side.as_str(), what])
+            .set(value);
+    }
+
     fn set_load(&self, service: &str, what: &str, value: u32) {
         self.local_load
             .with_label_values(&[service, what])
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -36,6 +36,30 @@
     pub services: Vec<ServiceLoad>,
     /// How many servers it knows.
     pub members_known: usize,
+    /// The services that are called from the node.
+    #[serde(default)]
+    pub edges: Vec<EdgeStatus>,
+}
+
+/// Calls from a node to one side of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EdgeStatus {
+    /// The service.
+    pub service: String,
+    /// The side.
+    pub side: String,
+    /// First attempts that the weights gave to the side.
+    pub given: u64,
+    /// Those of them that the other side had to carry.
+    pub spilled: u64,
+    /// Further attempts.
+    pub retries: u64,
+    /// Servers in normal use.
+    pub servers_in_use: usize,
+    /// Servers left out or on trial because they fail.
+    pub servers_left_out: usize,
+    /// Lowest priority that the side's servers admit; 0 admits everything.
+    pub admission_level: u16,
 }
 
 /// Load of one service beside a node.
