--- a/crates/coordination/src/baseline/fixed_inbound.rs
+++ b/crates/coordination/src/baseline/fixed_inbound.rs
@@ -148,6 +148,7 @@
             InboundEvent::AttemptCancelled { id } => self.cancel(id, effects),
             InboundEvent::Leave => self.leaving = true,
             InboundEvent::HealthReported { .. }
+            | InboundEvent::AnswerRecorded { .. }
             | InboundEvent::Wake
             | InboundEvent::Resumed { .. } => {}
         }
--- a/crates/coordination/src/request_tree.rs
+++ b/crates/coordination/src/request_tree.rs
@@ -60,7 +60,8 @@
             InboundEvent::RunClosed { id } | InboundEvent::AttemptCancelled { id } => {
                 self.ended(*id);
             }
-            InboundEvent::HealthReported { .. }
+            InboundEvent::AnswerRecorded { .. }
+            | InboundEvent::HealthReported { .. }
             | InboundEvent::Wake
             | InboundEvent::Resumed { .. }
             | InboundEvent::Leave => {}
@@ -70,7 +71,7 @@
     /// Notes what the decisions mean for the attempts.
     pub fn after_inbound(&mut self, effects: &[InboundEffect]) {
         for effect in effects {
-            if let InboundEffect::Answer { id, .. } = effect {
+            if let InboundEffect::Answer { id, .. } | InboundEffect::Replay { id, .. } = effect {
                 self.call_graph.dropped(*id);
             }
         }
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -11,7 +11,7 @@
 use lifthollow_coordination::outbound::{CallAnswer, CallId, OutboundEffect, OutboundEvent};
 use lifthollow_coordination::{Node, NodeEffect, NodeEvent};
 use lifthollow_protocol::operators::{KnownMember, Outcome, Refusal, RefusalState};
-use lifthollow_protocol::{AttemptResult, RefusalReason};
+use lifthollow_protocol::{AttemptResult, RecordedAnswer, RefusalReason};
 use lifthollow_state::Timestamp;
 use lifthollow_transport::datagram::DatagramSender;
 
@@ -119,6 +119,10 @@
             }
             ControlInput::Event(event) => self.take_in_event(event),
             ControlInput::AttemptReleased { id } => self.router.remove_inbound(id),
+            ControlInput::KeyAsked { key, reply } => {
+                let now = self.parts.clock.now();
+                let _ = reply.send(self.parts.node.key_report(now, key));
+            }
             ControlInput::MembersAsked { reply } => self.tell_members(&reply),
             ControlInput::Leave => self.leave(),
             ControlInput::Stop => {}
@@ -213,10 +217,13 @@
 
     fn carry_out_inbound(&mut self, now: Timestamp, effect: InboundEffect) {
         match effect {
-            InboundEffect::Run { id, deadline } => {
-                self.router
-                    .route_inbound(id, AttemptEffect::Run { deadline });
-            }
+            InboundEffect::Run { id, deadline } => self.run_attempt(id, deadline, None),
+            InboundEffect::RunClaimed {
+                id,
+                deadline,
+                start_before,
+            } => self.run_attempt(id, deadline, Some(start_before)),
+            InboundEffect::Replay { id, answer } => self.replay(now, id, answer),
             InboundEffect::CancelRun { id } => {
                 self.router.route_inbound(id, AttemptEffect::CancelRun);
             }
@@ -224,6 +231,26 @@
         }
     }
 
+    fn run_attempt(&self, id: InboundId, deadline: Timestamp, start_before: Option<Timestamp>) {
+        let effect = AttemptEffect::Run {
+            deadline,
+            start_before,
+        };
+        self.router.route_inbound(id, effect);
+    }
+
+    fn replay(&mut self, now: Timestamp, id: InboundId, answer: RecordedAnswer) {
+        let Some(subject) = self.router.inbound_subject(id) else {
+            return;
+        };
+        let effect = AttemptEffect::Replay {
+            answer,
+            load: self.parts.node.load(now, &subject.service),
+            unspent: self.parts.node.settle_allowance(id),
+        };
+        self.router.route_inbound(id, effect);
+    }
+
     fn answer_attempt(&mut self, now: Timestamp, id: InboundId, result: AttemptResult) {
         let Some(subject) = self.router.inbound_subject(id) else {
             return;
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 pub mod dispatch;
 pub mod in_progress;
 pub mod parents;
+pub mod record_answer;
 pub mod request_body;
 pub mod run;
 
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lifthollow_coordination::{Node, NodeSettings, PolicyKind};
+use lifthollow_protocol::{Roster, RosterMember};
 use lifthollow_state::{NodeId, Side, Timestamp};
 use simcore::Simulation;
 
@@ -15,7 +16,7 @@
 use super::clients::Clients;
 use super::event::WorldEvent;
 use super::ids::{FaultIndex, MachineIndex};
-use super::machine::{Machine, MachineSpec, ProcessSettings, ProcessState};
+use super::machine::{FIRST_INCARNATION, Machine, MachineSpec, ProcessSettings, ProcessState};
 use super::network::Network;
 use super::platform::Platform;
 use super::trace::TraceHash;
@@ -34,9 +35,6 @@
 /// Clocks of machines differ by this much for each machine.
 const CLOCK_STEP: Duration = Duration::from_secs(977);
 
-/// The first process on a machine.
-const FIRST_INCARNATION: u64 = 1;
-
 /// Makes the node of a machine.
 pub type NodeFactory = fn(NodeSettings) -> Node;
 
@@ -121,6 +119,7 @@
         let specs = machine_specs(&mesh);
         let mut process_seeds = stream(Purpose::ProcessSeeds);
         let seeds = entry_addresses(&specs);
+        let roster = claim_roster(&mesh, &specs);
         let machines = specs
             .iter()
             .enumerate()
@@ -130,6 +129,7 @@
                     policy: settings.policy,
                     incarnation: FIRST_INCARNATION,
                     seeds: &seeds,
+                    roster: &roster,
                     seed: process_seeds.seed(),
                 };
                 machine(index, spec, process, settings.node_factory)
@@ -156,6 +156,7 @@
             scenario,
             machines,
             seeds,
+            roster,
             clients,
             calls: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -224,7 +225,7 @@
     });
     Machine {
         spec: spec.clone(),
-        node: node_factory(spec.settings(process)),
+        node: process.claim_keys(spec, node_factory(spec.settings(process))),
         state: ProcessState::Running,
         incarnation: FIRST_INCARNATION,
         clock_offset: CLOCK_STEP * index as u32,
@@ -281,6 +282,21 @@
         .collect()
 }
 
+/// The entry nodes, one in each zone, are the replicas of idempotency keys.
+fn claim_roster(mesh: &Mesh, specs: &[MachineSpec]) -> Roster {
+    let entries = specs.iter().filter(|spec| spec.service.is_none());
+    let members = entries.map(|spec| RosterMember {
+        node: spec.node,
+        side: spec.side,
+        zone: spec.global_zone(mesh.zones_per_side),
+    });
+    Roster {
+        epoch: 1,
+        members: members.collect(),
+        previous: Vec::new(),
+    }
+}
+
 /// Nodes name the entry nodes as seeds in their settings.
 fn entry_addresses(specs: &[MachineSpec]) -> Vec<NodeId> {
     let entries = specs.iter().filter(|spec| spec.service.is_none());
--- a/crates/sim/tests/runs.rs
+++ b/crates/sim/tests/runs.rs
@@ -54,3 +54,49 @@
         assert!(result.retry_amplification > 2.0, "{result:?}");
     }
 }
+
+#[test]
+fn attempts_that_were_lost_on_the_way_do_not_hold_up_a_planned_stop() {
+    let text = r#"
+duration_seconds = 38
+load = 0.05
+
+[[fault]]
+kind = "cut"
+from = { side = "old" }
+to = { side = "new" }
+at = 2
+for = 3
+
+[[fault]]
+kind = "rolling-stop"
+target = { service = "catalogue", side = "new" }
+interval_seconds = 10
+down_seconds = 4
+at = 6
+"#;
+    let result = run("sofia", text, PolicyKind::StaticLimits, 1);
+    assert_eq!(result.violations.planned_stop, 0);
+}
+
+#[test]
+fn a_machine_stays_away_until_the_last_fault_about_it_has_ended() {
+    let whole_side = r#"
+duration_seconds = 16
+weights = [100, 0]
+load = 0.1
+
+[[fault]]
+kind = "gone"
+target = { service = "feeds", side = "old" }
+at = 5
+for = 8
+"#;
+    let shorter_too = format!(
+        "{whole_side}\n[[fault]]\nkind = \"gone\"\ntarget = {{ side = \"old\", service = \"feeds\" }}\nat = 5\nfor = 2\n"
+    );
+    let once = run("midlands", whole_side, PolicyKind::StaticLimits, 1);
+    let twice = run("midlands", &shorter_too, PolicyKind::StaticLimits, 1);
+    assert!(once.goodput < once.offered);
+    assert!(twice.goodput <= once.goodput + once.goodput / 20);
+}
