Make the spill test give a call to the refusing side for sure

Cause: with weights 90:10 and a random phase the one call could be given to the side with room, so that nothing spilled; the new count showed it. Change: two calls, of which at least one is given to the refusing side; both must be sent, and the count must show a spill. Proof: 12 of 12 routing tests pass; the test failed before on the count.

--- a/crates/coordination/tests/routing.rs
+++ b/crates/coordination/tests/routing.rs
@@ -240,12 +240,15 @@
                 break;
             }
         }
-        let deadline = at(1000);
-        let effects = driver.call(at(30), context(PriorityClass::Normal, 64, deadline), true);
-        assert_eq!(sent(&effects).is_some(), spills, "weights {weights:?}");
+        // At least one of two calls is given to the side that refuses.
+        for _ in 0..2 {
+            let normal = context(PriorityClass::Normal, 64, at(1000));
+            let effects = driver.call(at(30), normal, true);
+            assert_eq!(sent(&effects).is_some(), spills, "weights {weights:?}");
+        }
         let report = &driver.policy.reports(at(30), &driver.view)[0];
         let spilled: u64 = report.sides.iter().map(|side| side.counts.spilled).sum();
-        assert_eq!(spilled, u64::from(spills), "operators are told");
+        assert_eq!(spilled > 0, spills, "operators are told");
     }
 }
 
