Simulate the control plane at 3,600 nodes and mend what it showed

Cause: the mechanisms of configuration, membership and leaving had only been tested with a few nodes. Change: lifthollow-sim scale and slopes run the real fleet parts and datagrams of a whole fleet with loss, pauses, cuts, lost racks and zones, mass restarts and a stale service. Not run: full size under faults other than loss; hollow nodes over real UDP.

--- a/crates/coordination/src/fleet/config/confirmation.rs
+++ b/crates/coordination/src/fleet/config/confirmation.rs
@@ -13,7 +13,7 @@
 const TRANSFER_BOUND: Duration = Duration::from_secs(10);
 
 /// Whether the node may act on its table.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(in crate::fleet) struct Confirmation {
     since: Timestamp,
     answered: BTreeSet<NodeId>,
--- a/crates/coordination/src/fleet/config/history.rs
+++ b/crates/coordination/src/fleet/config/history.rs
@@ -10,14 +10,14 @@
 const STEPS_KEPT: usize = 64;
 
 /// One change of the table in force.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Step {
     from: TableVersion,
     keys: Vec<RowKey>,
 }
 
 /// The latest changes, oldest first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct History {
     steps: VecDeque<Step>,
 }
@@ -39,13 +39,22 @@
         self.steps.back().map(|step| step.from)
     }
 
-    /// Keys of all rows that changed since `version` was in force; none if it
-    /// never was or is forgotten, or is that of the empty table.
-    pub fn keys_since(&self, version: TableVersion) -> Option<BTreeSet<&RowKey>> {
+    /// Whether the changes since `version` are known.
+    pub fn covers(&self, version: TableVersion) -> bool {
+        self.first_step(version).is_some()
+    }
+
+    fn first_step(&self, version: TableVersion) -> Option<usize> {
         if version == TableVersion::default() {
             return None;
         }
-        let first = self.steps.iter().position(|step| step.from == version)?;
+        self.steps.iter().position(|step| step.from == version)
+    }
+
+    /// Keys of all rows that changed since `version` was in force; none if it
+    /// never was or is forgotten, or is that of the empty table.
+    pub fn keys_since(&self, version: TableVersion) -> Option<BTreeSet<&RowKey>> {
+        let first = self.first_step(version)?;
         let later = self.steps.iter().skip(first);
         Some(later.flat_map(|step| &step.keys).collect())
     }
--- a/crates/coordination/src/fleet/config/mod.rs
+++ b/crates/coordination/src/fleet/config/mod.rs
@@ -12,6 +12,7 @@
 mod pull;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use lifthollow_protocol::control::{FleetBody, TablePage, TableRequest};
 use lifthollow_state::{NodeId, Table, TableVersion, Timestamp};
@@ -28,24 +29,32 @@
 const PAGES_PER_REQUEST: u32 = 4;
 /// Pages a second that a node sends to others in the long run.
 const PAGES_PER_SECOND: u32 = 6;
-/// Pages that it may send at once after a quiet time.
-const PAGE_BURST: u32 = 12;
+/// Pages that it may send at once after a quiet time: a whole table of the size
+/// designed for.
+const PAGE_BURST: u32 = 32;
+/// All rows are begun for one node in this time, so that it soon has them all and
+/// can pass them on.
+const FULL_TRANSFER_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The table in force and the transfer in progress.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Configuration {
     table: Arc<Table>,
+    /// That of `table`, at hand without a look at it.
+    version: TableVersion,
     /// The newest table that the platform offered, until this node may start.
     offered: Option<Arc<Table>>,
     history: History,
     pull: Option<Pull>,
     confirmation: Confirmation,
     page_budget: Budget,
+    /// When all rows may be begun for another node.
+    next_full_transfer: Timestamp,
     /// Versions that operators were told about last, so that they are told once.
     reported: Reported,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Reported {
     conflicting: Option<TableVersion>,
     stale: Option<TableVersion>,
@@ -56,11 +65,13 @@
     pub fn new() -> Self {
         Configuration {
             table: Arc::default(),
+            version: TableVersion::default(),
             offered: None,
             history: History::default(),
             pull: None,
             confirmation: Confirmation::new(Timestamp::ZERO),
             page_budget: Budget::new(PAGES_PER_SECOND, PAGE_BURST),
+            next_full_transfer: Timestamp::ZERO,
             reported: Reported::default(),
         }
     }
@@ -70,6 +81,11 @@
         &self.table
     }
 
+    /// The version of the table in force.
+    pub fn version(&self) -> TableVersion {
+        self.version
+    }
+
     /// Whether peers were asked since the start or the last pause.
     pub fn is_confirmed(&self) -> bool {
         self.confirmation.is_confirmed()
@@ -96,7 +112,7 @@
     }
 
     fn report_stale_platform(&mut self, offered: TableVersion, outbox: &mut Outbox) {
-        let in_force = self.table.version();
+        let in_force = self.version;
         let told = self.reported.stale == Some(offered);
         if offered.number < in_force.number && !told {
             self.reported.stale = Some(offered);
@@ -106,7 +122,7 @@
 
     /// Two tables under one number are an operators' mistake to be shown.
     fn compare(&mut self, other: TableVersion, outbox: &mut Outbox) {
-        let ours = self.table.version();
+        let ours = self.version;
         let conflicting = other.number == ours.number && other.digest != ours.digest;
         let told = self.reported.conflicting == Some(other);
         if conflicting && ours.number > 0 && !told {
@@ -121,11 +137,13 @@
     /// A table comes into force only if it is newer than the one in force.
     fn accept(&mut self, table: Arc<Table>, source: TableSource, outbox: &mut Outbox) -> bool {
         let version = table.version();
-        if version <= self.table.version() {
+        if version <= self.version {
             return false;
         }
         self.history.record(&self.table, &table);
         self.table = table;
+        self.version = version;
+        self.pull = self.pull.take().filter(|pull| pull.target() > version);
         outbox.report(FleetReport::TableAccepted { version, source });
         true
     }
@@ -138,15 +156,22 @@
         version: TableVersion,
         outbox: &mut Outbox,
     ) {
-        if version.number == self.table.version().number {
+        if version.number == self.version.number {
             self.compare(version, outbox);
         }
-        if version <= self.table.version() {
+        if version <= self.version {
             return;
         }
-        if self.pull.is_none() {
+        if self.pull.as_ref().is_none_or(|pull| pull.is_abandoned(now)) {
             self.start_pull(now, from, version, outbox);
+            return;
         }
+        self.repeat_stalled_pull(now, Some(from), outbox);
+    }
+
+    /// The version that is being transferred.
+    pub fn wanted(&self) -> Option<TableVersion> {
+        self.pull.as_ref().map(Pull::target)
     }
 
     fn start_pull(
@@ -156,7 +181,7 @@
         want: TableVersion,
         outbox: &mut Outbox,
     ) {
-        let pull = Pull::new(self.table.version(), want, now);
+        let pull = Pull::new(self.version, want, now);
         outbox.send(from, FleetBody::TableRequest(pull.request()));
         self.pull = Some(pull);
     }
@@ -194,7 +219,7 @@
     /// Begins to act once enough peers were asked.
     pub fn settle(&mut self, now: Timestamp, known_peers: usize, outbox: &mut Outbox) -> bool {
         let offered = self.offered.as_ref().map(|offered| offered.version());
-        let at_hand = offered.unwrap_or_default().max(self.table.version());
+        let at_hand = offered.unwrap_or_default().max(self.version);
         let settled = self.confirmation.settle(now, at_hand, known_peers);
         let Some(asked) = settled else { return false };
         let Some(table) = self.offered.take() else {
@@ -214,7 +239,11 @@
         request: &TableRequest,
         outbox: &mut Outbox,
     ) {
-        if self.table.version() < request.want {
+        if self.version < request.want {
+            return;
+        }
+        let begins_all_rows = request.after.is_none() && !self.history.covers(request.have);
+        if begins_all_rows && !self.may_serve_all_rows(now) {
             return;
         }
         let wanted = pages::pages(&self.table, &self.history, request);
@@ -224,6 +253,14 @@
         }
     }
 
+    fn may_serve_all_rows(&mut self, now: Timestamp) -> bool {
+        let may = now >= self.next_full_transfer;
+        if may {
+            self.next_full_transfer = now + FULL_TRANSFER_INTERVAL;
+        }
+        may
+    }
+
     /// A page came in: pushed, or in answer to a request. True if a table came
     /// into force by it.
     pub fn take_page(
@@ -233,10 +270,10 @@
         page: TablePage,
         outbox: &mut Outbox,
     ) -> bool {
-        if page.target <= self.table.version() {
+        if page.target <= self.version {
             return false;
         }
-        let have = self.table.version();
+        let have = self.version;
         let pull = self
             .pull
             .get_or_insert_with(|| Pull::new(have, page.target, now));
@@ -292,7 +329,7 @@
     pub fn latest_change(&self) -> Option<TablePage> {
         let request = TableRequest {
             have: self.history.latest_base()?,
-            want: self.table.version(),
+            want: self.version,
             after: None,
         };
         let mut pages = pages::pages(&self.table, &self.history, &request);
--- a/crates/coordination/src/fleet/config/pull.rs
+++ b/crates/coordination/src/fleet/config/pull.rs
@@ -9,9 +9,11 @@
 const STALLED_AFTER: Duration = Duration::from_millis(400);
 /// A transfer that nobody serves any more is dropped; the next contact with a
 /// node that has a newer version begins another.
-const ABANDONED_AFTER: Duration = Duration::from_secs(3);
+const ABANDONED_AFTER: Duration = Duration::from_secs(30);
 /// Requests that follow from pages of an unexpected kind are this far apart.
 const REQUEST_SPACING: Duration = Duration::from_millis(100);
+/// Pages that are kept while one before them is missing.
+const EARLY_PAGES_KEPT: usize = 8;
 /// Pages that answer one request.
 const PAGES_PER_REQUEST: u32 = 4;
 
@@ -27,7 +29,7 @@
 }
 
 /// Rows collected on the way to a version.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Pull {
     have: TableVersion,
     want: TableVersion,
@@ -35,6 +37,8 @@
     after: Option<RowKey>,
     rows: Vec<TableRow>,
     removed: Vec<RowKey>,
+    /// Pages that overtook others.
+    early: Vec<TablePage>,
     pages_since_request: u32,
     requested: Timestamp,
     progressed: Timestamp,
@@ -50,6 +54,7 @@
             after: None,
             rows: Vec::new(),
             removed: Vec::new(),
+            early: Vec::new(),
             pages_since_request: 0,
             requested: now,
             progressed: now,
@@ -93,15 +98,23 @@
 
     /// Takes in a page if it continues what is there.
     pub fn take_page(&mut self, now: Timestamp, page: TablePage) -> PullProgress {
-        if page.target > self.want || self.is_empty() && page.target == self.want {
+        let other_base = page.target == self.want && page.base != self.base;
+        if page.target > self.want || self.is_empty() && other_base {
             self.restart(now, &page);
         }
-        let continues = page.target == self.want && page.base == self.base;
-        if !continues || page.after != self.after {
-            return self.repeat_if_newer(now, page.target);
+        if page.target != self.want || page.base != self.base || page.after < self.after {
+            return PullProgress::Waiting;
+        }
+        self.pages_since_request += 1;
+        if page.after > self.after {
+            self.keep_early(page);
+            return self.repeat_if_gap(now);
         }
-        self.append(now, &page);
-        match page.last {
+        let mut last = self.append(now, page);
+        while let Some(next) = self.next_early() {
+            last = self.append(now, next);
+        }
+        match last {
             true => PullProgress::Complete,
             false if self.pages_since_request >= PAGES_PER_REQUEST => {
                 self.repeat(now);
@@ -111,11 +124,23 @@
         }
     }
 
-    /// The peer has a newer version, of which this page is not the first.
-    fn repeat_if_newer(&mut self, now: Timestamp, target: TableVersion) -> PullProgress {
-        let restarted =
-            target == self.want && self.is_empty() && now - self.requested >= REQUEST_SPACING;
-        if !restarted {
+    fn keep_early(&mut self, page: TablePage) {
+        let known = self.early.iter().any(|early| early.after == page.after);
+        if !known && self.early.len() < EARLY_PAGES_KEPT {
+            self.early.push(page);
+        }
+    }
+
+    fn next_early(&mut self) -> Option<TablePage> {
+        let after = &self.after;
+        let next = self.early.iter().position(|page| page.after == *after)?;
+        Some(self.early.swap_remove(next))
+    }
+
+    /// A page before this one is late or lost.
+    fn repeat_if_gap(&mut self, now: Timestamp) -> PullProgress {
+        let whole_answer = self.pages_since_request >= PAGES_PER_REQUEST;
+        if !whole_answer || now - self.requested < REQUEST_SPACING {
             return PullProgress::Waiting;
         }
         self.repeat(now);
@@ -134,12 +159,13 @@
         self.base = page.base;
     }
 
-    fn append(&mut self, now: Timestamp, page: &TablePage) {
+    /// Takes over the page's rows; says whether it was the last one.
+    fn append(&mut self, now: Timestamp, page: TablePage) -> bool {
         self.rows.extend(page.rows());
-        self.removed.extend(page.removed.iter().cloned());
         self.after = page.last_key().or(self.after.take());
-        self.pages_since_request += 1;
+        self.removed.extend(page.removed);
         self.progressed = now;
+        page.last
     }
 
     /// The resulting table, whose version the caller compares with the target;
--- a/crates/coordination/src/fleet/membership/contact.rs
+++ b/crates/coordination/src/fleet/membership/contact.rs
@@ -6,7 +6,7 @@
 use lifthollow_state::{NodeId, Timestamp};
 
 use super::member_table::Merge;
-use super::news::is_doubted;
+use super::news::{Passing, is_doubted};
 use super::{Membership, synchronization};
 use crate::fleet::outbox::Outbox;
 use crate::fleet::report::FleetReport;
@@ -28,10 +28,8 @@
                 outbox.send_updates(from, vec![member.record.clone()]);
             }
         }
-        if header.members != self.members.digest() {
-            self.synchronization
-                .differs(now, from, &self.members, outbox);
-        }
+        self.synchronization
+            .contact(now, from, header.members, &self.members, outbox);
     }
 
     /// A node asks for an answer.
@@ -73,6 +71,7 @@
         let zone = member.record.zone;
         if self.zones.answered(zone, now) {
             outbox.report(FleetReport::ZoneReachable { zone });
+            self.synchronization.hurry(now);
             self.touch_zone(zone);
         }
     }
@@ -94,19 +93,11 @@
         self.prober.answered_by_relay(sequence);
     }
 
-    /// News of members; returns how many were new here.
-    pub fn apply_all(
-        &mut self,
-        now: Timestamp,
-        updates: Vec<MemberRecord>,
-        outbox: &mut Outbox,
-    ) -> usize {
-        let merges = updates
-            .into_iter()
-            .map(|record| self.apply(now, record, outbox));
-        merges
-            .filter(|merge| matches!(merge, Merge::Applied(_)))
-            .count()
+    /// News of members.
+    pub fn apply_all(&mut self, now: Timestamp, updates: Vec<MemberRecord>, outbox: &mut Outbox) {
+        for record in updates {
+            self.apply(now, record, Passing::On, outbox);
+        }
     }
 
     /// A node asks for members that differ.
@@ -121,19 +112,26 @@
             .answer(now, from, digests, &self.members, &mut self.random, outbox);
     }
 
-    /// Members that differed, as another node knows them.
+    /// Members that differed, as another node knows them. They are not passed on:
+    /// whoever lacks them finds out by the same comparison.
     pub fn take_buckets(
         &mut self,
         now: Timestamp,
+        from: NodeId,
         complete: &[u16],
         records: Vec<MemberRecord>,
         outbox: &mut Outbox,
     ) {
         let unknown = synchronization::unknown_to_peer(complete, &records, &self.members);
-        for node in unknown {
-            self.updates.push(node);
+        if !unknown.is_empty() {
+            outbox.send_updates(from, unknown);
         }
-        let applied = self.apply_all(now, records, outbox);
+        let merges = records
+            .into_iter()
+            .map(|record| self.apply(now, record, Passing::Silent, outbox));
+        let applied = merges
+            .filter(|merge| matches!(merge, Merge::Applied(_)))
+            .count();
         self.synchronization.applied(now, applied);
     }
 }
--- a/crates/coordination/src/fleet/membership/judgement.rs
+++ b/crates/coordination/src/fleet/membership/judgement.rs
@@ -4,6 +4,7 @@
 use lifthollow_state::{NodeId, Timestamp};
 
 use super::Membership;
+use super::news::Passing;
 use super::prober::FailedProbe;
 use super::zones::Silence;
 use crate::fleet::outbox::Outbox;
@@ -32,6 +33,6 @@
             status: MemberStatus::Suspected,
             ..member.record.clone()
         };
-        self.apply(now, record, outbox);
+        self.apply(now, record, Passing::On, outbox);
     }
 }
--- a/crates/coordination/src/fleet/membership/listing.rs
+++ b/crates/coordination/src/fleet/membership/listing.rs
@@ -6,6 +6,7 @@
 use lifthollow_protocol::control::{MemberRecord, MemberStatus};
 use lifthollow_state::{Incarnation, NodeId, Timestamp};
 
+use super::news::Passing;
 use super::{Listing, Membership};
 use crate::fleet::event::Machine;
 use crate::fleet::outbox::Outbox;
@@ -83,7 +84,7 @@
             ..member.record.clone()
         };
         if member.is_announced() {
-            self.apply(now, record, outbox);
+            self.apply(now, record, Passing::On, outbox);
         }
         true
     }
--- a/crates/coordination/src/fleet/membership/member_table.rs
+++ b/crates/coordination/src/fleet/membership/member_table.rs
@@ -5,6 +5,7 @@
 
 use lifthollow_protocol::control::{BucketDigests, MemberRecord, MemberStatus};
 use lifthollow_state::{NodeId, ServiceName, Timestamp, Zone};
+use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::member::{Member, record_digest};
@@ -27,9 +28,12 @@
 }
 
 /// Members by node, by zone and by bucket.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct MemberTable {
-    members: BTreeMap<NodeId, Member>,
+    /// In the order in which they became known, but for removals.
+    members: Vec<Member>,
+    /// Place of each member; never iterated, so its order is not seen.
+    places: FxHashMap<NodeId, usize>,
     by_zone: BTreeMap<Zone, Vec<NodeId>>,
     by_bucket: Vec<Vec<NodeId>>,
     digests: Vec<u64>,
@@ -41,7 +45,8 @@
     /// No members.
     pub fn new() -> Self {
         MemberTable {
-            members: BTreeMap::new(),
+            members: Vec::new(),
+            places: FxHashMap::default(),
             by_zone: BTreeMap::new(),
             by_bucket: vec![Vec::new(); BUCKETS],
             digests: vec![0; BUCKETS],
@@ -52,17 +57,18 @@
 
     /// The member, if it is known.
     pub fn get(&self, node: NodeId) -> Option<&Member> {
-        self.members.get(&node)
+        self.places.get(&node).map(|place| &self.members[*place])
     }
 
     /// The member for changes other than of its record.
     pub fn get_mut(&mut self, node: NodeId) -> Option<&mut Member> {
-        self.members.get_mut(&node)
+        let place = *self.places.get(&node)?;
+        self.members.get_mut(place)
     }
 
-    /// All members, ordered by node.
+    /// All members.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+        self.members.iter()
     }
 
     /// How many members are known.
@@ -83,7 +89,7 @@
     /// Members of a bucket that are compared between nodes.
     pub fn in_bucket(&self, bucket: usize) -> impl Iterator<Item = &Member> {
         let nodes = self.by_bucket[bucket].iter();
-        let members = nodes.filter_map(|node| self.members.get(node));
+        let members = nodes.filter_map(|node| self.get(*node));
         members.filter(|member| record_digest(&member.record) != 0)
     }
 
@@ -113,7 +119,7 @@
 
     /// Takes over a record if it is newer than what is known.
     pub fn merge(&mut self, now: Timestamp, record: MemberRecord) -> Merge {
-        let Some(known) = self.members.get(&record.node) else {
+        let Some(known) = self.get(record.node) else {
             if record.status == MemberStatus::Removed {
                 return Merge::Ignored;
             }
@@ -137,12 +143,13 @@
         self.count(&record, u64::wrapping_add);
         let mut member = Member::new(record);
         member.not_alive_since = not_alive_since(now, &member.record, None);
-        self.members.insert(node, member);
+        self.places.insert(node, self.members.len());
+        self.members.push(member);
     }
 
     fn replace(&mut self, now: Timestamp, mut record: MemberRecord) -> Option<MemberRecord> {
         self.intern(&mut record.services);
-        let member = self.members.get_mut(&record.node)?;
+        let member = self.get_mut(record.node)?;
         member.not_alive_since = not_alive_since(now, &record, member.not_alive_since);
         let before = std::mem::replace(&mut member.record, record.clone());
         self.count(&before, u64::wrapping_sub);
@@ -159,7 +166,11 @@
 
     /// Forgets a member altogether.
     pub fn forget(&mut self, node: NodeId) -> Option<Member> {
-        let member = self.members.remove(&node)?;
+        let place = self.places.remove(&node)?;
+        let member = self.members.swap_remove(place);
+        if let Some(moved) = self.members.get(place) {
+            self.places.insert(moved.record.node, place);
+        }
         self.count(&member.record, u64::wrapping_sub);
         self.leave_zone(member.record.zone, node);
         self.by_bucket[bucket_of(node)].retain(|known| *known != node);
@@ -194,10 +205,9 @@
 
     /// Bytes of all members.
     pub fn state_bytes(&self) -> usize {
-        const TREE_OVERHEAD: usize = 16;
         const NAME_BYTES: usize = 64;
-        let member = size_of::<Member>() + size_of::<ServiceName>() + TREE_OVERHEAD;
-        let places = 2 * size_of::<NodeId>();
+        let member = size_of::<Member>() + size_of::<ServiceName>();
+        let places = 2 * size_of::<NodeId>() + 2 * size_of::<(NodeId, usize)>();
         let buckets = BUCKETS * (size_of::<Vec<NodeId>>() + size_of::<u64>());
         self.members.len() * (member + places) + buckets + self.names.len() * NAME_BYTES
     }
--- a/crates/coordination/src/fleet/membership/mod.rs
+++ b/crates/coordination/src/fleet/membership/mod.rs
@@ -27,7 +27,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lifthollow_protocol::control::{FleetBody, MemberRecord, MemberStatus, ProbeSequence};
-use lifthollow_state::{Incarnation, NodeId, ServiceName, Timestamp, Zone};
+use lifthollow_state::{Incarnation, NodeId, ServiceName, TableVersion, Timestamp, Zone};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -40,8 +40,9 @@
 use update_queue::UpdateQueue;
 use zones::ZoneReachability;
 
-/// Nodes asked in each tick while this node is in doubt.
-const PEERS_ASKED_IN_DOUBT: usize = 3;
+/// Nodes asked in each round while this node is in doubt or knows few others;
+/// some may not answer.
+const PEERS_ASKED_IN_DOUBT: usize = 5;
 
 /// The members known and the work of keeping them up to date.
 #[derive(Debug)]
@@ -85,6 +86,17 @@
         membership
     }
 
+    /// Takes over all that `other` knows of members, but not of itself.
+    pub fn know_members_of(&mut self, other: &Membership) {
+        let own = self.own().cloned();
+        self.members = other.members.clone();
+        self.members.forget(other.node);
+        self.updates = UpdateQueue::default();
+        if let Some(own) = own.filter(|_| self.own().is_none()) {
+            self.announce(Timestamp::ZERO, own);
+        }
+    }
+
     /// This node's present incarnation.
     pub fn incarnation(&self) -> Incarnation {
         self.own()
@@ -132,7 +144,8 @@
     }
 
     /// The process was paused: what was under way says nothing about others.
-    pub fn doubt(&mut self) {
+    pub fn doubt(&mut self, now: Timestamp) {
+        self.synchronization.hurry(now);
         self.prober.clear();
         self.first_trusted = self.prober.sequence();
     }
@@ -144,10 +157,17 @@
         choices.collect()
     }
 
-    /// A node to ask: a member, or a seed while no member is known.
-    pub fn peer_to_ask(&mut self) -> Option<NodeId> {
-        let member = self.prober.choose_any(&self.members, &mut self.random);
-        member.or_else(|| self.random_seed())
+    /// A random node that had at least this version in force when last heard.
+    pub fn peer_with_table(&mut self, version: TableVersion) -> Option<NodeId> {
+        let has_version = |member: &&Member| {
+            member.table >= version && member.record.status == MemberStatus::Alive
+        };
+        let members = self.members.iter().filter(has_version);
+        let nodes: Vec<NodeId> = members.map(|member| member.record.node).collect();
+        if nodes.is_empty() {
+            return None;
+        }
+        Some(nodes[self.random.random_range(0..nodes.len())])
     }
 
     fn random_seed(&mut self) -> Option<NodeId> {
@@ -164,7 +184,7 @@
     }
 
     /// Probes, judges probes that failed, and forgets who is gone.
-    pub fn tick(&mut self, now: Timestamp, in_doubt: bool, outbox: &mut Outbox) {
+    pub fn tick(&mut self, now: Timestamp, outbox: &mut Outbox) {
         let round = self
             .prober
             .tick(now, &self.members, &self.zones, &mut self.random);
@@ -179,7 +199,7 @@
             self.judge(now, failed, outbox);
         }
         self.ping_unreachable_zone(outbox);
-        if in_doubt {
+        if self.members.len() <= PEERS_ASKED_IN_DOUBT {
             self.ask_peers(outbox);
         }
         self.remove_members(now, outbox);
--- a/crates/coordination/src/fleet/membership/news.rs
+++ b/crates/coordination/src/fleet/membership/news.rs
@@ -14,7 +14,16 @@
 /// Bytes of news in one probe or answer.
 const UPDATE_BYTES: usize = 350;
 /// Nodes told at once of news that cannot wait.
-const URGENT_FANOUT: usize = 3;
+const URGENT_FANOUT: usize = 6;
+
+/// Whether a record that is new here is passed on to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Passing {
+    /// With the next probes and answers.
+    On,
+    /// Not at all.
+    Silent,
+}
 
 impl Membership {
     /// News for a node: what it should know of itself first, then what has
@@ -48,6 +57,7 @@
         &mut self,
         now: Timestamp,
         record: MemberRecord,
+        passing: Passing,
         outbox: &mut Outbox,
     ) -> Merge {
         if record.node == self.node {
@@ -57,7 +67,7 @@
         let node = record.node;
         let merge = self.members.merge(now, record);
         match &merge {
-            Merge::Applied(before) => self.spread(node, before.as_ref(), outbox),
+            Merge::Applied(before) => self.applied(node, before.as_ref(), passing, outbox),
             Merge::Known => {
                 let limit = pass_limit(self.members.len());
                 self.updates.heard_again(node, limit);
@@ -67,22 +77,32 @@
         merge
     }
 
-    fn spread(&mut self, node: NodeId, before: Option<&MemberRecord>, outbox: &mut Outbox) {
+    fn applied(
+        &mut self,
+        node: NodeId,
+        before: Option<&MemberRecord>,
+        passing: Passing,
+        outbox: &mut Outbox,
+    ) {
         self.touch(node, before);
         let Some(member) = self.members.get(node) else {
             return;
         };
-        let record = member.record.clone();
         if !member.is_announced() {
             return;
         }
-        self.updates.push(node);
+        if passing == Passing::On {
+            self.updates.push(node);
+        }
         let status_before = before.map(|record| record.status);
-        if status_before == Some(record.status) {
+        if status_before == Some(member.record.status) {
             return;
         }
+        let record = member.record.clone();
         report_status(&record, status_before, outbox);
-        if record.status == MemberStatus::Leaving {
+        let refuted = status_before == Some(MemberStatus::Suspected);
+        let urgent = record.status == MemberStatus::Leaving || refuted;
+        if urgent && passing == Passing::On {
             self.tell_at_once(record, URGENT_FANOUT, outbox);
         }
     }
--- a/crates/coordination/src/fleet/membership/prober.rs
+++ b/crates/coordination/src/fleet/membership/prober.rs
@@ -1,6 +1,6 @@
 //! Probes: which member is asked next, how often, and through whom.
 //!
-//! Each tick begins one probe of a member in the next zone of a shuffled round,
+//! Every second tick begins a probe of a member in the next zone of a shuffled round,
 //! so that every zone is tried within seconds and every member is tried by
 //! somebody. A probe without an answer is repeated in the following ticks,
 //! directly, through other nodes, and beside pings to other members of the zone
@@ -18,6 +18,8 @@
 /// Ticks in which a probe is tried: with 10% loss on every path a healthy member
 /// stays without any answer in about one probe of 10 million.
 const ATTEMPTS: u32 = 4;
+/// A new probe is begun in one tick of so many.
+const TICKS_PER_PROBE: u32 = 2;
 /// Nodes asked to probe on this node's behalf, each time.
 const RELAYS: usize = 3;
 /// Ticks for which a probe on another node's behalf is remembered.
@@ -83,6 +85,7 @@
 pub struct Prober {
     node: NodeId,
     next_sequence: u32,
+    ticks: u32,
     zone_round: Vec<Zone>,
     probes: Vec<Probe>,
     relayed: Vec<RelayedProbe>,
@@ -94,6 +97,7 @@
         Prober {
             node,
             next_sequence: 1,
+            ticks: 0,
             zone_round: Vec::new(),
             probes: Vec::new(),
             relayed: Vec::new(),
@@ -126,7 +130,10 @@
         for probe in std::mem::take(&mut self.probes) {
             self.continue_probe(probe, members, zones, random, &mut round);
         }
-        self.begin_probe(now, members, random, &mut round);
+        if self.ticks.is_multiple_of(TICKS_PER_PROBE) {
+            self.begin_probe(now, members, random, &mut round);
+        }
+        self.ticks = self.ticks.wrapping_add(1);
         round
     }
 
--- a/crates/coordination/src/fleet/membership/removal.rs
+++ b/crates/coordination/src/fleet/membership/removal.rs
@@ -11,10 +11,11 @@
 
 use super::Membership;
 use super::member::{Listing, Member};
+use super::news::Passing;
 use crate::fleet::outbox::Outbox;
 
 /// Between two looks.
-const INTERVAL: Duration = Duration::from_secs(10);
+const INTERVAL: Duration = Duration::from_secs(30);
 /// Silence, beside the platform's word, after which a member is removed.
 const SILENT_AND_DROPPED: Duration = Duration::from_secs(60);
 /// Silence of a member that no list has had yet.
@@ -55,7 +56,7 @@
             return;
         }
         let status = MemberStatus::Removed;
-        self.apply(now, MemberRecord { status, ..record }, outbox);
+        self.apply(now, MemberRecord { status, ..record }, Passing::On, outbox);
     }
 
     fn is_announced(&self, node: NodeId) -> bool {
--- a/crates/coordination/src/fleet/membership/synchronization.rs
+++ b/crates/coordination/src/fleet/membership/synchronization.rs
@@ -14,10 +14,13 @@
 use crate::fleet::budget::Budget;
 use crate::fleet::outbox::Outbox;
 
+/// Contacts in a row that must show another digest before members are compared:
+/// while news is spreading, digests differ for a while anyway.
+const DIFFERING_CONTACTS: u32 = 6;
 /// Between two comparisons, unless the last one brought much.
-const INTERVAL: Duration = Duration::from_secs(10);
+const INTERVAL: Duration = Duration::from_secs(5);
 /// While much is missing.
-const INTERVAL_WHILE_BEHIND: Duration = Duration::from_millis(500);
+const INTERVAL_WHILE_BEHIND: Duration = Duration::from_secs(1);
 /// New records in one comparison that count as much.
 const MUCH: usize = 20;
 /// Datagrams that answer one comparison.
@@ -34,6 +37,7 @@
 #[derive(Debug)]
 pub struct Synchronization {
     next: Timestamp,
+    differing_contacts: u32,
     applied_since_request: usize,
     budget: Budget,
 }
@@ -43,21 +47,34 @@
     pub fn new() -> Self {
         Synchronization {
             next: Timestamp::ZERO,
+            differing_contacts: DIFFERING_CONTACTS,
             applied_since_request: 0,
             budget: Budget::new(DATAGRAMS_PER_SECOND, DATAGRAM_BURST),
         }
     }
 
-    /// Another node's digest of all members differs from ours: asks it for what
-    /// differs, if the last comparison is long enough ago.
-    pub fn differs(
+    /// Much may have happened unheard: the next contact that differs is enough.
+    pub fn hurry(&mut self, now: Timestamp) {
+        self.differing_contacts = DIFFERING_CONTACTS;
+        self.next = self.next.min(now);
+    }
+
+    /// Another node shows its digest of all members: asks it for what differs,
+    /// if the last contacts differed too.
+    pub fn contact(
         &mut self,
         now: Timestamp,
         peer: NodeId,
+        theirs: u64,
         members: &MemberTable,
         outbox: &mut Outbox,
     ) {
-        if now < self.next {
+        if theirs == members.digest() {
+            self.differing_contacts = 0;
+            return;
+        }
+        self.differing_contacts += 1;
+        if self.differing_contacts < DIFFERING_CONTACTS || now < self.next {
             return;
         }
         self.next = now + INTERVAL;
@@ -149,12 +166,17 @@
 }
 
 /// Members of the buckets that another node has listed in full and that it
-/// lacks or knows an older record of.
+/// lacks or knows an older record of, as many as fit into one datagram.
 pub fn unknown_to_peer(
     complete: &[u16],
     theirs: &[MemberRecord],
     members: &MemberTable,
-) -> Vec<NodeId> {
+) -> Vec<MemberRecord> {
+    let mut bytes = 0;
+    let mut fits = |record: &MemberRecord| {
+        bytes += encoded_length(record);
+        bytes <= MAX_RECORD_BYTES
+    };
     let newer_than_theirs = |ours: &MemberRecord| {
         let known = theirs.iter().find(|record| record.node == ours.node);
         known.is_none_or(|record| ours.supersedes(record))
@@ -165,6 +187,7 @@
         .filter(|bucket| *bucket < BUCKETS)
         .flat_map(|bucket| members.in_bucket(bucket))
         .filter(|member| newer_than_theirs(&member.record))
-        .map(|member| member.record.node)
+        .map(|member| member.record.clone())
+        .take_while(|record| fits(record))
         .collect()
 }
--- a/crates/coordination/src/fleet/membership/update_queue.rs
+++ b/crates/coordination/src/fleet/membership/update_queue.rs
@@ -4,6 +4,10 @@
 
 use lifthollow_state::NodeId;
 
+/// Records that are passed on at once at most. When more change, those passed on
+/// most often are dropped; comparison of all members brings them to the rest.
+const LONGEST: usize = 128;
+
 /// Nodes whose records are to be passed on, least often passed on first.
 #[derive(Debug, Default)]
 pub struct UpdateQueue {
@@ -16,6 +20,11 @@
     pub fn push(&mut self, node: NodeId) {
         self.remove(node);
         self.insert(node, 0);
+        if self.order.len() > LONGEST
+            && let Some((_, dropped)) = self.order.pop_last()
+        {
+            self.passes.remove(&dropped);
+        }
     }
 
     /// How many records are being passed on.
@@ -63,8 +72,8 @@
     }
 }
 
-/// How often a record is passed on in a fleet of `members`: enough to reach
-/// nearly all, so that comparison has to mend only the rest.
+/// How often a record is passed on or heard again in a fleet of `members`: enough
+/// to reach nearly all, so that comparison has to mend only the rest.
 pub fn pass_limit(members: usize) -> u32 {
-    (members.max(2) as f64).ln().ceil() as u32 + 1
+    2 * (members.max(2) as f64).ln().ceil() as u32 + 2
 }
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -38,14 +38,17 @@
 pub use membership::member::{Listing, Member};
 pub use report::{FleetReport, TableSource};
 
-/// Between two ticks, each of which begins one probe.
+/// Between two ticks: a probe without an answer is repeated in each, a new one
+/// is begun in every second.
 const TICK: Duration = Duration::from_millis(500);
 /// Share by which a tick is varied, so that nodes do not tick together.
 const TICK_JITTER: f64 = 0.1;
 /// A tick this late means that the process did not run meanwhile.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+/// Between two rounds of asking peers while this node is in doubt.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
 /// Nodes to which a change of the table is pushed by each that accepts it.
-const TABLE_FANOUT: usize = 4;
+const TABLE_FANOUT: usize = 6;
 
 const TABLE_READS: ReadRate = ReadRate {
     with_news: 360,
@@ -65,6 +68,8 @@
     leaving: Leaving,
     view: View,
     next_tick: Option<Timestamp>,
+    /// When peers are asked again, while this node is in doubt.
+    next_ask: Timestamp,
     table_poll: Poll,
     list_poll: Poll,
     random: ChaCha8Rng,
@@ -81,12 +86,23 @@
             leaving: Leaving::default(),
             view: View::default(),
             next_tick: None,
+            next_ask: Timestamp::ZERO,
             table_poll: Poll::new(TABLE_READS),
             list_poll: Poll::new(LIST_READS),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
+    /// A node that knows the members and the table that `other` knows, as if it
+    /// had compared all with it. Simulations begin with a settled fleet by it.
+    pub fn new_informed(settings: FleetSettings, other: &Fleet) -> Self {
+        let mut fleet = Fleet::new(settings);
+        fleet.membership.know_members_of(&other.membership);
+        fleet.configuration = other.configuration.clone();
+        fleet.view = other.view.clone();
+        fleet
+    }
+
     /// What is known now.
     pub fn view(&self) -> &View {
         &self.view
@@ -94,7 +110,7 @@
 
     /// The version of the table in force.
     pub fn table_version(&self) -> TableVersion {
-        self.view.table.version()
+        self.configuration.version()
     }
 
     /// This life of the node; it grows when the node refutes that it is gone.
@@ -120,8 +136,11 @@
 
     /// When [`FleetEvent::Wake`] is wanted next.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        let tick = self.next_tick.unwrap_or_default();
-        Some(tick.min(self.table_poll.next()).min(self.list_poll.next()))
+        let mut next = self.next_tick.unwrap_or_default();
+        if !self.is_confirmed() {
+            next = next.min(self.next_ask);
+        }
+        Some(next.min(self.table_poll.next()).min(self.list_poll.next()))
     }
 
     /// Bytes of everything kept for the fleet.
@@ -150,10 +169,14 @@
         self.emit(outbox, effects);
     }
 
-    /// After a pause this node doubts itself first: probes under way say nothing
-    /// about others, and peers may have a newer table.
+    /// At the start the bound for peers' answers begins with the first event,
+    /// whatever the local clock shows. After a pause this node doubts itself
+    /// first: probes under way say nothing about others, and peers may have a
+    /// newer table.
     fn notice_pause(&mut self, now: Timestamp, outbox: &mut Outbox) {
         let Some(expected) = self.next_tick else {
+            self.next_tick = Some(now);
+            self.configuration.doubt(now);
             return;
         };
         let paused_for = now - expected;
@@ -162,7 +185,7 @@
         }
         outbox.report(FleetReport::Paused { paused_for });
         self.next_tick = Some(now);
-        self.membership.doubt();
+        self.membership.doubt(now);
         self.configuration.doubt(now);
     }
 
@@ -170,6 +193,10 @@
         if self.next_tick.is_none_or(|next| next <= now) {
             self.tick(now, outbox);
         }
+        if !self.is_confirmed() && self.next_ask <= now {
+            self.next_ask = now + ASK_INTERVAL;
+            self.membership.ask_peers(outbox);
+        }
         let members = self.membership.known_peers();
         if self.table_poll.is_due(now, members, &mut self.random) {
             effects.push(FleetEffect::FetchTable);
@@ -184,9 +211,11 @@
             .random
             .random_range(1.0 - TICK_JITTER..1.0 + TICK_JITTER);
         self.next_tick = Some(now + TICK.mul_f64(jitter));
-        let in_doubt = !self.is_confirmed();
-        self.membership.tick(now, in_doubt, outbox);
-        let peer = self.membership.peer_to_ask();
+        self.membership.tick(now, outbox);
+        let peer = match self.configuration.wanted() {
+            Some(version) => self.membership.peer_with_table(version),
+            None => None,
+        };
         let known_peers = self.membership.known_peers();
         let accepted = self.configuration.tick(now, peer, known_peers, outbox);
         self.table_changed(accepted, outbox);
@@ -260,7 +289,7 @@
                 membership.answer_digests(now, from, &digests, outbox);
             }
             FleetBody::MemberBuckets { complete, members } => {
-                membership.take_buckets(now, &complete, members, outbox);
+                membership.take_buckets(now, from, &complete, members, outbox);
             }
             FleetBody::TableRequest(request) => {
                 self.configuration
--- a/crates/coordination/tests/fleet_configuration.rs
+++ b/crates/coordination/tests/fleet_configuration.rs
@@ -9,7 +9,7 @@
 use lifthollow_coordination::fleet::{FleetEvent, FleetReport};
 use lifthollow_protocol::ControlMessage;
 use lifthollow_protocol::control::{FleetBody, FleetMessage, TablePage};
-use lifthollow_state::{Table, TableVersion};
+use lifthollow_state::{ServiceName, Table, TableVersion};
 
 const NODES: u64 = 12;
 const ZONES: u64 = 3;
@@ -147,26 +147,41 @@
     network.run(Duration::from_secs(5));
     let mismatch = |report: &FleetReport| matches!(report, FleetReport::TableDigestMismatch { .. });
     assert!(network.reported(mismatch) > 0);
-    assert_eq!(network.fleet(2).view().table, table(2, 60));
+    assert_eq!(network.fleet(2).table_version(), table(2, 60).version());
+}
+
+/// A table of about 14 pages.
+fn large_table(number: u64) -> Arc<Table> {
+    let rows = (0..400).map(|service| {
+        let mut row = row(0, 50);
+        row.service = ServiceName::new(&format!("many-{service:03}"));
+        row
+    });
+    Arc::new(Table::new(number, rows))
 }
 
 #[test]
 fn a_table_of_many_pages_reaches_a_fresh_node_despite_loss() {
-    let rows = |weight| {
-        (0..400).map(move |number| {
-            let mut row = row(0, weight);
-            row.service = lifthollow_state::ServiceName::new(&format!("many-{number:03}"));
-            row
-        })
-    };
-    let large = Arc::new(Table::new(5, rows(50)));
+    let large = large_table(5);
     let mut network = Network::settled(NODES, ZONES, &large);
     network.loss = 0.1;
     network.kill(6);
     network.tables.clear();
     network.start(6, ZONES, 2);
     network.run(Duration::from_secs(10));
-    assert_eq!(network.fleet(6).view().table, large);
+    assert_eq!(network.fleet(6).table_version(), large.version());
+}
+
+#[test]
+fn pages_that_overtake_each_other_are_not_asked_for_again() {
+    let large = large_table(5);
+    let mut network = Network::settled(NODES, ZONES, &large);
+    network.kill(6);
+    network.tables.clear();
+    network.jitter = Duration::from_millis(20);
+    network.start(6, ZONES, 2);
+    network.run(Duration::from_millis(600));
+    assert_eq!(network.fleet(6).table_version(), large.version());
 }
 
 #[test]
--- a/crates/coordination/tests/fleet_network/mod.rs
+++ b/crates/coordination/tests/fleet_network/mod.rs
@@ -103,6 +103,8 @@
     pub cut: Cut,
     pub tamper: Option<Tamper>,
     pub loss: f64,
+    /// Datagrams are delayed by up to this much more, so that they overtake others.
+    pub jitter: Duration,
     paused_until: BTreeMap<NodeId, Timestamp>,
     queue: BinaryHeap<Reverse<Scheduled>>,
     order: u64,
@@ -121,6 +123,7 @@
             cut: Box::new(|_, _| false),
             tamper: None,
             loss: 0.0,
+            jitter: Duration::ZERO,
             paused_until: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
@@ -274,7 +277,8 @@
             tamper(from, to, &mut message);
         }
         let message = Box::new(message);
-        self.schedule(self.now + DELAY, Happening::Deliver { from, to, message });
+        let delay = DELAY + self.jitter.mul_f64(self.random.random());
+        self.schedule(self.now + delay, Happening::Deliver { from, to, message });
     }
 
     fn schedule(&mut self, at: Timestamp, happening: Happening) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
-mod datagrams;
 pub mod logging;
 pub mod machines;
 mod node_sockets;
--- a/crates/sim/src/commands/mod.rs
+++ b/crates/sim/src/commands/mod.rs
@@ -4,6 +4,8 @@
 mod list;
 mod report;
 mod run;
+mod scale;
+mod slopes;
 mod sweep;
 
 use anyhow::Result;
@@ -13,6 +15,8 @@
 use list::ListCommand;
 use report::ReportCommand;
 use run::RunCommand;
+use scale::ScaleCommand;
+use slopes::SlopesCommand;
 use sweep::SweepCommand;
 
 /// Simulate a mesh of lifthollow nodes on a virtual clock.
@@ -28,6 +32,8 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Scale(ScaleCommand),
+    Slopes(SlopesCommand),
     ClaimsSearch(ClaimsSearchCommand),
     List(ListCommand),
     Run(RunCommand),
@@ -38,6 +44,8 @@
 /// Carries out the command that the arguments name.
 pub fn execute(arguments: &Arguments) -> Result<()> {
     match &arguments.command {
+        Command::Scale(command) => scale::execute(command),
+        Command::Slopes(command) => slopes::execute(command),
         Command::ClaimsSearch(command) => claims_search::execute(command),
         Command::List(command) => list::execute(command),
         Command::Run(command) => run::execute(command),
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -5,6 +5,7 @@
 //! exists, [`scenario`] what disturbs it, [`world`] how it all behaves,
 //! [`observe`] checks what must always hold, [`measure`] computes the figures.
 //! [`claims_search`] is a search of its own for keys that run twice.
+//! [`scale`] simulates the control plane alone at thousands of nodes.
 //! The event queue and the virtual clock are those of the `simcore` library.
 
 pub mod claims_search;
@@ -14,6 +15,7 @@
 pub mod observe;
 pub mod random;
 pub mod report;
+pub mod scale;
 pub mod scenario;
 pub mod sweep;
 pub mod world;
