--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,15 +14,15 @@
 use tokio::time::timeout;
 
 use lifthollow_coordination::claims::ClaimSettings;
-use lifthollow_coordination::fleet::FleetEvent;
 use lifthollow_coordination::{Node, NodeSettings};
 use lifthollow_state::{Incarnation, NodeId, ServiceName};
-use lifthollow_transport::datagram::{DatagramReceiver, Received};
+use lifthollow_transport::datagram::{DatagramReceiver, DatagramSender};
 use lifthollow_transport::http::{BackendPool, CallerServer};
 use lifthollow_transport::mux::{BufferedBytes, MuxServer, PeerPool};
 
 use crate::clock::Clock;
 use crate::control::{ControlHandle, ControlInput, ControlParts, ControlThread, SharedState};
+use crate::datagrams::receive_datagrams;
 use crate::node_sockets::NodeSockets;
 use crate::operators::{Metrics, OperatorsServer, OperatorsState, RefusalLog};
 use crate::platform::PlatformReader;
@@ -51,6 +51,17 @@
     pub operators: SocketAddr,
 }
 
+impl Addresses {
+    /// Scripts wait for this record. It precedes everything that a running node
+    /// logs.
+    fn log(&self, log: &Logger) {
+        info!(log, "listening";
+            "node" => %self.node,
+            "callers" => %self.callers,
+            "operators" => %self.operators);
+    }
+}
+
 /// A running node.
 pub struct Daemon {
     addresses: Addresses,
@@ -191,6 +202,7 @@
         let (stop_callers, stop) = watch::channel(false);
         let server = CallerServer::new(traffic.clone(), self.settings.max_header_bytes, stop);
         let callers_ended = self.runtime.spawn(async move { server.run(callers).await });
+        addresses.log(&self.log);
         let node = self.decisions();
         let control_thread = self.start_control(node, sockets.sender)?;
         Ok(Daemon {
@@ -280,11 +292,7 @@
             .spawn(receive_datagrams(receiver, control, metrics));
     }
 
-    fn start_control(
-        &self,
-        node: Node,
-        socket: lifthollow_transport::datagram::DatagramSender,
-    ) -> Result<JoinHandle<()>> {
+    fn start_control(&self, node: Node, socket: DatagramSender) -> Result<JoinHandle<()>> {
         let (platform, requests) = flume::unbounded();
         let reader = PlatformReader {
             table: self.settings.platform_table,
@@ -336,21 +344,3 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.map_or(0, |passed| passed.as_micros() as u64)
 }
-
-async fn receive_datagrams(
-    receiver: DatagramReceiver,
-    control: ControlHandle,
-    metrics: Arc<Metrics>,
-) {
-    loop {
-        match receiver.receive().await {
-            Ok(Received::Message { from, message }) => {
-                metrics.datagram_received(true);
-                control.fleet(FleetEvent::Message { from, message });
-            }
-            Ok(Received::Malformed { .. }) => metrics.datagram_received(false),
-            // An earlier datagram met a closed port; the socket itself is well.
-            Err(_) => {}
-        }
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+mod datagrams;
 pub mod logging;
 pub mod machines;
 mod node_sockets;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
-use slog::{Logger, error, info};
+use slog::{Logger, error};
 
 use lifthollow_daemon::daemon::Daemon;
 use lifthollow_daemon::logging;
@@ -35,11 +35,6 @@
 fn run(settings: Settings, log: &Logger) -> Result<()> {
     let mut signals = StopSignals::register()?;
     let daemon = Daemon::start(settings, log.clone())?;
-    let addresses = daemon.addresses();
-    info!(log, "listening";
-        "node" => %addresses.node,
-        "callers" => %addresses.callers,
-        "operators" => %addresses.operators);
     signals.wait();
     daemon.stop();
     Ok(())
--- /dev/null
+++ b/crates/standin/src/experiment/claim_roster.rs
@@ -0,0 +1,82 @@
+//! The nodes that store claims on idempotency keys.
+//!
+//! A roster names its members by address before they start, so their ports are chosen by the
+//! system ahead of time and left free again for the nodes.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+
+/// How often another port is tried when one is taken for UDP.
+const PORT_TRIES: usize = 20;
+
+/// One member.
+#[derive(Clone, Debug)]
+pub struct RosterMember {
+    /// The node's name.
+    pub name: String,
+    /// Its data centre.
+    pub side: &'static str,
+    /// Its failure domain.
+    pub zone: usize,
+}
+
+/// The roster's file and its members' addresses.
+#[derive(Clone, Debug)]
+pub struct ClaimRoster {
+    /// The file that every node is given.
+    pub file: PathBuf,
+    addresses: BTreeMap<String, SocketAddrV4>,
+}
+
+impl ClaimRoster {
+    /// Chooses an address for each member and writes the file.
+    pub fn write(directory: &Path, members: &[RosterMember]) -> anyhow::Result<Self> {
+        let ports = members.iter().map(|_| ReservedPort::choose());
+        let ports: Vec<ReservedPort> = ports.collect::<anyhow::Result<_>>()?;
+        let mut text = String::from("lifthollow-roster,1\naddress,side,zone,standing\n");
+        let mut addresses = BTreeMap::new();
+        for (member, port) in members.iter().zip(&ports) {
+            let address = port.address;
+            text.push_str(&format!(
+                "{address},{},{},member\n",
+                member.side, member.zone
+            ));
+            addresses.insert(member.name.clone(), address);
+        }
+        let file = directory.join("roster.csv");
+        std::fs::write(&file, text)?;
+        Ok(ClaimRoster { file, addresses })
+    }
+
+    /// The address of a node if it is a member.
+    pub fn address_of(&self, name: &str) -> Option<SocketAddrV4> {
+        self.addresses.get(name).copied()
+    }
+}
+
+/// A port that is free for TCP and UDP, held until dropped.
+struct ReservedPort {
+    address: SocketAddrV4,
+    _tcp: TcpListener,
+    _udp: UdpSocket,
+}
+
+impl ReservedPort {
+    fn choose() -> anyhow::Result<Self> {
+        for _ in 0..PORT_TRIES {
+            let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+            let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, tcp.local_addr()?.port());
+            if let Ok(udp) = UdpSocket::bind(address) {
+                return Ok(ReservedPort {
+                    address,
+                    _tcp: tcp,
+                    _udp: udp,
+                });
+            }
+        }
+        Err(anyhow::anyhow!("no port is free for TCP and UDP")).context("claim roster")
+    }
+}
--- a/crates/standin/src/experiment/cluster.rs
+++ b/crates/standin/src/experiment/cluster.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::backend_process::BackendProcess;
+use super::claim_roster::{ClaimRoster, RosterMember};
 use super::interrupt::Interrupt;
 use super::load_process::{LoadPlan, LoadProcess};
 use super::mesh::Mesh;
@@ -59,6 +60,7 @@
     pub mesh: Mesh,
     workspace: Workspace,
     interrupt: Interrupt,
+    claim_roster: ClaimRoster,
 }
 
 impl Cluster {
@@ -77,7 +79,9 @@
             &workspace.logs,
         )?;
         platform.publish_first_table(&mesh, weights)?;
+        let members = roster_members(&mesh);
         let mut cluster = Cluster {
+            claim_roster: ClaimRoster::write(&workspace.logs, &members)?,
             servers: Vec::new(),
             entries: Vec::new(),
             platform,
@@ -144,6 +148,7 @@
                 .address(self.servers.len() + self.entries.len()),
             seed_nodes: seeds.map(|server| server.node.addresses.node).collect(),
             policy: policy.to_owned(),
+            claim_roster: self.claim_roster.clone(),
         }
     }
 
@@ -227,3 +232,15 @@
         Ok(sum)
     }
 }
+
+/// Five members on both sides, so that two may be away.
+fn roster_members(mesh: &Mesh) -> Vec<RosterMember> {
+    let deepest = mesh.services.last().map_or("", |service| service.name);
+    let member = |name, side, zone| RosterMember { name, side, zone };
+    let servers = SIDES.into_iter().flat_map(|side| {
+        (0..mesh.servers_per_side)
+            .map(move |number| member(format!("node-{deepest}-{side}-{number}"), side, number))
+    });
+    let entry = member(format!("entry-{}", SIDES[0]), SIDES[0], 0);
+    servers.chain([entry]).collect()
+}
--- a/crates/standin/src/experiment/mod.rs
+++ b/crates/standin/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 pub mod arguments;
 pub mod backend_process;
 pub mod bench;
+pub mod claim_roster;
 pub mod cluster;
 pub mod control_port;
 pub mod demo;
--- a/crates/standin/src/experiment/node.rs
+++ b/crates/standin/src/experiment/node.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use serde::Deserialize;
 
+use super::claim_roster::ClaimRoster;
 use super::process::{Process, READY_TIMEOUT};
 use super::status::NodeStatus;
 
@@ -27,6 +28,8 @@
     pub seed_nodes: Vec<SocketAddrV4>,
     /// Which decisions it runs.
     pub policy: String,
+    /// Which nodes store claims.
+    pub claim_roster: ClaimRoster,
 }
 
 /// Where a node listens.
@@ -88,7 +91,9 @@
 
 fn arguments(plan: &NodePlan, addresses: Option<NodeAddresses>) -> Vec<String> {
     let chosen = "127.0.0.1:0".to_owned();
-    let own = addresses.map_or([chosen.clone(), chosen.clone(), chosen], |addresses| {
+    let member = plan.claim_roster.address_of(&plan.name);
+    let node = member.map_or(chosen.clone(), |address| address.to_string());
+    let own = addresses.map_or([node, chosen.clone(), chosen], |addresses| {
         [
             addresses.node.to_string(),
             addresses.callers.to_string(),
@@ -105,7 +110,14 @@
         ("--platform-table", plan.platform.to_string()),
         ("--platform-machines", plan.platform.to_string()),
         ("--policy", plan.policy.clone()),
+        (
+            "--claim-roster",
+            plan.claim_roster.file.display().to_string(),
+        ),
     ];
+    if addresses.is_none() {
+        flags.push(("--claim-bootstrap", "yes".to_owned()));
+    }
     if let Some((service, address)) = &plan.backend {
         flags.push(("--backend", format!("{service}={address}")));
     }
