Refuse keyed calls on a node without a claim roster

Cause: without claim_roster a node ran calls with an idempotency key without a claim. The promise may not depend on a setting left out. Change: the product's policy then refuses such calls as not run (no_quorum) and logs no_claim_roster; calls without a key are served. The baselines, which know no claims, go on as before. Measured: the test of a node without a roster counts 0 runs of the keyed call; with the earlier code the call was run and answered. Conclusion: a fleet set up by halves loses keyed calls, never runs them twice.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use lifthollow_coordination::claims::ClaimSettings;
-use lifthollow_coordination::{Node, NodeSettings};
+use lifthollow_coordination::{Node, NodeSettings, PolicyKind};
 use lifthollow_state::{Incarnation, NodeId, ServiceName};
 use lifthollow_transport::datagram::{DatagramReceiver, DatagramSender};
 use lifthollow_transport::http::{BackendPool, CallerServer};
@@ -220,15 +220,21 @@
         })
     }
 
+    /// Without a roster the product refuses calls with an idempotency key, because
+    /// nothing would keep them from running twice. The baselines know no claims.
     fn decisions(&self) -> Node {
         let settings = self.node_settings();
         let (incarnation, seed) = (settings.incarnation, settings.seed);
         let node = Node::new(settings);
-        let Some(roster) = &self.settings.claim_roster else {
-            warn!(self.log, "claims_off"; "detail" => "no claim_roster is set");
+        let is_product = self.settings.policy == PolicyKind::Lifthollow;
+        if self.settings.claim_roster.is_none() && !is_product {
             return node;
-        };
-        let claims = ClaimSettings::new(self.node, incarnation, roster.clone(), seed);
+        }
+        if self.settings.claim_roster.is_none() {
+            warn!(self.log, "no_claim_roster"; "detail" => "calls with an idempotency key are refused");
+        }
+        let roster = self.settings.claim_roster.clone().unwrap_or_default();
+        let claims = ClaimSettings::new(self.node, incarnation, roster, seed);
         node.with_claims(ClaimSettings {
             bootstrap: self.settings.claim_bootstrap,
             ..claims
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -87,7 +87,7 @@
     #[argh(option, arg_name = "seconds")]
     pub stop_timeout_seconds: Option<String>,
     /// file (CSV) of the nodes that store claims on idempotency keys; without it
-    /// keys are not claimed and a repeated call may run again
+    /// calls with a key are refused
     #[argh(option, arg_name = "file")]
     pub claim_roster: Option<String>,
     /// yes only at the very first start of a fleet: no process of the roster
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -96,8 +96,8 @@
     pub buffered_body_bytes: usize,
     /// Longest time of a planned stop.
     pub stop_timeout: Duration,
-    /// The nodes that store claims on idempotency keys; without it keys are not
-    /// claimed.
+    /// The nodes that store claims on idempotency keys; without it calls
+    /// with a key are refused.
     pub claim_roster: Option<Roster>,
     /// No process of the roster stored claims before.
     pub claim_bootstrap: bool,
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -112,6 +112,25 @@
     pair.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_a_roster_refuses_keys_and_runs_other_calls() {
+    let runs = Arc::new(AtomicU32::new(0));
+    let counted = runs.clone();
+    let address = backend(move |_| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        Box::pin(async { Response::new(full("done")) })
+    })
+    .await;
+    let pair = Pair::start(SERVICE, "100,10,10,10,critical,no,2000", address).await;
+    let refused = call(pair.callers(), order("order-1", "10 lev")).await;
+    assert_eq!(refused.outcome, "not-run");
+    assert_eq!(refused.reason, "no_quorum");
+    assert_eq!(runs.load(Ordering::SeqCst), 0);
+    let served = call(pair.callers(), to_service(SERVICE, "POST", full("10 lev"))).await;
+    assert_eq!(served.outcome, "complete");
+    pair.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_see_the_claim_of_a_key() {
     let pair = claiming_pair(Arc::default()).await;
