Name attempts in headers, so that a repeat of a keyed call is the same request

Cause: the stand-ins put the client's attempt and the calling run into the URL. Nodes bind a key to method, path and body, so they rightly refused a client's repeat as `key_reused`: the fault was the stand-in's.

Change: both travel in headers of the stand-in's own (`standin-attempt`, `standin-caller`), which nodes pass on; a back end answers 400 to a call without them. The answer to a keyed call follows from request, key and body, so a replayed answer is taken only for the same three; formerly the key was not part of it. The checks of the promises are as they were.

A test was wrong: the_fault_switch_makes_errors_and_cuts_answers measured the cut answer after a lossy conversion to UTF-8, in which every invalid byte becomes three. It now counts the bytes as received, against the same bounds.

--- a/crates/standin/src/backend/handler.rs
+++ b/crates/standin/src/backend/handler.rs
@@ -90,7 +90,7 @@
 
     async fn call(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let query = request.uri().query().unwrap_or_default();
-        let call = match CallSpecification::from_query(query) {
+        let call = match CallSpecification::from_request(query, request.headers()) {
             Ok(call) => call,
             Err(error) => return bad_call(error.to_string()),
         };
@@ -139,7 +139,7 @@
             return respond(StatusCode::INTERNAL_SERVER_ERROR, "failed\n");
         }
         let cut = self.service_times.happens(fault.cut_ratio);
-        let content = Content::of_answer(&call.name, body_digest, call.answer_bytes);
+        let content = Content::of_answer(&call, body_digest);
         let answer = StreamedAnswer::new(content, call.pace, cut, run);
         Response::new(Either::Right(answer))
     }
--- a/crates/standin/src/backend/nested.rs
+++ b/crates/standin/src/backend/nested.rs
@@ -131,6 +131,9 @@
         let node = (*self.lock_node())?;
         let mut builder = Request::post(format!("http://{node}{}", call.to_path()))
             .header(headers::SERVICE, service);
+        for (name, value) in call.name_headers() {
+            builder = builder.header(name, value);
+        }
         if let Some(context) = parent_headers.get(headers::CONTEXT) {
             builder = builder.header(headers::CONTEXT, context);
         }
--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -1,13 +1,17 @@
 //! How one call is named between clients and back ends, apart from lifthollow's own headers.
 //!
-//! The name travels in the URL, so that a back end's ledger can be compared with a client's
-//! record whatever a node does with headers.
+//! The request and the key travel in the URL; the attempt and the caller travel in headers
+//! of the stand-in's own, so that a repeat of a keyed call has the same method, path and
+//! body. A call that arrives without these headers is refused.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use serde::{Deserialize, Serialize};
 
+use crate::headers;
+
 /// Path under which back ends take calls.
 pub const CALL_PATH: &str = "/call";
 
@@ -36,11 +40,11 @@
     pub pace: Duration,
 }
 
-/// A query string that does not describe a call.
+/// A request that does not describe a call.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum BadCall {
     /// A field is missing.
-    #[error("the query has no `{0}`")]
+    #[error("the request has no `{0}`")]
     Missing(&'static str),
     /// A field is not a number.
     #[error("`{0}` is not a number")]
@@ -48,29 +52,38 @@
 }
 
 impl CallSpecification {
-    /// The path and query that carry this specification. Names must be URL-safe.
+    /// The path and query, the same for every repeat of the call. Names must be URL-safe.
     pub fn to_path(&self) -> String {
         format!(
-            "{CALL_PATH}?request={}&attempt={}&caller={}&key={}&answer_bytes={}&pace_ms={}",
+            "{CALL_PATH}?request={}&key={}&answer_bytes={}&pace_ms={}",
             self.name.request,
-            self.name.attempt,
-            self.name.caller,
             self.key.as_deref().unwrap_or_default(),
             self.answer_bytes,
             self.pace.as_millis(),
         )
     }
 
-    /// Reads the specification from a query string.
-    pub fn from_query(query: &str) -> Result<Self, BadCall> {
+    /// The headers that tell this call from its repeats.
+    pub fn name_headers(&self) -> [(&'static str, String); 2] {
+        [
+            (headers::CALL_ATTEMPT, self.name.attempt.to_string()),
+            (headers::CALL_CALLER, self.name.caller.clone()),
+        ]
+    }
+
+    /// Reads the specification from a query string and the request's headers.
+    pub fn from_request(query: &str, header_fields: &HeaderMap) -> Result<Self, BadCall> {
         let fields: BTreeMap<&str, &str> = query
             .split('&')
             .filter_map(|field| field.split_once('='))
             .collect();
         let name = CallName {
             request: text(&fields, "request")?.to_owned(),
-            attempt: number(&fields, "attempt")?,
-            caller: text(&fields, "caller")?.to_owned(),
+            attempt: parse(
+                header_text(header_fields, headers::CALL_ATTEMPT)?,
+                headers::CALL_ATTEMPT,
+            )?,
+            caller: header_text(header_fields, headers::CALL_CALLER)?.to_owned(),
         };
         let key = text(&fields, "key")?;
         Ok(CallSpecification {
@@ -90,7 +103,16 @@
     fields: &BTreeMap<&str, &str>,
     name: &'static str,
 ) -> Result<T, BadCall> {
-    text(fields, name)?
-        .parse()
-        .map_err(|_| BadCall::NotANumber(name))
+    parse(text(fields, name)?, name)
+}
+
+fn header_text<'a>(header_fields: &'a HeaderMap, name: &'static str) -> Result<&'a str, BadCall> {
+    let value = header_fields.get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .ok_or(BadCall::Missing(name))
+}
+
+fn parse<T: std::str::FromStr>(text: &str, name: &'static str) -> Result<T, BadCall> {
+    text.parse().map_err(|_| BadCall::NotANumber(name))
 }
--- a/crates/standin/src/content.rs
+++ b/crates/standin/src/content.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use crate::call::CallName;
+use crate::call::{CallName, CallSpecification};
 
 /// Length of a generated block.
 pub const BLOCK_BYTES: usize = 16 * 1024;
@@ -24,9 +24,16 @@
         Content::new(seed, length)
     }
 
-    /// A back end's answer to the call `name` whose body had the digest `body_digest`.
-    pub fn of_answer(name: &CallName, body_digest: u64, length: u64) -> Self {
-        let identity = format!("{}/{}/{body_digest:016x}", name.request, name.caller);
+    /// A back end's answer to `call` whose body had the digest `body_digest`. All repeats
+    /// of a keyed call have one answer, since it may be replayed to them; other calls of
+    /// one request have answers of their own for each caller.
+    pub fn of_answer(call: &CallSpecification, body_digest: u64) -> Self {
+        let request = &call.name.request;
+        let identity = match &call.key {
+            Some(key) => format!("{request}/key/{key}/{body_digest:016x}"),
+            None => format!("{request}/caller/{}/{body_digest:016x}", call.name.caller),
+        };
+        let length = call.answer_bytes;
         Content::new(xxh3_64(identity.as_bytes()), length)
     }
 
--- a/crates/standin/src/headers.rs
+++ b/crates/standin/src/headers.rs
@@ -24,3 +24,7 @@
 pub const RETRY_AFTER: &str = "retry-after";
 /// Set to `yes` by a back end on a call that it did not start.
 pub const NOT_RUN: &str = "lifthollow-not-run";
+/// The stand-in's own: which attempt of the client a call belongs to. Nodes pass it on.
+pub const CALL_ATTEMPT: &str = "standin-attempt";
+/// The stand-in's own: the run that made a nested call, or nothing. Nodes pass it on.
+pub const CALL_CALLER: &str = "standin-caller";
--- a/crates/standin/src/load/attempt.rs
+++ b/crates/standin/src/load/attempt.rs
@@ -83,15 +83,21 @@
         kind: &CallKind,
         timeout: Duration,
     ) -> AttemptOutcome {
+        let call = CallSpecification {
+            name: name.clone(),
+            key: key.map(str::to_owned),
+            answer_bytes: kind.answer_bytes,
+            pace: kind.pace,
+        };
         let index = self.next.fetch_add(1, Ordering::Relaxed) % self.addresses.len();
         let content = Content::of_call(name, kind.body_bytes);
         let body_digest = content.digest();
-        let Ok(request) = build(self.addresses[index], name, key, kind, timeout, content) else {
+        let Ok(request) = build(self.addresses[index], &call, kind, timeout, content) else {
             return unknown("malformed_request");
         };
         match self.client.request(request).await {
             Ok(response) => {
-                let expected = Content::of_answer(name, body_digest, kind.answer_bytes);
+                let expected = Content::of_answer(&call, body_digest);
                 judge(response, expected).await
             }
             Err(error) => unknown(connection_reason(&error)),
@@ -114,27 +120,23 @@
 
 fn build(
     entry: SocketAddr,
-    name: &CallName,
-    key: Option<&str>,
+    call: &CallSpecification,
     kind: &CallKind,
     timeout: Duration,
     content: Content,
 ) -> hyper::http::Result<Request<CallBody>> {
-    let call = CallSpecification {
-        name: name.clone(),
-        key: key.map(str::to_owned),
-        answer_bytes: kind.answer_bytes,
-        pace: kind.pace,
-    };
     let mut builder = Request::post(format!("http://{entry}{}", call.to_path()))
         .header(headers::SERVICE, &kind.service)
         .header(headers::DEADLINE_MS, timeout.as_millis().to_string())
-        .header(headers::REQUEST, &name.request)
-        .header(headers::ATTEMPT, name.attempt.to_string());
+        .header(headers::REQUEST, &call.name.request)
+        .header(headers::ATTEMPT, call.name.attempt.to_string());
+    for (name, value) in call.name_headers() {
+        builder = builder.header(name, value);
+    }
     if !kind.class.is_empty() {
         builder = builder.header(headers::CLASS, &kind.class);
     }
-    if let Some(key) = key {
+    if let Some(key) = &call.key {
         builder = builder.header(headers::IDEMPOTENCY_KEY, key);
     }
     builder.body(CallBody::new(content))
--- a/crates/standin/tests/standin/backend.rs
+++ b/crates/standin/tests/standin/backend.rs
@@ -3,11 +3,12 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use lifthollow_standin::call::{BadCall, CallName, CallSpecification};
 
 use crate::support::{PATIENCE, Standin};
 
-fn path(request: &str, attempt: u32) -> String {
+fn specification(request: &str, attempt: u32) -> CallSpecification {
     CallSpecification {
         name: CallName {
             request: request.to_owned(),
@@ -18,18 +19,30 @@
         answer_bytes: 100,
         pace: std::time::Duration::ZERO,
     }
-    .to_path()
+}
+
+/// A call of the back end, without a body.
+fn post(backend: &Standin, request: &str, attempt: u32) -> attohttpc::RequestBuilder {
+    let call = specification(request, attempt);
+    let url = format!("http://{}{}", backend.address(), call.to_path());
+    let builder = attohttpc::post(url);
+    let with_header = |builder: attohttpc::RequestBuilder,
+                       (name, value): (&'static str, String)| {
+        builder.header(name, value)
+    };
+    call.name_headers().into_iter().fold(builder, with_header)
 }
 
 fn call(backend: &Standin, request: &str) -> attohttpc::Response {
-    let url = format!("http://{}{}", backend.address(), path(request, 1));
-    attohttpc::post(url).text("body").send().expect("an answer")
+    let builder = post(backend, request, 1);
+    builder.text("body").send().expect("an answer")
 }
 
 /// Sends a call without waiting for its answer.
 fn send_head(stream: &mut TcpStream, request: &str) {
-    let path = path(request, 1);
-    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n");
+    let path = specification(request, 1).to_path();
+    let names = "standin-attempt: 1\r\nstandin-caller:\r\n";
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\n{names}content-length: 0\r\n\r\n");
     stream.write_all(head.as_bytes()).expect("sends");
 }
 
@@ -83,8 +96,7 @@
     let mut first = TcpStream::connect(backend.address()).expect("connects");
     send_head(&mut first, "a");
     wait_for(&backend, |totals| totals.runs == 1);
-    let url = format!("http://{}{}", backend.address(), path("b", 1));
-    let shed = attohttpc::post(url)
+    let shed = post(&backend, "b", 1)
         .header("lifthollow-deadline-ms", "5")
         .send()
         .expect("an answer");
@@ -102,10 +114,10 @@
     send_head(&mut stream, "b");
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer);
-    let answer = String::from_utf8_lossy(&answer);
-    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
-    assert!(head.contains("content-length: 100"));
-    assert!(!body.is_empty() && body.len() < 100);
+    let head_end = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    let (head, body) = answer.split_at(head_end.expect("a head") + 4);
+    assert!(String::from_utf8_lossy(head).contains("content-length: 100"));
+    assert!(!body.is_empty() && body.len() < 100, "{}", body.len());
     assert_eq!(backend.ledger().totals.runs, 2);
     backend.put("/fault", r#"{"draining": true}"#);
     assert_eq!(call(&backend, "c").headers()["lifthollow-not-run"], "yes");
@@ -122,7 +134,7 @@
 }
 
 #[test]
-fn a_call_survives_its_path() {
+fn a_call_survives_its_path_and_headers() {
     let call = CallSpecification {
         name: CallName {
             request: "load-1".to_owned(),
@@ -135,7 +147,14 @@
     };
     let path = call.to_path();
     let (_, query) = path.split_once('?').expect("a query");
-    assert_eq!(CallSpecification::from_query(query), Ok(call));
-    let missing = CallSpecification::from_query("request=a");
-    assert_eq!(missing, Err(BadCall::Missing("attempt")));
+    let fields = call.name_headers().map(|(name, value)| {
+        let value = HeaderValue::from_str(&value).expect("a header value");
+        (HeaderName::from_static(name), value)
+    });
+    let fields = HeaderMap::from_iter(fields);
+    assert_eq!(CallSpecification::from_request(query, &fields), Ok(call));
+    let missing = CallSpecification::from_request("request=a", &fields);
+    assert_eq!(missing, Err(BadCall::Missing("key")));
+    let missing = CallSpecification::from_request(query, &HeaderMap::new());
+    assert_eq!(missing, Err(BadCall::Missing("standin-attempt")));
 }
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -5,4 +5,5 @@
 mod measures;
 mod platform;
 mod promises;
+mod repeats;
 mod support;
