--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -14,7 +14,7 @@
 use crate::claims::{ClaimSettings, Envelope, KeyReport};
 use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
 use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
-use crate::outbound::{OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
+use crate::outbound::{EdgeReport, OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
 use crate::policy::PolicyKind;
 use crate::pressure::{CallSource, downstream_level};
 use crate::request_tree::RequestTree;
@@ -127,6 +127,11 @@
         self.claims.as_ref()?.report(now, key)
     }
 
+    /// Whether the node, told to stop, has yet to hand its claims over.
+    pub fn is_handing_over(&self) -> bool {
+        self.claims.as_ref().is_some_and(ClaimGate::is_handing_over)
+    }
+
     /// The settings the node was made with.
     pub fn settings(&self) -> &NodeSettings {
         &self.settings
@@ -159,6 +164,11 @@
         load
     }
 
+    /// What there is to tell operators of the services called from this node.
+    pub fn edges(&self, now: Timestamp) -> Vec<EdgeReport> {
+        self.outbound.reports(now, self.fleet.view())
+    }
+
     /// The load of a local service.
     pub fn load(&self, now: Timestamp, service: &ServiceName) -> LoadReport {
         let mut load = self.inbound.load(now, self.fleet.view(), service);
