Split the node's settings and the replica's exchange into files of their own

Cause: node.rs (404 lines) and replica.rs (453) had grown past one job. Change: what a node knows of itself stands in node/settings.rs, how replicas pass on what they know in replica/exchange.rs.

--- a/crates/coordination/src/claims/replica.rs
+++ b/crates/coordination/src/claims/replica/mod.rs
@@ -1,19 +1,20 @@
 //! A member of the roster: stores which claim holds which key.
 
+mod exchange;
+
 use std::time::Duration;
 
 use lifthollow_protocol::{
-    ClaimFinish, ClaimMessage, ClaimRelease, ClaimRequest, ClaimVote, KnownClaim, RejoinPage,
-    RejoinRequest, Roster, RosterMember, RosterVersion, Verdict,
+    ClaimFinish, ClaimMessage, ClaimRelease, ClaimRequest, ClaimVote, Roster, RosterVersion,
+    Verdict,
 };
 use lifthollow_state::{IdempotencyKey, NodeId, Timestamp};
 
-use super::handover::{HandoverSender, Handovers};
-use super::page::take_page;
-use super::record::{Record, RecordState, RecordStore};
-use super::rejoin::Rejoin;
-use super::roster::{ReplicaSets, version_of};
-use super::settings::ClaimSettings;
+use crate::claims::handover::{HandoverSender, Handovers};
+use crate::claims::record::{Record, RecordState, RecordStore};
+use crate::claims::rejoin::Rejoin;
+use crate::claims::roster::{ReplicaSets, version_of};
+use crate::claims::settings::ClaimSettings;
 
 /// A message and where it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -115,71 +116,6 @@
             .collect()
     }
 
-    /// A planned stop has begun. A replica that does not know all claims has
-    /// nothing to hand over.
-    pub fn leave(&mut self, now: Timestamp) {
-        if self.handover.is_some() || !self.roster.previous.is_empty() {
-            return;
-        }
-        let candidates = handover_candidates(&self.roster, self.node);
-        let sender = HandoverSender::new(
-            now,
-            self.settings.incarnation,
-            self.roster_version,
-            candidates,
-        );
-        self.handover = Some(sender);
-    }
-
-    /// Takes in a message about a handover and returns the answer.
-    pub fn handover_message(
-        &mut self,
-        now: Timestamp,
-        from: NodeId,
-        message: ClaimMessage,
-    ) -> Option<ClaimMessage> {
-        match message {
-            // A replica that stops itself keeps nothing for others.
-            ClaimMessage::HandoverBegin(_) if self.handover.is_some() => None,
-            ClaimMessage::HandoverBegin(begin) => {
-                let valid_until = now + self.settings.handover_validity;
-                self.handovers.begin(now, from, &begin, valid_until)
-            }
-            ClaimMessage::HandoverPage(page) => self.handovers.page(now, from, page),
-            ClaimMessage::HandoverReady(ready) => {
-                let is_informed = self.is_informed(now);
-                let sender = self.handover.as_mut().filter(|_| is_informed);
-                sender?.ready(now, from, &ready);
-                None
-            }
-            ClaimMessage::HandoverStored(stored) => {
-                self.handover.as_mut()?.stored(now, from, &stored);
-                None
-            }
-            _ => None,
-        }
-    }
-
-    /// Whether the replica has handed its records over and votes no more.
-    pub fn is_sealed(&self) -> bool {
-        self.handover
-            .as_ref()
-            .is_some_and(HandoverSender::is_sealed)
-    }
-
-    /// Whether a handover is due or in progress.
-    pub fn is_handing_over(&self) -> bool {
-        let next_wake = self.handover.as_ref().and_then(HandoverSender::next_wake);
-        next_wake.is_some()
-    }
-
-    fn wake_handover(&mut self, now: Timestamp) -> Option<Envelope> {
-        let records = self.store.from(IdempotencyKey(0));
-        let records = records.filter(|(_, record)| record.state != RecordState::Released);
-        let claims = records.map(|(key, record)| known_claim(key, record));
-        self.handover.as_mut()?.wake(now, claims)
-    }
-
     /// Votes on a claim.
     pub fn request(&mut self, now: Timestamp, request: &ClaimRequest) -> ClaimVote {
         self.store.expire(now);
@@ -236,48 +172,6 @@
         self.store.put(finish.key, record).is_ok()
     }
 
-    /// Answers a member that was replaced, if this replica knows enough itself.
-    pub fn rejoin_request(
-        &mut self,
-        now: Timestamp,
-        from: NodeId,
-        request: &RejoinRequest,
-    ) -> Option<ClaimMessage> {
-        self.store.expire(now);
-        if !request.settled {
-            return self.handovers.take_over(now, from, request);
-        }
-        if request.roster != self.roster_version || !self.is_informed(now) || self.is_sealed() {
-            return None;
-        }
-        let (claims, next) = take_page(self.shared_claims(from, request.from_key));
-        Some(ClaimMessage::RejoinPage(RejoinPage {
-            incarnation: request.incarnation,
-            roster: self.roster_version,
-            from_key: request.from_key,
-            claims,
-            next,
-            settled: request.settled,
-            handed_over: false,
-        }))
-    }
-
-    /// Takes in what another member knows, and returns the next request.
-    pub fn rejoin_page(
-        &mut self,
-        now: Timestamp,
-        from: NodeId,
-        page: &RejoinPage,
-    ) -> Option<ClaimMessage> {
-        if page.roster != self.roster_version || self.rejoin.is_none() {
-            return None;
-        }
-        for claim in &page.claims {
-            self.recover(now, claim)?;
-        }
-        self.rejoin.as_mut()?.page_arrived(now, from, page)
-    }
-
     /// Takes over a roster with a higher epoch.
     ///
     /// The start of a change needs no waiting, since claims go on needing a
@@ -375,66 +269,6 @@
         let has_learned_all = self.rejoin.as_ref().is_some_and(Rejoin::has_learned_all);
         now >= self.votes_from || has_learned_all
     }
-
-    fn shared_claims(
-        &self,
-        with: NodeId,
-        from_key: IdempotencyKey,
-    ) -> impl Iterator<Item = KnownClaim> {
-        self.store
-            .from(from_key)
-            .filter(|(_, record)| record.state != RecordState::Released)
-            .filter(move |(key, _)| ReplicaSets::of(&self.roster, *key).contains(with))
-            .map(|(key, record)| known_claim(key, record))
-    }
-
-    /// None if there is no room, so that the page is not counted as read.
-    fn recover(&mut self, now: Timestamp, claim: &KnownClaim) -> Option<()> {
-        let known = self.store.get(claim.key);
-        let is_news =
-            claim.outcome.is_some() && known.is_some_and(|known| known.outcome().is_none());
-        if known.is_some_and(is_unreleased) && !is_news {
-            return Some(());
-        }
-        let state = match &claim.outcome {
-            Some(outcome) => RecordState::Finished(outcome.clone()),
-            None => RecordState::Recovered,
-        };
-        let record = Record {
-            holder: claim.claim,
-            body_digest: claim.body_digest,
-            state,
-            expires_at: now + self.retention,
-        };
-        self.store.put(claim.key, record).ok()
-    }
-}
-
-fn known_claim(key: IdempotencyKey, record: &Record) -> KnownClaim {
-    KnownClaim {
-        key,
-        claim: record.holder,
-        body_digest: record.body_digest,
-        outcome: record.outcome().cloned(),
-    }
-}
-
-/// Members of the other side first, since a side is often replaced as a whole.
-fn handover_candidates(roster: &Roster, node: NodeId) -> Vec<NodeId> {
-    let own = roster.members.iter().find(|member| member.node == node);
-    let Some(own) = own else {
-        return Vec::new();
-    };
-    let mut others: Vec<&RosterMember> = roster.members.iter().collect();
-    others.retain(|member| member.node != node);
-    others.sort_by_key(|member| {
-        (
-            member.side == own.side,
-            member.zone == own.zone,
-            member.node,
-        )
-    });
-    others.iter().map(|member| member.node).collect()
 }
 
 fn is_unreleased(record: &Record) -> bool {
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -1,46 +1,24 @@
 //! One lifthollow process: fleet, outbound and inbound decisions composed.
 
+mod settings;
+
 use std::time::Duration;
 
 use lifthollow_protocol::{
     AdmissionLevel, AttemptResult, ControlMessage, LoadReport, RefusalReason,
 };
-use lifthollow_state::{
-    IdempotencyKey, Incarnation, NodeId, RetryAllowance, ServiceName, Side, Timestamp, Zone,
-};
+use lifthollow_state::{IdempotencyKey, RetryAllowance, ServiceName, Timestamp};
 
-use crate::baseline::{FixedInbound, FixedOutbound};
 use crate::claims::gate::{ClaimGate, GateEffect};
 use crate::claims::{ClaimSettings, Envelope, KeyReport};
-use crate::fleet::{Fleet, FleetEffect, FleetEvent, FleetSettings};
-use crate::inbound::{AdmissionControl, InboundEffect, InboundEvent, InboundId, InboundPolicy};
-use crate::outbound::{EdgeReport, OutboundEffect, OutboundEvent, OutboundPolicy, Routing};
-use crate::policy::PolicyKind;
+use crate::fleet::{Fleet, FleetEffect, FleetEvent};
+use crate::inbound::{InboundEffect, InboundEvent, InboundId, InboundPolicy};
+use crate::outbound::{EdgeReport, OutboundEffect, OutboundEvent, OutboundPolicy};
 use crate::pressure::{CallSource, downstream_level};
 use crate::request_tree::RequestTree;
 use crate::view::View;
 
-/// What a node knows of itself from its settings.
-#[derive(Clone, Debug)]
-pub struct NodeSettings {
-    /// The address other nodes reach it at.
-    pub node: NodeId,
-    /// This life of the node: larger than that of any process that ran at the
-    /// address before. The daemon takes microseconds of wall-clock time.
-    pub incarnation: Incarnation,
-    /// Its data centre.
-    pub side: Side,
-    /// Its failure domain.
-    pub zone: Zone,
-    /// The services whose back ends stand beside it.
-    pub services: Vec<ServiceName>,
-    /// Nodes to ask first when the platform's list is not at hand.
-    pub seeds: Vec<NodeId>,
-    /// The decisions it runs.
-    pub policy: PolicyKind,
-    /// Seed of every random choice the node makes.
-    pub seed: u64,
-}
+pub use settings::NodeSettings;
 
 /// Everything that can happen to a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,7 +69,7 @@
 impl Node {
     /// A node that knows nothing yet but its settings.
     pub fn new(settings: NodeSettings) -> Self {
-        let (outbound, inbound) = policies(&settings);
+        let (outbound, inbound) = settings.decisions();
         Node::with_policies(settings, outbound, inbound)
     }
 
@@ -103,7 +81,7 @@
         inbound: Box<dyn InboundPolicy>,
     ) -> Self {
         Node {
-            fleet: Fleet::new(fleet_settings(&settings)),
+            fleet: Fleet::new(settings.for_fleet()),
             settings,
             outbound,
             inbound,
@@ -372,33 +350,3 @@
         effects.extend(fleet_effects.into_iter().map(NodeEffect::Fleet));
     }
 }
-
-fn fleet_settings(settings: &NodeSettings) -> FleetSettings {
-    FleetSettings {
-        node: settings.node,
-        incarnation: settings.incarnation,
-        side: settings.side,
-        zone: settings.zone,
-        services: settings.services.clone(),
-        seeds: settings.seeds.clone(),
-        seed: settings.seed,
-    }
-}
-
-fn policies(settings: &NodeSettings) -> (Box<dyn OutboundPolicy>, Box<dyn InboundPolicy>) {
-    let side = settings.side;
-    match settings.policy {
-        PolicyKind::Passthrough => (
-            Box::new(FixedOutbound::passthrough()),
-            Box::new(FixedInbound::passthrough(side)),
-        ),
-        PolicyKind::StaticLimits => (
-            Box::new(FixedOutbound::static_limits()),
-            Box::new(FixedInbound::static_limits(side)),
-        ),
-        PolicyKind::Lifthollow => (
-            Box::new(Routing::new(settings.zone, settings.seed)),
-            Box::new(AdmissionControl::new(side, settings.seed)),
-        ),
-    }
-}
