Share the meshes' request kinds and the stand-ins' control port

Cause: both meshes built a request kind by the same function, and back end and platform started their control port by the same lines. Change: one function in mesh/mod.rs, one module control_port.rs. Behaviour is the same.

--- a/crates/sim/src/mesh/midlands.rs
+++ b/crates/sim/src/mesh/midlands.rs
@@ -4,7 +4,7 @@
 
 use lifthollow_state::{PriorityClass, ServiceName};
 
-use super::{Mesh, RequestKind, ServiceModel, Visit, calling, once, visit};
+use super::{Mesh, RequestKind, ServiceModel, Visit, calling, kind, once, visit};
 
 const FEEDS: usize = 0;
 const PUBLISHING: usize = 1;
@@ -104,21 +104,3 @@
         ),
     ]
 }
-
-fn kind(
-    name: &'static str,
-    class: PriorityClass,
-    share: f64,
-    deadline_millis: u64,
-    visits: Vec<Visit>,
-) -> RequestKind {
-    let deadline = Duration::from_millis(deadline_millis);
-    RequestKind {
-        name,
-        class,
-        share,
-        deadline,
-        client_timeout: deadline / 2,
-        visits,
-    }
-}
--- a/crates/sim/src/mesh/mod.rs
+++ b/crates/sim/src/mesh/mod.rs
@@ -78,6 +78,25 @@
     pub visits: Vec<Visit>,
 }
 
+/// A kind of request whose client repeats it after half its deadline.
+fn kind(
+    name: &'static str,
+    class: PriorityClass,
+    share: f64,
+    deadline_millis: u64,
+    visits: Vec<Visit>,
+) -> RequestKind {
+    let deadline = Duration::from_millis(deadline_millis);
+    RequestKind {
+        name,
+        class,
+        share,
+        deadline,
+        client_timeout: deadline / 2,
+        visits,
+    }
+}
+
 /// One call of a service in a request's call tree.
 #[derive(Clone, Debug)]
 pub struct Visit {
--- a/crates/standin/src/backend/control.rs
+++ b/crates/standin/src/backend/control.rs
@@ -6,6 +6,8 @@
 
 use rouille::{Request, Response};
 
+use crate::control_port;
+
 use super::fault::BackendFault;
 use super::handler::Backend;
 
@@ -17,16 +19,7 @@
 /// Starts the control port; returns its address.
 pub fn start(listen: SocketAddr, backend: &Arc<Backend>) -> anyhow::Result<SocketAddr> {
     let backend = Arc::clone(backend);
-    let server = rouille::Server::new(listen, move |request| {
-        handle(&backend, request).unwrap_or_else(|error| {
-            let text = format!("{error:#}\n");
-            Response::text(text).with_status_code(400)
-        })
-    })
-    .map_err(|error| anyhow::anyhow!("cannot listen at {listen}: {error}"))?;
-    let address = server.server_addr();
-    std::thread::spawn(move || server.run());
-    Ok(address)
+    control_port::start(listen, move |request| handle(&backend, request))
 }
 
 fn handle(backend: &Backend, request: &Request) -> anyhow::Result<Response> {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod call;
 pub mod content;
+pub mod control_port;
 pub mod experiment;
 pub mod headers;
 pub mod json_lines;
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -6,6 +6,8 @@
 
 use rouille::{Request, Response};
 
+use crate::control_port;
+
 use super::{ReaderFault, SharedPlatform, lock, publish_machines, publish_table};
 
 /// Longest document that the control port takes.
@@ -14,16 +16,7 @@
 /// Starts the control port; returns its address.
 pub fn start(listen: SocketAddr, platform: &SharedPlatform) -> anyhow::Result<SocketAddr> {
     let platform = Arc::clone(platform);
-    let server = rouille::Server::new(listen, move |request| {
-        handle(&platform, request).unwrap_or_else(|error| {
-            let text = format!("{error:#}\n");
-            Response::text(text).with_status_code(400)
-        })
-    })
-    .map_err(|error| anyhow::anyhow!("cannot listen at {listen}: {error}"))?;
-    let address = server.server_addr();
-    std::thread::spawn(move || server.run());
-    Ok(address)
+    control_port::start(listen, move |request| handle(&platform, request))
 }
 
 fn handle(platform: &SharedPlatform, request: &Request) -> anyhow::Result<Response> {
