--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,8 @@
 //!
 //! [`claims`] lets a call with an idempotency key run at most once.
 //!
+//! [`mesh`] holds the decisions for requests that are routed by host and path.
+//!
 //! [`baseline`] holds the ordinary policies that lifthollow is compared with.
 
 pub mod baseline;
@@ -22,6 +24,7 @@
 pub mod fleet;
 pub mod inbound;
 pub mod latency;
+pub mod mesh;
 pub mod node;
 pub mod outbound;
 pub mod policy;
--- /dev/null
+++ b/crates/coordination/src/mesh/call.rs
@@ -0,0 +1,219 @@
+//! One request of a caller: its attempts, and what the caller is told.
+
+use std::time::Duration;
+
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{InstanceId, Route};
+
+/// A caller that is refused is asked to come back after this time if nobody
+/// named another.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Refusals of servers that come without having run may be tried elsewhere so
+/// often.
+const MAX_REFUSED_ATTEMPTS: usize = 6;
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The server answered; its answer is whole or on its way.
+    Answered,
+    /// The server did not run it and never will.
+    NotRun {
+        /// Whether the server itself was asked, so that it counts as an attempt.
+        offered: bool,
+        /// Why, for logs.
+        reason: NotRunReason,
+        /// When there may be room.
+        retry_after: Option<Duration>,
+    },
+    /// It may have run, or may still.
+    Unknown {
+        /// Why, for logs.
+        reason: UnknownReason,
+    },
+}
+
+/// Why an attempt was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRunReason {
+    /// No connection to the server's node.
+    NodeUnreachable,
+    /// The server's node is about to stop.
+    NodeLeaving,
+    /// The server is about to end.
+    ServerDraining,
+    /// Another server stands at the address.
+    WrongInstance,
+    /// No connection to the server.
+    ServerUnreachable,
+    /// The queue at the server's node is too long.
+    QueueFull,
+    /// It waited at the server's node as long as it could.
+    QueueTimeout,
+    /// The server refused it.
+    ServerRefused,
+}
+
+/// Why it isn't known whether an attempt has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnknownReason {
+    /// The connection broke after the request was sent.
+    AnswerLost,
+    /// What came was not an answer to the request.
+    AnswerInvalid,
+    /// The server or its node stayed silent.
+    Silent,
+}
+
+/// What the caller is told when no server's answer is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinalAnswer {
+    /// It has not run and never will; the caller may come back.
+    Refused {
+        /// After this time.
+        retry_after: Duration,
+        /// Why.
+        reason: RefusalReason,
+    },
+    /// It may have run.
+    Unknown,
+    /// It took too long, and may have run.
+    TimedOut,
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No configuration has arrived yet.
+    NotConfigured,
+    /// No server of the service is known.
+    NoServer,
+    /// Every server that was asked refused.
+    AllRefused(NotRunReason),
+    /// Its time ran out before any server had taken it.
+    OutOfTime,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Send another attempt to a server that is not excluded.
+    Attempt,
+    /// Tell the caller.
+    Finish(FinalAnswer),
+}
+
+/// The state of one request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    idempotent: bool,
+    max_attempts: u32,
+    offered: u32,
+    refused: usize,
+    may_have_run: bool,
+    ends: Timestamp,
+    excluded: Vec<InstanceId>,
+    last_refusal: Option<(NotRunReason, Option<Duration>)>,
+}
+
+impl Call {
+    /// A request for `route` that arrived at `now` and whose caller waits for
+    /// `caller_patience`.
+    pub fn new(now: Timestamp, route: &Route, caller_patience: Option<Duration>) -> Self {
+        let bounds = [route.timeout, caller_patience];
+        let held = bounds.into_iter().flatten().min();
+        Call {
+            idempotent: route.is_idempotent(),
+            max_attempts: route.max_attempts,
+            offered: 0,
+            refused: 0,
+            may_have_run: false,
+            ends: held.map_or(Timestamp::from_micros(u64::MAX), |held| now + held),
+            excluded: Vec::new(),
+            last_refusal: None,
+        }
+    }
+
+    /// When the caller must have its answer.
+    pub fn ends(&self) -> Timestamp {
+        self.ends
+    }
+
+    /// Servers that must not get it again.
+    pub fn excluded(&self) -> &[InstanceId] {
+        &self.excluded
+    }
+
+    /// Whether a server may have it already.
+    pub fn is_repeat(&self) -> bool {
+        self.offered > 0
+    }
+
+    /// Whether an attempt that is on its way could be given up for another.
+    pub fn may_repeat_elsewhere(&self) -> bool {
+        self.idempotent && self.offered + 1 < self.max_attempts
+    }
+
+    /// Takes in how the attempt at `server` ended, if it was not answered.
+    /// `may_repeat` pays for a repeat, and is asked only if one is due.
+    pub fn attempt_ended(
+        &mut self,
+        server: &InstanceId,
+        end: &AttemptEnd,
+        may_repeat: impl FnOnce() -> bool,
+    ) -> NextStep {
+        self.excluded.push(server.clone());
+        match end {
+            AttemptEnd::Answered => {}
+            AttemptEnd::NotRun {
+                offered,
+                reason,
+                retry_after,
+            } => {
+                self.offered += u32::from(*offered);
+                self.refused += 1;
+                self.last_refusal = Some((*reason, *retry_after));
+            }
+            AttemptEnd::Unknown { .. } => {
+                self.offered += 1;
+                self.may_have_run = true;
+            }
+        }
+        if self.may_continue() && (self.offered == 0 || may_repeat()) {
+            return NextStep::Attempt;
+        }
+        NextStep::Finish(self.give_up())
+    }
+
+    /// What the caller is told if there is no server left to ask.
+    pub fn give_up(&self) -> FinalAnswer {
+        if self.may_have_run {
+            return FinalAnswer::Unknown;
+        }
+        let (reason, retry_after) = match self.last_refusal {
+            Some((reason, retry_after)) => (RefusalReason::AllRefused(reason), retry_after),
+            None => (RefusalReason::NoServer, None),
+        };
+        FinalAnswer::Refused {
+            retry_after: retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
+            reason,
+        }
+    }
+
+    /// What the caller is told if its time is over. `in_progress` says that an
+    /// attempt was on its way.
+    pub fn timed_out(&self, in_progress: bool) -> FinalAnswer {
+        if self.may_have_run || in_progress {
+            return FinalAnswer::TimedOut;
+        }
+        FinalAnswer::Refused {
+            retry_after: DEFAULT_RETRY_AFTER,
+            reason: RefusalReason::OutOfTime,
+        }
+    }
+
+    fn may_continue(&self) -> bool {
+        let allowed = self.idempotent || !self.may_have_run;
+        allowed && self.offered < self.max_attempts && self.refused < MAX_REFUSED_ATTEMPTS
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/mesh/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions for a mesh whose requests are routed by host and path.
+//!
+//! In the order in which a request meets them:
+//!
+//! 1. [`route_table`]: which route takes it;
+//! 2. [`weighted_split`]: which of the route's services;
+//! 3. [`call`]: whether there is another attempt, and what the caller is told;
+//! 4. [`server_selection`]: which server gets the attempt;
+//! 5. [`retry_budget`]: whether a repeat may be spent on it;
+//! 6. [`admission_queue`]: at the server's node, whether it runs, waits or is
+//!    refused.
+//!
+//! [`snapshot_store`] keeps what the node was told from outside, forward only.
+
+pub mod admission_queue;
+pub mod call;
+pub mod retry_budget;
+pub mod route_table;
+pub mod server_selection;
+pub mod snapshot_store;
+pub mod weighted_split;
--- /dev/null
+++ b/crates/coordination/src/mesh/route_table.rs
@@ -0,0 +1,48 @@
+//! Finds the route of a request by its host and the longest path prefix.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use lifthollow_state::mesh::{Configuration, Route};
+
+/// The routes of one configuration, ready to be looked up.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    by_host: HashMap<String, HashMap<String, Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// The routes of `configuration`.
+    pub fn new(configuration: &Configuration) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            by_host
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .insert(route.path_prefix.clone(), Arc::new(route.clone()));
+        }
+        RouteTable {
+            version: configuration.version,
+            by_host,
+        }
+    }
+
+    /// The version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The route that takes a request for `host` (a port after a colon is left
+    /// out of account) and `path` (without its query).
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host);
+        let by_prefix = match self.by_host.get(host) {
+            Some(by_prefix) => by_prefix,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
+        let ends = path.char_indices().rev().filter(|(_, sign)| *sign == '/');
+        ends.map(|(position, _)| &path[..=position])
+            .find_map(|prefix| by_prefix.get(prefix))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -0,0 +1,146 @@
+//! What the node was told from outside, forward only.
+//!
+//! A node hears of changes from the source itself and, where the source doesn't
+//! answer it, from other nodes. Whatever the way, nothing older replaces
+//! anything newer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{
+    Configuration, ConfigurationError, InstanceId, KnownServer, ServerInstance, Snapshot,
+};
+
+/// A server that has vanished without a word is used a little longer if nothing
+/// else is left: its entry may have run out while the source was down, and come
+/// back with its next announcement.
+const VANISHED_GRACE: Duration = Duration::from_millis(1300);
+
+/// One change that the source tells of.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A new configuration.
+    Configuration(Configuration),
+    /// A server announced itself, or something about it changed.
+    Server(ServerInstance),
+    /// A server's announcement is gone.
+    ServerGone(InstanceId),
+}
+
+/// What came of a change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Applied {
+    /// The configuration in force is another one now.
+    Configuration,
+    /// The servers are others now.
+    Servers,
+    /// It was older than what is known, or the same.
+    Nothing,
+    /// The configuration can't be used; the one before stays.
+    Refused(Vec<ConfigurationError>),
+}
+
+/// The snapshot in force.
+#[derive(Clone, Debug, Default)]
+pub struct SnapshotStore {
+    snapshot: Arc<Snapshot>,
+    vanished: BTreeMap<InstanceId, (ServerInstance, Timestamp)>,
+}
+
+impl SnapshotStore {
+    /// The snapshot in force.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Whether there is a configuration.
+    pub fn is_configured(&self) -> bool {
+        self.snapshot.configuration.is_some()
+    }
+
+    /// Takes in one change that was made at `revision`.
+    pub fn apply(&mut self, now: Timestamp, revision: u64, change: Change) -> Applied {
+        match change {
+            Change::Configuration(configuration) => self.apply_configuration(configuration),
+            Change::Server(instance) => self.apply_server(revision, instance),
+            Change::ServerGone(id) => self.remove_server(now, revision, &id),
+        }
+    }
+
+    /// All changes up to `revision` were applied.
+    pub fn advance(&mut self, revision: u64) {
+        if revision > self.snapshot.revision {
+            Arc::make_mut(&mut self.snapshot).revision = revision;
+        }
+    }
+
+    /// Takes in a whole snapshot, if it is newer. It replaces all servers.
+    pub fn replace(&mut self, now: Timestamp, newer: Snapshot) -> Vec<Applied> {
+        if newer.revision < self.snapshot.revision {
+            return Vec::new();
+        }
+        let mut applied = Vec::new();
+        if let Some(configuration) = newer.configuration {
+            applied.push(self.apply_configuration(configuration));
+        }
+        let before = self.snapshot.servers.clone();
+        if before != newer.servers {
+            for (id, known) in before {
+                if !newer.servers.contains_key(&id) {
+                    self.vanished.insert(id, (known.instance, now));
+                }
+            }
+            Arc::make_mut(&mut self.snapshot).servers = newer.servers;
+            applied.push(Applied::Servers);
+        }
+        self.advance(newer.revision);
+        applied
+    }
+
+    /// Servers that vanished a moment ago without announcing that they leave.
+    pub fn recently_vanished(&mut self, now: Timestamp) -> Vec<ServerInstance> {
+        self.vanished
+            .retain(|_, (_, since)| now.saturating_since(*since) < VANISHED_GRACE);
+        let ready = self.vanished.values().map(|(instance, _)| instance);
+        ready.filter(|instance| instance.is_ready()).cloned().collect()
+    }
+
+    fn apply_configuration(&mut self, configuration: Configuration) -> Applied {
+        let known = self.snapshot.configuration.as_ref();
+        if known.is_some_and(|known| known.version >= configuration.version) {
+            return Applied::Nothing;
+        }
+        let findings = configuration.findings();
+        if !findings.is_empty() {
+            return Applied::Refused(findings);
+        }
+        Arc::make_mut(&mut self.snapshot).configuration = Some(configuration);
+        Applied::Configuration
+    }
+
+    fn apply_server(&mut self, revision: u64, instance: ServerInstance) -> Applied {
+        let known = self.snapshot.servers.get(&instance.id);
+        if known.is_some_and(|known| known.revision >= revision) {
+            return Applied::Nothing;
+        }
+        self.vanished.remove(&instance.id);
+        let id = instance.id.clone();
+        let server = KnownServer { instance, revision };
+        Arc::make_mut(&mut self.snapshot).servers.insert(id, server);
+        Applied::Servers
+    }
+
+    fn remove_server(&mut self, now: Timestamp, revision: u64, id: &InstanceId) -> Applied {
+        let known = self.snapshot.servers.get(id);
+        if known.is_none_or(|known| known.revision > revision) {
+            return Applied::Nothing;
+        }
+        let snapshot = Arc::make_mut(&mut self.snapshot);
+        if let Some(server) = snapshot.servers.remove(id) {
+            self.vanished.insert(id.clone(), (server.instance, now));
+        }
+        Applied::Servers
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/http/caller_stream.rs
@@ -0,0 +1,132 @@
+//! A caller's connection that is read even while its request runs.
+//!
+//! hyper stops reading once bytes of a next request wait in its buffer, and so
+//! misses that the caller has left. Here bytes are read ahead, up to a bound, so
+//! that pipelined requests are taken off the wire and a close is seen at once.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::{Buf, BytesMut};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes that are read ahead at most.
+const MAX_READ_AHEAD: usize = 64 * 1024;
+/// Bytes asked for at a time.
+const READ_SIZE: usize = 8 * 1024;
+
+struct Shared {
+    stream: TcpStream,
+    ahead: BytesMut,
+    ended: bool,
+    failed: bool,
+}
+
+/// The half that hyper reads from and writes to.
+pub struct CallerStream(Rc<RefCell<Shared>>);
+
+/// The half that reads ahead.
+pub struct ReadAhead(Rc<RefCell<Shared>>);
+
+/// Divides a connection into the two halves. Both must be polled by one task.
+pub fn split(stream: TcpStream) -> (CallerStream, ReadAhead) {
+    let shared = Rc::new(RefCell::new(Shared {
+        stream,
+        ahead: BytesMut::new(),
+        ended: false,
+        failed: false,
+    }));
+    (CallerStream(shared.clone()), ReadAhead(shared))
+}
+
+impl ReadAhead {
+    /// Reads what has arrived. The task is woken when more does.
+    pub fn poll(&mut self, context: &mut Context<'_>) {
+        self.0.borrow_mut().fill(context);
+    }
+
+    /// Whether the caller has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        let shared = self.0.borrow();
+        shared.ended || shared.failed
+    }
+}
+
+impl Shared {
+    fn fill(&mut self, context: &mut Context<'_>) {
+        while !self.ended && !self.failed && self.ahead.len() < MAX_READ_AHEAD {
+            let length = self.ahead.len();
+            self.ahead.resize(length + READ_SIZE, 0);
+            let mut buffer = ReadBuf::new(&mut self.ahead[length..]);
+            let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer);
+            let filled = buffer.filled().len();
+            self.ahead.truncate(length + filled);
+            match read {
+                Poll::Pending => return,
+                Poll::Ready(Ok(())) => self.ended = filled == 0,
+                Poll::Ready(Err(_)) => self.failed = true,
+            }
+        }
+    }
+}
+
+impl Read for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut shared = self.0.borrow_mut();
+        if shared.ahead.is_empty() {
+            shared.fill(context);
+        }
+        if !shared.ahead.is_empty() {
+            let length = shared.ahead.len().min(buffer.remaining());
+            buffer.put_slice(&shared.ahead[..length]);
+            shared.ahead.advance(length);
+            return Poll::Ready(Ok(()));
+        }
+        if shared.failed {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        match shared.ended {
+            true => Poll::Ready(Ok(())),
+            false => Poll::Pending,
+        }
+    }
+}
+
+impl Write for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(context, buffers)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/http/headers.rs
@@ -0,0 +1,50 @@
+//! Headers that concern one connection only.
+
+use hyper::HeaderMap;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+const SINGLE_CONNECTION: [HeaderName; 10] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    PROXY_CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    // It is set anew from the body that is sent.
+    CONTENT_LENGTH,
+];
+
+/// Removes what concerns the connection that the message came on.
+pub fn remove_single_connection(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in SINGLE_CONNECTION {
+        headers.remove(name);
+    }
+}
+
+/// How many seconds a server keeps a connection open, if it says so.
+pub fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    value
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/proxy/src/http/server.rs
@@ -0,0 +1,153 @@
+//! Takes connections and serves the requests on them.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioTimer;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::http::caller_stream;
+use crate::http::{ProxyBody, socket};
+
+/// Pause after the system refused to accept a connection (out of descriptors).
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The smallest buffer that hyper takes.
+const MIN_BUFFER: usize = 8192;
+
+/// Answers requests. The future is dropped when the caller hangs up.
+pub trait Handler: 'static {
+    /// Answers `request`.
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<ProxyBody>> + 'static;
+
+    /// What a caller may send and how long it may take.
+    fn connection_limits(&self) -> ConnectionLimits;
+}
+
+/// Bounds of one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Size of a head, bytes.
+    pub max_header_bytes: usize,
+    /// How long a connection may stay without a complete head.
+    pub idle_timeout: Duration,
+}
+
+/// Requests that are being answered, and open connections.
+#[derive(Clone, Default)]
+pub struct InProgress {
+    requests: Rc<Cell<usize>>,
+    connections: Rc<Cell<usize>>,
+}
+
+impl InProgress {
+    /// Requests that are being answered.
+    pub fn requests(&self) -> usize {
+        self.requests.get()
+    }
+
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+}
+
+/// Counts one up while it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(counter: &Rc<Cell<usize>>) -> Self {
+        counter.set(counter.get() + 1);
+        Counted(counter.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves connections of `listener` until `closing` turns true; then connections
+/// end after the request that is on them.
+pub async fn run<H: Handler>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    in_progress: InProgress,
+    closing: watch::Receiver<bool>,
+) {
+    let mut stop = closing.clone();
+    loop {
+        tokio::select! {
+            _ = stop.wait_for(|closing| *closing) => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    socket::prepare(&stream);
+                    let connection = serve(stream, handler.clone(), in_progress.clone(), closing.clone());
+                    tokio::task::spawn_local(connection);
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+        }
+    }
+}
+
+async fn serve<H: Handler>(
+    stream: TcpStream,
+    handler: Rc<H>,
+    in_progress: InProgress,
+    mut closing: watch::Receiver<bool>,
+) {
+    let _open = Counted::new(&in_progress.connections);
+    let limits = handler.connection_limits();
+    let active = Rc::new(Cell::new(0));
+    let (stream, mut ahead) = caller_stream::split(stream);
+    let service = service_fn({
+        let active = active.clone();
+        move |request| {
+            let answer = handler.clone().handle(request);
+            let counted = (
+                Counted::new(&active),
+                Counted::new(&in_progress.requests),
+            );
+            async move {
+                let answer = answer.await;
+                drop(counted);
+                Ok::<_, Infallible>(answer)
+            }
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER))
+        .pipeline_flush(true)
+        .serve_connection(stream, service);
+    let mut connection = pin!(connection);
+    let mut asked_to_close = pin!(closing.wait_for(|closing| *closing));
+    let mut is_closing = false;
+    poll_fn(|context| {
+        ahead.poll(context);
+        if ahead.is_closed() && active.get() > 0 {
+            return Poll::Ready(());
+        }
+        if !is_closing && asked_to_close.as_mut().poll(context).is_ready() {
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
+        }
+        connection.as_mut().poll(context).map(|_| ())
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/proxy/src/inbound.rs
@@ -0,0 +1,369 @@
+//! Attempts for the server beside this node.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use lifthollow_coordination::mesh::admission_queue::{Admission, Rank, Ticket};
+use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::InstanceId;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use crate::http::body::{self, ReadBody};
+use crate::http::headers::remove_single_connection;
+use crate::http::pool::{Lease, SendError};
+use crate::http::server::{ConnectionLimits, Handler};
+use crate::http::{ProxyBody, headers};
+use crate::node::Node;
+use crate::{peer_headers, snapshots};
+
+/// Answers up to this size are taken in whole before any of it is passed on, so
+/// that one which breaks off can still be asked for elsewhere.
+const MAX_HELD_ANSWER: usize = 256 * 1024;
+/// What a request without a deadline gets.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// An attempt, as it came from this node's callers or from another node.
+pub struct Attempt {
+    /// The request, as it goes to the server but for its deadline.
+    pub request: Request<ProxyBody>,
+    /// The server that is meant.
+    pub server: InstanceId,
+    /// When the caller's node gives it up.
+    pub ends: Timestamp,
+    /// Its order among others.
+    pub rank: Rank,
+    /// How long it may wait before it runs.
+    pub patience: Duration,
+}
+
+/// How an attempt ended, with the server's answer if there is one.
+pub struct AttemptOutcome {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// The server's answer.
+    pub response: Option<Response<ProxyBody>>,
+}
+
+impl AttemptOutcome {
+    fn not_run(reason: NotRunReason) -> Self {
+        AttemptOutcome {
+            end: AttemptEnd::NotRun {
+                offered: false,
+                reason,
+                retry_after: None,
+            },
+            response: None,
+        }
+    }
+
+    fn unknown(reason: UnknownReason) -> Self {
+        AttemptOutcome {
+            end: AttemptEnd::Unknown { reason },
+            response: None,
+        }
+    }
+}
+
+/// The right to have one request at the server.
+struct Permit {
+    node: Rc<Node>,
+    started: Timestamp,
+    answered: bool,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let ran_for = self.answered.then(|| now.saturating_since(self.started));
+        let mut state = self.node.state.borrow_mut();
+        let started = state.queue.finish(now, ran_for);
+        self.node.start_waiting(&mut state, started);
+    }
+}
+
+/// A place in the queue. Dropping it leaves the queue.
+struct Place {
+    node: Rc<Node>,
+    rank: Rank,
+    ticket: Ticket,
+    started: oneshot::Receiver<()>,
+    left: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.left {
+            return;
+        }
+        let mut state = self.node.state.borrow_mut();
+        state.waiters.remove(&self.ticket);
+        if !state.queue.withdraw(self.rank, self.ticket) {
+            let started = state.queue.finish(self.node.now(), None);
+            self.node.start_waiting(&mut state, started);
+        }
+    }
+}
+
+/// Runs an attempt on the server beside this node.
+pub async fn execute(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
+    let outcome = admit_and_run(node, attempt).await;
+    let word = match &outcome.end {
+        AttemptEnd::Answered => "answered",
+        AttemptEnd::NotRun { reason, .. } => peer_headers::not_run_word(*reason),
+        AttemptEnd::Unknown { reason } => peer_headers::unknown_word(*reason),
+    };
+    node.metrics.attempts.with_label_values(&[word]).inc();
+    outcome
+}
+
+async fn admit_and_run(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
+    if let Some(reason) = refusal(node, &attempt) {
+        return AttemptOutcome::not_run(reason);
+    }
+    let permit = match admit(node, &attempt).await {
+        Ok(permit) => permit,
+        Err(refused) => return refused,
+    };
+    if let Some(reason) = refusal(node, &attempt) {
+        return AttemptOutcome::not_run(reason);
+    }
+    let ends = node.clock.instant(attempt.ends).into();
+    match timeout_at(ends, run(node, attempt, permit)).await {
+        Ok(outcome) => outcome,
+        Err(_) => AttemptOutcome::unknown(UnknownReason::Silent),
+    }
+}
+
+/// Whether the attempt can't be for the server beside this node, or comes too
+/// late for it.
+fn refusal(node: &Rc<Node>, attempt: &Attempt) -> Option<NotRunReason> {
+    if node.leaving.get() {
+        return Some(NotRunReason::NodeLeaving);
+    }
+    let known = node.own_server(&attempt.server)?;
+    if !node.is_beside(&known) {
+        return Some(NotRunReason::WrongInstance);
+    }
+    (!known.is_ready()).then_some(NotRunReason::ServerDraining)
+}
+
+async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
+    let now = node.now();
+    let patience = attempt.patience.min(attempt.ends.saturating_since(now));
+    let admission = node
+        .state
+        .borrow_mut()
+        .queue
+        .offer(now, attempt.rank, patience);
+    match admission {
+        Admission::Run => Ok(permit(node)),
+        Admission::Refuse { retry_after } => Err(AttemptOutcome {
+            end: AttemptEnd::NotRun {
+                offered: false,
+                reason: NotRunReason::QueueFull,
+                retry_after: Some(retry_after),
+            },
+            response: None,
+        }),
+        Admission::Wait(ticket) => wait(node, attempt.rank, ticket, now + patience).await,
+    }
+}
+
+async fn wait(
+    node: &Rc<Node>,
+    rank: Rank,
+    ticket: Ticket,
+    until: Timestamp,
+) -> Result<Permit, AttemptOutcome> {
+    let (start, started) = oneshot::channel();
+    node.state.borrow_mut().waiters.insert(ticket, start);
+    let mut place = Place {
+        node: node.clone(),
+        rank,
+        ticket,
+        started,
+        left: false,
+    };
+    let until = node.clock.instant(until).into();
+    match timeout_at(until, &mut place.started).await {
+        Ok(Ok(())) => {
+            place.left = true;
+            Ok(permit(node))
+        }
+        _ => Err(AttemptOutcome::not_run(NotRunReason::QueueTimeout)),
+    }
+}
+
+fn permit(node: &Rc<Node>) -> Permit {
+    Permit {
+        node: node.clone(),
+        started: node.now(),
+        answered: false,
+    }
+}
+
+async fn run(node: &Rc<Node>, mut attempt: Attempt, mut permit: Permit) -> AttemptOutcome {
+    let names = &node.names;
+    let left = attempt.ends.saturating_since(node.now());
+    let headers = attempt.request.headers_mut();
+    peer_headers::strip(headers);
+    headers.insert(&names.deadline_ms, milliseconds_value(left));
+    let id = headers.get(&names.request_id).cloned();
+    let sent = node
+        .server_connections
+        .send(node.settings.server_address, attempt.request)
+        .await;
+    let (response, lease) = match sent {
+        Ok(answered) => answered,
+        Err(SendError::NotSent(_)) => {
+            return AttemptOutcome::not_run(NotRunReason::ServerUnreachable);
+        }
+        Err(SendError::Lost(error)) => return AttemptOutcome::unknown(lost_reason(&error)),
+    };
+    if response.headers().get(&names.request_id) != id.as_ref() {
+        return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+    }
+    if let Some(end) = server_refusal(node, response.status(), response.headers()) {
+        finish_reading(response, lease).await;
+        return AttemptOutcome {
+            end,
+            response: None,
+        };
+    }
+    let is_signed = response.headers().contains_key(&names.signature);
+    if response.status().is_success() && !is_signed {
+        return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+    }
+    permit.answered = true;
+    let took = node.now().saturating_since(permit.started);
+    node.metrics.server_duration.observe(took.as_secs_f64());
+    take_answer(response, lease, permit).await
+}
+
+fn lost_reason(error: &hyper::Error) -> UnknownReason {
+    if error.is_parse() {
+        UnknownReason::AnswerInvalid
+    } else {
+        UnknownReason::AnswerLost
+    }
+}
+
+/// What a server's answer says if it says that the request was not run.
+fn server_refusal(node: &Rc<Node>, status: StatusCode, headers: &HeaderMap) -> Option<AttemptEnd> {
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected && !headers.contains_key(&node.names.not_run) {
+        return None;
+    }
+    let reason = if is_misdirected {
+        NotRunReason::WrongInstance
+    } else {
+        NotRunReason::ServerRefused
+    };
+    let seconds: Option<f64> = peer_headers::number(headers, &node.names.retry_after);
+    let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Some(AttemptEnd::NotRun {
+        offered: true,
+        reason,
+        retry_after,
+    })
+}
+
+async fn finish_reading(response: Response<Incoming>, lease: Lease) {
+    if let Ok(ReadBody::Whole(_)) = body::read(response.into_body(), MAX_HELD_ANSWER).await {
+        lease.keep();
+    }
+}
+
+async fn take_answer(response: Response<Incoming>, lease: Lease, permit: Permit) -> AttemptOutcome {
+    let (mut head, incoming) = response.into_parts();
+    remove_single_connection(&mut head.headers);
+    let body = match body::read(incoming, MAX_HELD_ANSWER).await {
+        Err(error) => return AttemptOutcome::unknown(lost_reason(&error)),
+        Ok(ReadBody::Whole(whole)) => {
+            lease.keep();
+            ProxyBody::Whole(whole)
+        }
+        Ok(ReadBody::Larger { arrived, rest }) => ProxyBody::Passing {
+            arrived,
+            rest,
+            guard: Box::new((lease, permit)),
+        },
+    };
+    AttemptOutcome {
+        end: AttemptEnd::Answered,
+        response: Some(Response::from_parts(head, body)),
+    }
+}
+
+/// A header value of whole milliseconds.
+pub fn milliseconds_value(duration: Duration) -> HeaderValue {
+    HeaderValue::from(duration.as_millis() as u64)
+}
+
+/// The port for other nodes.
+pub struct Inbound(pub Rc<Node>);
+
+impl Handler for Inbound {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
+        let node = &self.0;
+        if request.uri().path() == peer_headers::SNAPSHOT_PATH {
+            return snapshots::answer(node);
+        }
+        let outcome = match read_attempt(node, request).await {
+            Some(attempt) => execute(node, attempt).await,
+            None => AttemptOutcome::not_run(NotRunReason::WrongInstance),
+        };
+        answer(node, outcome)
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        self.0.connection_limits()
+    }
+}
+
+async fn read_attempt(node: &Rc<Node>, request: Request<Incoming>) -> Option<Attempt> {
+    let arrived = node.now();
+    let (mut head, incoming) = request.into_parts();
+    headers::remove_single_connection(&mut head.headers);
+    let server = head.headers.get(&node.names.expected_instance)?;
+    let server = InstanceId::new(server.to_str().ok()?);
+    let left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
+    let patience = peer_headers::milliseconds(&head.headers, &peer_headers::PATIENCE);
+    let body = match body::read(incoming, MAX_HELD_ANSWER).await.ok()? {
+        ReadBody::Whole(whole) => ProxyBody::Whole(whole),
+        ReadBody::Larger { arrived, rest } => ProxyBody::Passing {
+            arrived,
+            rest,
+            guard: Box::new(()),
+        },
+    };
+    Some(Attempt {
+        rank: peer_headers::rank(&head.headers),
+        server,
+        ends: arrived + left.unwrap_or(DEFAULT_DEADLINE),
+        patience: patience.unwrap_or_default(),
+        request: Request::from_parts(head, body),
+    })
+}
+
+fn answer(node: &Rc<Node>, outcome: AttemptOutcome) -> Response<ProxyBody> {
+    let mut response = outcome.response.unwrap_or_else(|| {
+        let mut empty = Response::new(ProxyBody::empty());
+        *empty.status_mut() = StatusCode::BAD_GATEWAY;
+        empty
+    });
+    let load = node.state.borrow().queue.occupancy();
+    let headers = response.headers_mut();
+    headers.insert(
+        peer_headers::OUTCOME,
+        peer_headers::outcome_value(&outcome.end),
+    );
+    headers.insert(peer_headers::LOAD, peer_headers::load_value(load));
+    headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
+    response
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,33 @@
+//! The traffic process of a mesh: takes requests from callers beside it, sends
+//! them to the nodes beside servers, and hands requests to the server beside it.
+//!
+//! Everything runs on one thread, because the machines have one core: a request
+//! passes without waking another thread. Decisions come from
+//! [`lifthollow_coordination::mesh`]; this crate carries them out.
+//!
+//! - [`outbound`]: requests of local callers, to any service;
+//! - [`inbound`]: attempts of other nodes, for the server beside this node;
+//! - [`node`]: the state that both share;
+//! - [`snapshots`]: what comes from outside, and from other nodes in its place;
+//! - [`http`]: connections, bodies;
+//! - [`process`]: listeners, signals, start and stop.
+//!
+//! What callers and servers call their headers is told by [`WireNames`], so that
+//! a platform is met by an adapter without decisions of its own.
+
+pub mod clock;
+pub mod http;
+pub mod inbound;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod outbound;
+pub mod peer_headers;
+pub mod process;
+pub mod settings;
+pub mod snapshots;
+pub mod wire_names;
+
+pub use node::Node;
+pub use settings::ProxySettings;
+pub use wire_names::WireNames;
--- /dev/null
+++ b/crates/proxy/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Counters and latency histograms, served as Prometheus text.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, Response};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+use crate::http::ProxyBody;
+use crate::http::server::{ConnectionLimits, Handler};
+
+/// Upper bounds of the buckets of durations, seconds.
+const DURATION_BUCKETS: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+/// Bounds of a connection that asks for metrics.
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    max_header_bytes: 8192,
+    idle_timeout: Duration::from_secs(10),
+};
+
+/// All metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests of local callers, by what the caller was told.
+    pub requests: IntCounterVec,
+    /// Time from a request's arrival to its answer.
+    pub request_duration: Histogram,
+    /// Attempts for the server beside this node, by how they ended.
+    pub attempts: IntCounterVec,
+    /// Time that the server beside this node took to answer.
+    pub server_duration: Histogram,
+    /// Attempts that were repeats.
+    pub repeats: IntCounter,
+    /// Version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Revision of the snapshot.
+    pub snapshot_revision: IntGauge,
+    /// Changes of the snapshot, by where they came from.
+    pub changes: IntCounterVec,
+    /// Load at the server beside this node: running, waiting, limit.
+    pub load: IntGaugeVec,
+    /// Connections opened, to the server and to nodes.
+    pub connections: IntGaugeVec,
+    /// Log lines left out to bound their number.
+    pub log_lines_left_out: IntCounter,
+}
+
+impl Metrics {
+    /// Metrics that are all zero.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let metrics = Metrics {
+            requests: counters(&registry, "lifthollow_requests_total", "Requests of local callers, by what the caller was told.", "outcome")?,
+            request_duration: histogram(&registry, "lifthollow_request_duration_seconds", "Time from a request's arrival to its answer.")?,
+            attempts: counters(&registry, "lifthollow_attempts_total", "Attempts for the server beside this node, by how they ended.", "outcome")?,
+            server_duration: histogram(&registry, "lifthollow_server_duration_seconds", "Time that the server beside this node took to answer.")?,
+            repeats: IntCounter::new("lifthollow_repeats_total", "Attempts that were repeats.")?,
+            configuration_version: IntGauge::new("lifthollow_configuration_version", "Version of the configuration in force.")?,
+            snapshot_revision: IntGauge::new("lifthollow_snapshot_revision", "Revision of the snapshot in force.")?,
+            changes: counters(&registry, "lifthollow_changes_total", "Changes of the snapshot, by where they came from.", "source")?,
+            load: gauges(&registry, "lifthollow_load", "Load at the server beside this node.", "what")?,
+            connections: gauges(&registry, "lifthollow_connections_opened", "Connections opened.", "to")?,
+            log_lines_left_out: IntCounter::new("lifthollow_log_lines_left_out_total", "Log lines left out to bound their number.")?,
+            registry,
+        };
+        metrics.registry.register(Box::new(metrics.repeats.clone()))?;
+        metrics.registry.register(Box::new(metrics.configuration_version.clone()))?;
+        metrics.registry.register(Box::new(metrics.snapshot_revision.clone()))?;
+        metrics.registry.register(Box::new(metrics.log_lines_left_out.clone()))?;
+        Ok(metrics)
+    }
+
+    fn text(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> Result<IntCounterVec> {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> Result<IntGaugeVec> {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram> {
+    let options = HistogramOpts::new(name, help).buckets(DURATION_BUCKETS.to_vec());
+    let histogram = Histogram::with_opts(options)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
+
+impl Handler for Metrics {
+    async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Response<ProxyBody> {
+        let text = self.text().unwrap_or_default();
+        let mut response = Response::new(ProxyBody::Whole(text.into()));
+        let format = hyper::header::HeaderValue::from_static(prometheus::TEXT_FORMAT);
+        response.headers_mut().insert(CONTENT_TYPE, format);
+        response
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        LIMITS
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,234 @@
+//! The state of one process, shared by everything that runs on its thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lifthollow_coordination::mesh::admission_queue::{AdmissionQueue, Ticket};
+use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
+use lifthollow_coordination::mesh::route_table::RouteTable;
+use lifthollow_coordination::mesh::server_selection::ServerPool;
+use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
+use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::Logger;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::http::pool::Pool;
+use crate::http::server::ConnectionLimits;
+use crate::logging::LineLimit;
+use crate::metrics::Metrics;
+use crate::settings::ProxySettings;
+use crate::wire_names::WireNames;
+
+/// How long a connection to another node may take.
+const PEER_CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// How long a connection to the server beside this node may take.
+const SERVER_CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Requests that are let to the server before its slots are known.
+const UNKNOWN_SLOTS: u32 = 16;
+/// Share of a server's slots that is used; many servers slow down when they are
+/// nearly full.
+const USED_SLOTS: f64 = 0.95;
+/// Size of a head unless the configuration says otherwise, bytes.
+const MAX_HEADER_BYTES: u64 = 16 * 1024;
+/// How long a connection may stay unused unless the configuration says otherwise.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Decisions and what they know.
+pub struct TrafficState {
+    /// What was told from outside.
+    pub snapshots: SnapshotStore,
+    /// The routes in force; none before a configuration arrived.
+    pub routes: Option<Arc<RouteTable>>,
+    /// Splits of routes over services.
+    pub split: WeightedSplit,
+    /// The servers.
+    pub servers: ServerPool,
+    /// Repeats that this node may send.
+    pub budgets: RetryBudgets,
+    /// The queue for the server beside this node.
+    pub queue: AdmissionQueue,
+    /// Attempts that wait in the queue.
+    pub waiters: HashMap<Ticket, oneshot::Sender<()>>,
+    /// Random numbers.
+    pub random: SmallRng,
+}
+
+/// One process.
+pub struct Node {
+    /// What it was told at its start.
+    pub settings: ProxySettings,
+    /// What callers and servers call their headers.
+    pub names: WireNames,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// Decisions.
+    pub state: RefCell<TrafficState>,
+    /// Connections to the server beside this node.
+    pub server_connections: Pool,
+    /// Connections to other nodes.
+    pub peer_connections: Pool,
+    /// Counters.
+    pub metrics: Rc<Metrics>,
+    /// The log.
+    pub log: Logger,
+    /// Bound on lines about requests.
+    pub line_limit: LineLimit,
+    /// A planned stop has begun.
+    pub leaving: Cell<bool>,
+    /// The highest revision heard of from another node, and which.
+    pub newer_at: Cell<Option<(u64, SocketAddrV4)>>,
+}
+
+impl Node {
+    /// A process that knows only its settings.
+    pub fn new(
+        settings: ProxySettings,
+        names: WireNames,
+        metrics: Rc<Metrics>,
+        log: Logger,
+    ) -> Rc<Self> {
+        let state = TrafficState {
+            snapshots: SnapshotStore::default(),
+            routes: None,
+            split: WeightedSplit::default(),
+            servers: ServerPool::new(&settings.zone),
+            budgets: RetryBudgets::new(settings.retry_bound),
+            queue: AdmissionQueue::new(UNKNOWN_SLOTS),
+            waiters: HashMap::new(),
+            random: SmallRng::from_rng(&mut rand::rng()),
+        };
+        Rc::new(Node {
+            settings,
+            names,
+            clock: Clock::start(),
+            state: RefCell::new(state),
+            server_connections: Pool::new(SERVER_CONNECT_LIMIT),
+            peer_connections: Pool::new(PEER_CONNECT_LIMIT),
+            metrics,
+            log,
+            line_limit: LineLimit::default(),
+            leaving: Cell::new(false),
+            newer_at: Cell::new(None),
+        })
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.state.borrow().routes.is_some()
+    }
+
+    /// Revision of the snapshot.
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().snapshots.snapshot().revision
+    }
+
+    /// Whether a line about a request may be written now.
+    pub fn may_log(&self) -> bool {
+        self.line_limit.allows(self.now())
+    }
+
+    /// The address of the node beside a server.
+    pub fn node_beside(&self, server: &ServerInstance) -> SocketAddrV4 {
+        SocketAddrV4::new(*server.address.ip(), self.settings.inbound.port())
+    }
+
+    /// Whether the server stands beside this node.
+    pub fn is_beside(&self, server: &ServerInstance) -> bool {
+        server.address == self.settings.server_address
+    }
+
+    /// The server beside this node, if it has announced itself.
+    pub fn own_server(&self, id: &InstanceId) -> Option<ServerInstance> {
+        let state = self.state.borrow();
+        let known = state.snapshots.snapshot().servers.get(id)?;
+        Some(known.instance.clone())
+    }
+
+    /// Starts attempts that no longer have to wait.
+    pub fn start_waiting(&self, state: &mut TrafficState, tickets: Vec<Ticket>) {
+        for ticket in tickets {
+            let started = state.waiters.remove(&ticket).map(|waiter| waiter.send(()));
+            if !matches!(started, Some(Ok(()))) {
+                let more = state.queue.finish(self.now(), None);
+                self.start_waiting(state, more);
+            }
+        }
+    }
+
+    /// Brings routes, servers and limits in line with the snapshot.
+    pub fn refresh(&self, state: &mut TrafficState) {
+        let now = self.now();
+        let snapshot = state.snapshots.snapshot().clone();
+        if let Some(configuration) = &snapshot.configuration {
+            self.refresh_routes(state, configuration);
+        }
+        let mut servers: Vec<ServerInstance> = snapshot
+            .servers
+            .values()
+            .map(|known| known.instance.clone())
+            .collect();
+        let without = |service: &str| !servers.iter().any(|server| server.service == service);
+        let vanished = state.snapshots.recently_vanished(now);
+        let still_used: Vec<ServerInstance> = vanished
+            .into_iter()
+            .filter(|server| without(&server.service))
+            .collect();
+        servers.extend(still_used);
+        self.refresh_queue(state, &servers);
+        state.budgets.set_nodes(servers.len());
+        state.servers.set_servers(now, servers);
+        self.metrics.snapshot_revision.set(snapshot.revision as i64);
+    }
+
+    fn refresh_routes(&self, state: &mut TrafficState, configuration: &Configuration) {
+        let known = state.routes.as_ref().map(|routes| routes.version());
+        if known == Some(configuration.version) {
+            return;
+        }
+        state.routes = Some(Arc::new(RouteTable::new(configuration)));
+        let names: std::collections::HashSet<&str> = configuration
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        state.split.retain(|name| names.contains(name));
+        self.metrics
+            .configuration_version
+            .set(configuration.version as i64);
+    }
+
+    fn refresh_queue(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
+        let own = servers.iter().find(|server| self.is_beside(server));
+        if let Some(own) = own {
+            let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
+            let started = state.queue.set_limit(used.max(1));
+            self.start_waiting(state, started);
+        }
+    }
+
+    /// What callers may send and how long they may take.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let state = self.state.borrow();
+        let snapshot = state.snapshots.snapshot();
+        let limits = snapshot.configuration.as_ref().map(|known| known.limits);
+        let limits = limits.unwrap_or_default();
+        ConnectionLimits {
+            max_header_bytes: limits.max_header_bytes.unwrap_or(MAX_HEADER_BYTES) as usize,
+            idle_timeout: limits.idle_timeout.unwrap_or(IDLE_TIMEOUT),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/outbound.rs
@@ -0,0 +1,534 @@
+//! Requests of local callers: routed, attempted, answered.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use lifthollow_coordination::mesh::admission_queue::Rank;
+use lifthollow_coordination::mesh::call::{
+    AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
+};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{Route, ServerInstance};
+use slog::info;
+use tokio::time::{sleep_until, timeout_at};
+
+use crate::http::ProxyBody;
+use crate::http::body::{self, ReadBody};
+use crate::http::headers::remove_single_connection;
+use crate::http::pool::SendError;
+use crate::http::server::{ConnectionLimits, Handler};
+use crate::inbound::{self, Attempt, AttemptOutcome, milliseconds_value};
+use crate::node::Node;
+use crate::{peer_headers, snapshots};
+
+/// Bodies up to this size are taken in whole, so that they can be sent again.
+const MAX_HELD_REQUEST: usize = 256 * 1024;
+/// Answers of other nodes up to this size are taken in whole.
+const MAX_HELD_ANSWER: usize = 256 * 1024;
+/// Size of a body unless the configuration says otherwise, bytes.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// The part of the target latency that a request may spend in queues.
+const QUEUE_SHARE: f64 = 0.2;
+/// Time in queues for routes without a target latency.
+const DEFAULT_QUEUE_TIME: Duration = Duration::from_millis(200);
+/// When callers may come back before there is a configuration.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// The port for local callers.
+pub struct Outbound(pub Rc<Node>);
+
+impl Handler for Outbound {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
+        let node = &self.0;
+        let arrived = node.now();
+        let (outcome, response) = serve(node, arrived, request).await;
+        let took = node.now().saturating_since(arrived);
+        node.metrics.requests.with_label_values(&[outcome]).inc();
+        node.metrics.request_duration.observe(took.as_secs_f64());
+        response
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        self.0.connection_limits()
+    }
+}
+
+/// A request whose route is known.
+struct RoutedRequest {
+    head: Parts,
+    body: HeldBody,
+    route: Rc<RouteInForce>,
+    arrived: Timestamp,
+}
+
+struct RouteInForce {
+    route: std::sync::Arc<Route>,
+    version: u64,
+    service: String,
+}
+
+/// A request's body; one that is too large to be held can be sent once.
+enum HeldBody {
+    Whole(Bytes),
+    Once(Option<ProxyBody>),
+}
+
+impl HeldBody {
+    fn take(&mut self) -> Option<ProxyBody> {
+        match self {
+            HeldBody::Whole(bytes) => Some(ProxyBody::Whole(bytes.clone())),
+            HeldBody::Once(body) => body.take(),
+        }
+    }
+
+    fn is_spent(&self) -> bool {
+        matches!(self, HeldBody::Once(None))
+    }
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    arrived: Timestamp,
+    request: Request<Incoming>,
+) -> (&'static str, Response<ProxyBody>) {
+    let (mut head, incoming) = request.into_parts();
+    remove_single_connection(&mut head.headers);
+    peer_headers::strip(&mut head.headers);
+    let route = match find_route(node, &head) {
+        Ok(route) => Rc::new(route),
+        Err(StatusCode::NOT_FOUND) => return ("no-route", status(StatusCode::NOT_FOUND)),
+        Err(_) => {
+            let refusal = FinalAnswer::Refused {
+                retry_after: UNCONFIGURED_RETRY_AFTER,
+                reason: RefusalReason::NotConfigured,
+            };
+            return ("not-configured", final_response(node, refusal));
+        }
+    };
+    let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
+    let call = Call::new(arrived, &route.route, patience);
+    let body = match read_body(node, &call, incoming).await {
+        Ok(body) => body,
+        Err(refused) => return ("bad-request", status(refused)),
+    };
+    let mut request = RoutedRequest {
+        head,
+        body,
+        route,
+        arrived,
+    };
+    attempts(node, &mut request, call).await
+}
+
+fn find_route(node: &Rc<Node>, head: &Parts) -> Result<RouteInForce, StatusCode> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let routes = state
+        .routes
+        .as_ref()
+        .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = named.or(head.uri.host()).unwrap_or_default();
+    let route = routes
+        .find(host, head.uri.path())
+        .ok_or(StatusCode::NOT_FOUND)?;
+    let service = state.split.choose(route, &mut state.random).to_owned();
+    Ok(RouteInForce {
+        route: route.clone(),
+        version: routes.version(),
+        service,
+    })
+}
+
+async fn read_body(
+    node: &Rc<Node>,
+    call: &Call,
+    incoming: Incoming,
+) -> Result<HeldBody, StatusCode> {
+    let limit = max_body_bytes(node);
+    let length = hyper::body::Body::size_hint(&incoming).lower();
+    if length > limit {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let ends = node.clock.instant(call.ends()).into();
+    let read = timeout_at(ends, body::read(incoming, MAX_HELD_REQUEST))
+        .await
+        .map_err(|_| StatusCode::REQUEST_TIMEOUT)?
+        .map_err(|_| StatusCode::BAD_REQUEST)?;
+    Ok(match read {
+        ReadBody::Whole(bytes) => HeldBody::Whole(bytes),
+        ReadBody::Larger { arrived, rest } => HeldBody::Once(Some(ProxyBody::Passing {
+            arrived,
+            rest,
+            guard: Box::new(()),
+        })),
+    })
+}
+
+fn max_body_bytes(node: &Rc<Node>) -> u64 {
+    let state = node.state.borrow();
+    let snapshot = state.snapshots.snapshot();
+    let configuration = snapshot.configuration.as_ref();
+    configuration
+        .and_then(|known| known.limits.max_body_bytes)
+        .unwrap_or(MAX_BODY_BYTES)
+}
+
+/// Sends attempts until one is answered or none is left.
+async fn attempts(
+    node: &Rc<Node>,
+    request: &mut RoutedRequest,
+    mut call: Call,
+) -> (&'static str, Response<ProxyBody>) {
+    loop {
+        let Some(server) = choose_server(node, request, &call) else {
+            let answer = call.give_up();
+            return finish(node, request, answer);
+        };
+        if node.now() >= call.ends() {
+            let answer = call.timed_out(false);
+            return finish(node, request, answer);
+        }
+        let ended = attempt(node, request, &mut call, &server).await;
+        let next = match ended {
+            Ended::Answered(response) => return ("answered", response),
+            Ended::TimedOut => {
+                let answer = call.timed_out(true);
+                return finish(node, request, answer);
+            }
+            Ended::Prepaid(end) => call.attempt_ended(&server.id, &end, || true),
+            Ended::Failed(end) => {
+                note_failure(node, &server, &end);
+                call.attempt_ended(&server.id, &end, || pay_for_repeat(node, request))
+            }
+        };
+        match next {
+            NextStep::Attempt if !request.body.is_spent() => {}
+            NextStep::Attempt => {
+                let answer = call.give_up();
+                return finish(node, request, answer);
+            }
+            NextStep::Finish(answer) => return finish(node, request, answer),
+        }
+    }
+}
+
+fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<ServerInstance> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let service = &request.route.service;
+    state
+        .servers
+        .choose(node.now(), service, call.excluded(), &mut state.random)
+}
+
+fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let paid = state.budgets.withdraw(now, &request.route.service);
+    if paid {
+        node.metrics.repeats.inc();
+    }
+    paid
+}
+
+/// How one attempt ended, as seen from the caller's side.
+enum Ended {
+    Answered(Response<ProxyBody>),
+    Failed(AttemptEnd),
+    /// It was given up for another attempt that is already paid for.
+    Prepaid(AttemptEnd),
+    TimedOut,
+}
+
+async fn attempt(
+    node: &Rc<Node>,
+    request: &mut RoutedRequest,
+    call: &mut Call,
+    server: &ServerInstance,
+) -> Ended {
+    let sent = node.now();
+    let Some(body) = request.body.take() else {
+        return Ended::Failed(AttemptEnd::Unknown {
+            reason: UnknownReason::AnswerLost,
+        });
+    };
+    {
+        let mut state = node.state.borrow_mut();
+        if !call.is_repeat() {
+            state.budgets.deposit(sent, &request.route.service);
+        }
+        state.servers.sent(&server.id);
+    }
+    let _in_flight = InFlight { node, server };
+    let outgoing = outgoing_request(node, request, server, body);
+    let attempt = Attempt {
+        request: outgoing,
+        server: server.id.clone(),
+        ends: call.ends(),
+        rank: Rank(u16::from(request.route.route.priority)),
+        patience: queue_patience(request, sent),
+    };
+    let ends = node.clock.instant(call.ends()).into();
+    let silence = node.state.borrow().servers.silence(&server.id);
+    let mut check = node.clock.instant(sent + silence).into();
+    let mut sending = std::pin::pin!(send(node, server, attempt));
+    loop {
+        tokio::select! {
+            biased;
+            outcome = &mut sending => {
+                return match outcome.response {
+                    Some(response) => Ended::Answered(response),
+                    None => Ended::Failed(outcome.end),
+                };
+            }
+            _ = sleep_until(ends) => return Ended::TimedOut,
+            _ = sleep_until(check) => {
+                let now = node.now();
+                if node.state.borrow().servers.is_silent(now, &server.id, sent)
+                    && call.may_repeat_elsewhere()
+                    && pay_for_repeat(node, request)
+                {
+                    let reason = UnknownReason::Silent;
+                    note_failure(node, server, &AttemptEnd::Unknown { reason });
+                    return Ended::Prepaid(AttemptEnd::Unknown { reason });
+                }
+                check = node.clock.instant(now + silence).into();
+            }
+        }
+    }
+}
+
+/// Counts an attempt as in flight while it lives.
+struct InFlight<'a> {
+    node: &'a Rc<Node>,
+    server: &'a ServerInstance,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        state.servers.ended(&self.server.id);
+    }
+}
+
+fn queue_patience(request: &RoutedRequest, now: Timestamp) -> Duration {
+    let target = request.route.route.target_latency;
+    let whole = target.map_or(DEFAULT_QUEUE_TIME, |target| target.mul_f64(QUEUE_SHARE));
+    whole.saturating_sub(now.saturating_since(request.arrived))
+}
+
+fn outgoing_request(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    server: &ServerInstance,
+    body: ProxyBody,
+) -> Request<ProxyBody> {
+    let mut outgoing = Request::new(body);
+    *outgoing.method_mut() = request.head.method.clone();
+    *outgoing.uri_mut() = request.head.uri.clone();
+    let headers = outgoing.headers_mut();
+    *headers = request.head.headers.clone();
+    let names = &node.names;
+    let caller = HeaderValue::from_str(&node.settings.service);
+    headers.insert(
+        &names.caller_service,
+        caller.unwrap_or(HeaderValue::from_static("")),
+    );
+    let instance = HeaderValue::from_str(server.id.as_str());
+    headers.insert(
+        &names.expected_instance,
+        instance.unwrap_or(HeaderValue::from_static("")),
+    );
+    outgoing
+}
+
+async fn send(node: &Rc<Node>, server: &ServerInstance, attempt: Attempt) -> AttemptOutcome {
+    let started = node.now();
+    let is_beside = node.is_beside(server);
+    let (outcome, load) = if is_beside {
+        let outcome = inbound::execute(node, attempt).await;
+        let load = node.state.borrow().queue.occupancy();
+        (outcome, Some(load))
+    } else {
+        send_to_node(node, server, attempt).await
+    };
+    if outcome.end == AttemptEnd::Answered {
+        let now = node.now();
+        let latency = now.saturating_since(started);
+        let mut state = node.state.borrow_mut();
+        state.servers.heard(now, &server.id, load, Some(latency));
+    } else if let Some(load) = load {
+        let now = node.now();
+        let mut state = node.state.borrow_mut();
+        state.servers.reported(now, &server.id, load);
+    }
+    outcome
+}
+
+async fn send_to_node(
+    node: &Rc<Node>,
+    server: &ServerInstance,
+    mut attempt: Attempt,
+) -> (
+    AttemptOutcome,
+    Option<lifthollow_coordination::mesh::admission_queue::Occupancy>,
+) {
+    let address = node.node_beside(server);
+    let now = node.now();
+    let headers = attempt.request.headers_mut();
+    let left = attempt.ends.saturating_since(now);
+    headers.insert(&node.names.deadline_ms, milliseconds_value(left));
+    headers.insert(peer_headers::RANK, HeaderValue::from(attempt.rank.0));
+    headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
+    headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
+    let sent = node.peer_connections.send(address, attempt.request).await;
+    let (response, lease) = match sent {
+        Ok(answered) => answered,
+        Err(SendError::NotSent(_)) => {
+            let end = AttemptEnd::NotRun {
+                offered: false,
+                reason: NotRunReason::NodeUnreachable,
+                retry_after: None,
+            };
+            return (
+                AttemptOutcome {
+                    end,
+                    response: None,
+                },
+                None,
+            );
+        }
+        Err(SendError::Lost(_)) => return (lost(), None),
+    };
+    let (mut head, incoming) = response.into_parts();
+    snapshots::note_revision(node, &head.headers, address);
+    let load = peer_headers::load(&head.headers);
+    let end = peer_headers::outcome(&head.headers);
+    let body = match body::read(incoming, MAX_HELD_ANSWER).await {
+        Err(_) => return (lost(), load),
+        Ok(ReadBody::Whole(bytes)) => {
+            lease.keep();
+            ProxyBody::Whole(bytes)
+        }
+        Ok(ReadBody::Larger { arrived, rest }) => ProxyBody::Passing {
+            arrived,
+            rest,
+            guard: Box::new(lease),
+        },
+    };
+    if end != AttemptEnd::Answered {
+        return (
+            AttemptOutcome {
+                end,
+                response: None,
+            },
+            load,
+        );
+    }
+    remove_single_connection(&mut head.headers);
+    peer_headers::strip(&mut head.headers);
+    let outcome = AttemptOutcome {
+        end,
+        response: Some(Response::from_parts(head, body)),
+    };
+    (outcome, load)
+}
+
+fn lost() -> AttemptOutcome {
+    AttemptOutcome {
+        end: AttemptEnd::Unknown {
+            reason: UnknownReason::AnswerLost,
+        },
+        response: None,
+    }
+}
+
+/// Sets a server aside that could not be reached or stayed silent.
+fn note_failure(node: &Rc<Node>, server: &ServerInstance, end: &AttemptEnd) {
+    let is_failure = match end {
+        AttemptEnd::Answered => false,
+        AttemptEnd::Unknown { reason } => *reason != UnknownReason::AnswerInvalid,
+        AttemptEnd::NotRun { reason, .. } => !matches!(
+            reason,
+            NotRunReason::QueueFull | NotRunReason::QueueTimeout | NotRunReason::ServerRefused
+        ),
+    };
+    if !is_failure {
+        return;
+    }
+    let now = node.now();
+    let set_aside = node.state.borrow_mut().servers.failed(now, &server.id);
+    if node.may_log() {
+        info!(node.log, "server set aside"; "server" => server.id.as_str(), "service" => &server.service, "why" => end_word(end), "for_ms" => set_aside.as_millis() as u64);
+    }
+}
+
+fn end_word(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered => "answered",
+        AttemptEnd::NotRun { reason, .. } => peer_headers::not_run_word(*reason),
+        AttemptEnd::Unknown { reason } => peer_headers::unknown_word(*reason),
+    }
+}
+
+fn finish(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    answer: FinalAnswer,
+) -> (&'static str, Response<ProxyBody>) {
+    let (outcome, why) = answer_words(&answer);
+    if node.may_log() {
+        let id = request.head.headers.get(&node.names.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let now = node.now();
+        let held = now.saturating_since(request.arrived).as_millis() as u64;
+        info!(node.log, "request not served"; "request" => id, "outcome" => outcome, "why" => why,
+            "route" => &request.route.route.name, "service" => &request.route.service,
+            "configuration" => request.route.version, "revision" => node.revision(), "held_ms" => held);
+    }
+    (outcome, final_response(node, answer))
+}
+
+fn answer_words(answer: &FinalAnswer) -> (&'static str, &'static str) {
+    match answer {
+        FinalAnswer::Unknown => ("unknown", "answer-lost"),
+        FinalAnswer::TimedOut => ("timed-out", "out-of-time"),
+        FinalAnswer::Refused { reason, .. } => {
+            let why = match reason {
+                RefusalReason::NotConfigured => "not-configured",
+                RefusalReason::NoServer => "no-server",
+                RefusalReason::OutOfTime => "out-of-time",
+                RefusalReason::AllRefused(reason) => peer_headers::not_run_word(*reason),
+            };
+            ("refused", why)
+        }
+    }
+}
+
+fn final_response(node: &Rc<Node>, answer: FinalAnswer) -> Response<ProxyBody> {
+    match answer {
+        FinalAnswer::Unknown => status(StatusCode::BAD_GATEWAY),
+        FinalAnswer::TimedOut => status(StatusCode::GATEWAY_TIMEOUT),
+        FinalAnswer::Refused { retry_after, .. } => {
+            let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            let seconds = HeaderValue::try_from(seconds).expect("digits and a point");
+            response
+                .headers_mut()
+                .insert(&node.names.retry_after, seconds);
+            response
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<ProxyBody> {
+    let mut response = Response::new(ProxyBody::empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/proxy/src/peer_headers.rs
@@ -0,0 +1,160 @@
+//! Headers that nodes exchange with each other.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::{HeaderName, HeaderValue};
+use lifthollow_coordination::mesh::admission_queue::{Occupancy, Rank};
+use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+
+/// What all of them begin with. Callers' headers of this kind are dropped.
+pub const PREFIX: &str = "lifthollow-";
+/// Path at which a node gives its snapshot.
+pub const SNAPSHOT_PATH: &str = "/lifthollow/snapshot";
+/// Order of the attempt among others.
+pub const RANK: HeaderName = HeaderName::from_static("lifthollow-rank");
+/// How long the attempt may wait before it runs, milliseconds.
+pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
+/// Revision of the sender's snapshot.
+pub const REVISION: HeaderName = HeaderName::from_static("lifthollow-revision");
+/// How the attempt ended.
+pub const OUTCOME: HeaderName = HeaderName::from_static("lifthollow-outcome");
+/// Running, waiting and allowed requests at the server.
+pub const LOAD: HeaderName = HeaderName::from_static("lifthollow-load");
+
+const ANSWERED: &str = "answered";
+const NOT_RUN: &str = "not-run";
+const UNKNOWN: &str = "unknown";
+
+const NOT_RUN_REASONS: [(&str, NotRunReason); 8] = [
+    ("node-unreachable", NotRunReason::NodeUnreachable),
+    ("node-leaving", NotRunReason::NodeLeaving),
+    ("server-draining", NotRunReason::ServerDraining),
+    ("wrong-instance", NotRunReason::WrongInstance),
+    ("server-unreachable", NotRunReason::ServerUnreachable),
+    ("queue-full", NotRunReason::QueueFull),
+    ("queue-timeout", NotRunReason::QueueTimeout),
+    ("server-refused", NotRunReason::ServerRefused),
+];
+
+const UNKNOWN_REASONS: [(&str, UnknownReason); 3] = [
+    ("answer-lost", UnknownReason::AnswerLost),
+    ("answer-invalid", UnknownReason::AnswerInvalid),
+    ("silent", UnknownReason::Silent),
+];
+
+/// The word for a reason, in headers, logs and metrics.
+pub fn not_run_word(reason: NotRunReason) -> &'static str {
+    word(&NOT_RUN_REASONS, reason)
+}
+
+/// The word for a reason, in headers, logs and metrics.
+pub fn unknown_word(reason: UnknownReason) -> &'static str {
+    word(&UNKNOWN_REASONS, reason)
+}
+
+fn word<R: Copy + PartialEq>(words: &[(&'static str, R)], reason: R) -> &'static str {
+    let found = words.iter().find(|(_, known)| *known == reason);
+    found.map_or("other", |(word, _)| word)
+}
+
+fn reason<R: Copy>(words: &[(&'static str, R)], wanted: &str) -> Option<R> {
+    let found = words.iter().find(|(word, _)| *word == wanted);
+    found.map(|(_, reason)| *reason)
+}
+
+/// The value of [`OUTCOME`].
+pub fn outcome_value(end: &AttemptEnd) -> HeaderValue {
+    let text = match end {
+        AttemptEnd::Answered => return HeaderValue::from_static(ANSWERED),
+        AttemptEnd::Unknown { reason } => format!("{UNKNOWN} {}", unknown_word(*reason)),
+        AttemptEnd::NotRun {
+            offered,
+            reason,
+            retry_after,
+        } => {
+            let offered = u8::from(*offered);
+            let retry_after = retry_after.unwrap_or_default().as_millis();
+            format!("{NOT_RUN} {} {offered} {retry_after}", not_run_word(*reason))
+        }
+    };
+    HeaderValue::try_from(text).expect("the words are plain text")
+}
+
+/// Reads [`OUTCOME`]; what can't be read counts as unknown.
+pub fn outcome(headers: &HeaderMap) -> AttemptEnd {
+    let value = headers.get(OUTCOME).and_then(|value| value.to_str().ok());
+    value
+        .and_then(parse_outcome)
+        .unwrap_or(AttemptEnd::Unknown {
+            reason: UnknownReason::AnswerInvalid,
+        })
+}
+
+fn parse_outcome(value: &str) -> Option<AttemptEnd> {
+    let mut words = value.split(' ');
+    match words.next()? {
+        ANSWERED => Some(AttemptEnd::Answered),
+        UNKNOWN => {
+            let reason = reason(&UNKNOWN_REASONS, words.next()?)?;
+            Some(AttemptEnd::Unknown { reason })
+        }
+        NOT_RUN => {
+            let reason = reason(&NOT_RUN_REASONS, words.next()?)?;
+            let offered = words.next()? != "0";
+            let retry_after = Duration::from_millis(words.next()?.parse().ok()?);
+            let retry_after = (!retry_after.is_zero()).then_some(retry_after);
+            Some(AttemptEnd::NotRun {
+                offered,
+                reason,
+                retry_after,
+            })
+        }
+        _ => None,
+    }
+}
+
+/// The value of [`LOAD`].
+pub fn load_value(load: Occupancy) -> HeaderValue {
+    let text = format!("{} {} {}", load.running, load.waiting, load.limit);
+    HeaderValue::try_from(text).expect("digits and blanks")
+}
+
+/// Reads [`LOAD`].
+pub fn load(headers: &HeaderMap) -> Option<Occupancy> {
+    let value = headers.get(LOAD)?.to_str().ok()?;
+    let mut numbers = value.split(' ').map(|number| number.parse().ok());
+    Some(Occupancy {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        limit: numbers.next()??,
+    })
+}
+
+/// Reads [`RANK`]; requests without one come last.
+pub fn rank(headers: &HeaderMap) -> Rank {
+    Rank(number(headers, &RANK).unwrap_or(u16::MAX))
+}
+
+/// Reads a header that holds a whole number.
+pub fn number<N: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<N> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Reads a header that holds whole milliseconds.
+pub fn milliseconds(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    number(headers, name).map(Duration::from_millis)
+}
+
+/// Drops all headers that only nodes may send.
+pub fn strip(headers: &mut HeaderMap) {
+    let ours: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(PREFIX))
+        .cloned()
+        .collect();
+    for name in ours {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/process.rs
@@ -0,0 +1,152 @@
+//! Start, listeners, signals and stop of a process.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use slog::info;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::http::ProxyBody;
+use crate::http::server::{self, ConnectionLimits, Handler, InProgress};
+use crate::http::socket;
+use crate::inbound::Inbound;
+use crate::node::Node;
+use crate::outbound::Outbound;
+
+/// Time between housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// After a planned stop began, callers are still served this long: until then
+/// the platform has noticed that the node isn't ready.
+const STILL_SERVING: Duration = Duration::from_millis(2600);
+/// Kept back of the time that a planned stop may take.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time between looks at what is still in progress while stopping.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Bounds of a connection that asks for readiness.
+const READINESS_LIMITS: ConnectionLimits = ConnectionLimits {
+    max_header_bytes: 8192,
+    idle_timeout: Duration::from_secs(10),
+};
+
+/// Runs `node` until it is told to stop. `source` is run beside it and tells it
+/// what comes from outside; `reload` is called when settings may have changed.
+pub async fn run(
+    node: Rc<Node>,
+    source: impl Future<Output = ()> + 'static,
+    reload: impl Fn(&Rc<Node>) + 'static,
+) -> Result<()> {
+    let settings = &node.settings;
+    let mut terminate = signal(SignalKind::terminate()).context("signal TERM")?;
+    let mut hangup = signal(SignalKind::hangup()).context("signal HUP")?;
+    let outbound = listen("outbound", settings.outbound)?;
+    let inbound = listen("inbound", settings.inbound)?;
+    let readiness = listen("readiness", settings.readiness)?;
+    let (close, closing) = watch::channel(false);
+    let callers = InProgress::default();
+    let peers = InProgress::default();
+    let others = InProgress::default();
+    spawn_local(server::run(outbound, Rc::new(Outbound(node.clone())), callers.clone(), closing.clone()));
+    spawn_local(server::run(inbound, Rc::new(Inbound(node.clone())), peers.clone(), closing.clone()));
+    spawn_local(server::run(readiness, Rc::new(Readiness(node.clone())), others.clone(), closing.clone()));
+    if let Some(address) = settings.metrics {
+        let listener = listen("metrics", address)?;
+        spawn_local(server::run(listener, node.metrics.clone(), others, closing.clone()));
+    }
+    spawn_local(source);
+    spawn_local(housekeeping(node.clone()));
+    info!(node.log, "started"; "node" => &settings.node_name, "service" => &settings.service,
+        "zone" => &settings.zone, "outbound" => %settings.outbound, "inbound" => %settings.inbound,
+        "version" => env!("CARGO_PKG_VERSION"));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&node),
+        }
+    }
+    stop(&node, &callers, &peers, close).await;
+    Ok(())
+}
+
+fn listen(what: &str, address: SocketAddrV4) -> Result<TcpListener> {
+    socket::listen(address).with_context(|| format!("listening at {address} for {what}"))
+}
+
+/// New attempts for the server are refused at once; callers are served until
+/// they have gone elsewhere and nothing is in progress.
+async fn stop(node: &Rc<Node>, callers: &InProgress, peers: &InProgress, close: watch::Sender<bool>) {
+    let begun = Instant::now();
+    node.leaving.set(true);
+    info!(node.log, "stopping"; "requests" => callers.requests(), "attempts" => peers.requests());
+    sleep_until(begun + STILL_SERVING).await;
+    let _ = close.send(true);
+    let last = begun + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
+    let nothing_left = async {
+        while callers.connections() + peers.requests() > 0 {
+            sleep(STOP_POLL).await;
+        }
+    };
+    let left = last.saturating_duration_since(Instant::now());
+    let is_complete = timeout(left, nothing_left).await.is_ok();
+    info!(node.log, "stopped"; "complete" => is_complete, "requests" => callers.requests(),
+        "attempts" => peers.requests(), "after_ms" => begun.elapsed().as_millis() as u64);
+}
+
+async fn housekeeping(node: Rc<Node>) {
+    loop {
+        sleep(HOUSEKEEPING).await;
+        node.server_connections.close_expired();
+        node.peer_connections.close_expired();
+        let left_out = node.line_limit.take_left_out();
+        if left_out > 0 {
+            node.metrics.log_lines_left_out.inc_by(left_out);
+            info!(node.log, "log lines left out"; "count" => left_out);
+        }
+        note_gauges(&node);
+        let mut state = node.state.borrow_mut();
+        node.refresh(&mut state);
+    }
+}
+
+fn note_gauges(node: &Rc<Node>) {
+    let load = node.state.borrow().queue.occupancy();
+    let gauge = |what: &str, value: u32| {
+        node.metrics.load.with_label_values(&[what]).set(i64::from(value));
+    };
+    gauge("running", load.running);
+    gauge("waiting", load.waiting);
+    gauge("limit", load.limit);
+    let connections = &node.metrics.connections;
+    let to_server = node.server_connections.opened() as i64;
+    connections.with_label_values(&["server"]).set(to_server);
+    let to_nodes = node.peer_connections.opened() as i64;
+    connections.with_label_values(&["nodes"]).set(to_nodes);
+}
+
+/// The port at which the platform asks whether the node is ready.
+struct Readiness(Rc<Node>);
+
+impl Handler for Readiness {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
+        let is_known = request.uri().path() == self.0.names.readiness_path;
+        let status = match (is_known, self.0.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut response = Response::new(ProxyBody::empty());
+        *response.status_mut() = status;
+        response
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        READINESS_LIMITS
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/wire_names.rs
@@ -0,0 +1,25 @@
+//! What callers, servers and the platform call what is spoken with them.
+
+use hyper::header::HeaderName;
+
+/// Names of headers and paths. Values have the same form everywhere: times are
+/// whole milliseconds.
+#[derive(Clone, Debug)]
+pub struct WireNames {
+    /// Names one attempt of a caller; servers repeat it in their answers.
+    pub request_id: HeaderName,
+    /// How long the caller waits, milliseconds.
+    pub deadline_ms: HeaderName,
+    /// A server's proof that an answer is its own.
+    pub signature: HeaderName,
+    /// The only server instance that may run the request.
+    pub expected_instance: HeaderName,
+    /// Says in a server's answer that it has not run the request.
+    pub not_run: HeaderName,
+    /// The service of the machine that the request started on.
+    pub caller_service: HeaderName,
+    /// When the caller may come back, seconds.
+    pub retry_after: HeaderName,
+    /// Where the platform asks whether the node is ready.
+    pub readiness_path: String,
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod finding;
 pub mod identity;
+pub mod mesh;
 pub mod request;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/state/src/mesh/configuration.rs
@@ -0,0 +1,137 @@
+//! The operators' configuration as a whole.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use minicbor::{Decode, Encode};
+use thiserror::Error;
+
+use crate::mesh::codec;
+use crate::mesh::route::Route;
+
+/// What is set for one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ServiceSettings {
+    /// The most connections that each of its servers takes; none if not told.
+    #[n(0)]
+    pub max_connections: Option<u32>,
+}
+
+/// What callers may send. Where a bound isn't given, the node's own holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct RequestLimits {
+    /// Size of a request's head, bytes.
+    #[n(0)]
+    pub max_header_bytes: Option<u64>,
+    /// Size of a request's body, bytes.
+    #[n(1)]
+    pub max_body_bytes: Option<u64>,
+    /// How long a head may take to arrive.
+    #[cbor(n(2), with = "codec::optional_duration")]
+    pub header_timeout: Option<Duration>,
+    /// How long a kept connection may stay unused.
+    #[cbor(n(3), with = "codec::optional_duration")]
+    pub idle_timeout: Option<Duration>,
+}
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Configuration {
+    /// Rises with each change.
+    #[n(0)]
+    pub version: u64,
+    /// All routes.
+    #[n(1)]
+    pub routes: Vec<Route>,
+    /// All services by name.
+    #[n(2)]
+    pub services: BTreeMap<String, ServiceSettings>,
+    /// What callers may send.
+    #[n(3)]
+    pub limits: RequestLimits,
+}
+
+/// Why a configuration can't be used, with the place.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ConfigurationError {
+    /// A prefix that does not begin and end with a slash.
+    #[error("route {route}: path prefix {prefix:?} must begin and end with a slash")]
+    BarePrefix {
+        /// The route's name.
+        route: String,
+        /// The prefix.
+        prefix: String,
+    },
+    /// No host.
+    #[error("route {route}: no host")]
+    NoHost {
+        /// The route's name.
+        route: String,
+    },
+    /// No destination, or none with a weight.
+    #[error("route {route}: no destination with a weight above zero")]
+    NoDestination {
+        /// The route's name.
+        route: String,
+    },
+    /// A destination that is not among the services.
+    #[error("route {route}: unknown service {service}")]
+    UnknownService {
+        /// The route's name.
+        route: String,
+        /// The service's name.
+        service: String,
+    },
+    /// A request could be sent to no server.
+    #[error("route {route}: at least one attempt must be allowed")]
+    NoAttempts {
+        /// The route's name.
+        route: String,
+    },
+    /// Two routes take the same requests.
+    #[error("route {route}: another route has its host and path prefix")]
+    DuplicateMatch {
+        /// The route's name.
+        route: String,
+    },
+}
+
+impl Configuration {
+    /// All that is wrong with the configuration; empty if it can be used.
+    pub fn findings(&self) -> Vec<ConfigurationError> {
+        let mut matches = HashSet::new();
+        let mut findings = Vec::new();
+        for route in &self.routes {
+            self.check_route(route, &mut findings);
+            if !matches.insert((route.host.as_str(), route.path_prefix.as_str())) {
+                let route = route.name.clone();
+                findings.push(ConfigurationError::DuplicateMatch { route });
+            }
+        }
+        findings
+    }
+
+    fn check_route(&self, route: &Route, findings: &mut Vec<ConfigurationError>) {
+        let name = || route.name.clone();
+        let prefix = &route.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            let prefix = prefix.clone();
+            findings.push(ConfigurationError::BarePrefix { route: name(), prefix });
+        }
+        if route.host.is_empty() {
+            findings.push(ConfigurationError::NoHost { route: name() });
+        }
+        if route.destinations.iter().all(|part| part.weight == 0) {
+            findings.push(ConfigurationError::NoDestination { route: name() });
+        }
+        if route.max_attempts == 0 {
+            findings.push(ConfigurationError::NoAttempts { route: name() });
+        }
+        for part in &route.destinations {
+            if !self.services.contains_key(&part.service) {
+                let service = part.service.clone();
+                findings.push(ConfigurationError::UnknownService { route: name(), service });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/mesh/mod.rs
@@ -0,0 +1,15 @@
+//! Values of a mesh of services that is routed by host and path.
+//!
+//! A [`Snapshot`] holds all that a node is told from outside: the
+//! [`Configuration`] of the operators and the [`ServerInstance`]s that run.
+
+mod codec;
+mod configuration;
+mod route;
+mod server_instance;
+mod snapshot;
+
+pub use configuration::{Configuration, ConfigurationError, RequestLimits, ServiceSettings};
+pub use route::{Destination, RequestKind, Route};
+pub use server_instance::{InstanceId, ServerInstance, ServerState};
+pub use snapshot::{KnownServer, Snapshot};
