Probe a silent server's node and hedge, rather than give an attempt up

Now silence leads to a probe of the node beside it, and only if that fails to a second attempt beside the first. Servers that were set aside come back by a probe, so that no request is spent on finding out.

--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -59,8 +59,16 @@
     next_ticket: u64,
     waiting: BTreeMap<(Rank, Ticket), Timestamp>,
     service_time: LatencyEstimate,
+    /// When the server last answered, or began to have something to answer.
+    responsive: Timestamp,
+    /// When the last request was let to a silent server.
+    tried: Timestamp,
 }
 
+/// A server that answers nothing is not called silent before this time.
+const MIN_SILENCE: Duration = Duration::from_millis(600);
+/// A silent server gets one request in this time.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Without samples a run is taken to last this long.
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(50);
 /// Callers are asked to come back no sooner than this.
@@ -77,14 +85,16 @@
             next_ticket: 0,
             waiting: BTreeMap::new(),
             service_time: LatencyEstimate::default(),
+            responsive: Timestamp::ZERO,
+            tried: Timestamp::ZERO,
         }
     }
 
     /// Sets how many requests may be at the server at once. Returns those that
     /// may run now.
-    pub fn set_limit(&mut self, limit: u32) -> Vec<Ticket> {
+    pub fn set_limit(&mut self, now: Timestamp, limit: u32) -> Vec<Ticket> {
         self.limit = limit.max(1);
-        self.start_waiting()
+        self.start_waiting(now)
     }
 
     /// The load here.
@@ -99,7 +109,7 @@
     /// A request wants to run and can wait for `patience`.
     pub fn offer(&mut self, now: Timestamp, rank: Rank, patience: Duration) -> Admission {
         if self.running < self.limit {
-            self.running += 1;
+            self.start(now);
             return Admission::Run;
         }
         let wait = self.expected_wait(rank);
@@ -113,6 +123,30 @@
         Admission::Wait(ticket)
     }
 
+    /// Whether the server has had requests for a while and answered none of them.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        let silence = (self.service_time.high() * 2).max(MIN_SILENCE);
+        self.running > 0 && now.saturating_since(self.responsive) > silence
+    }
+
+    /// Whether a request may be let to the server: one that is silent gets one
+    /// now and then, to see whether it answers again.
+    pub fn may_try(&mut self, now: Timestamp) -> bool {
+        if !self.is_silent(now) {
+            return true;
+        }
+        if now.saturating_since(self.tried) < TRIAL_INTERVAL {
+            return false;
+        }
+        self.tried = now;
+        true
+    }
+
+    /// The server answered something.
+    pub fn answered(&mut self, now: Timestamp) {
+        self.responsive = now;
+    }
+
     /// A request stopped waiting. False if it was not waiting any more: then it
     /// counts as running.
     pub fn withdraw(&mut self, rank: Rank, ticket: Ticket) -> bool {
@@ -126,7 +160,7 @@
         if let Some(ran_for) = ran_for {
             self.service_time.observe(now, ran_for);
         }
-        self.start_waiting()
+        self.start_waiting(now)
     }
 
     /// How long a request of `rank` would wait.
@@ -144,13 +178,20 @@
         service_time.mul_f64(ahead as f64 / f64::from(self.limit))
     }
 
-    fn start_waiting(&mut self) -> Vec<Ticket> {
+    fn start(&mut self, now: Timestamp) {
+        if self.running == 0 {
+            self.responsive = now;
+        }
+        self.running += 1;
+    }
+
+    fn start_waiting(&mut self, now: Timestamp) -> Vec<Ticket> {
         let mut started = Vec::new();
         while self.running < self.limit {
             let Some(((_, ticket), _)) = self.waiting.pop_first() else {
                 break;
             };
-            self.running += 1;
+            self.start(now);
             started.push(ticket);
         }
         started
--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -149,11 +149,16 @@
         self.offered > 0
     }
 
-    /// Whether an attempt that is on its way could be given up for another.
-    pub fn may_repeat_elsewhere(&self) -> bool {
+    /// Whether another attempt may run beside one whose server has fallen silent.
+    pub fn may_hedge(&self) -> bool {
         self.idempotent && self.offered + 1 < self.max_attempts
     }
 
+    /// Another attempt starts beside the one at `server`.
+    pub fn hedge(&mut self, server: &InstanceId) {
+        self.excluded.push(server.clone());
+    }
+
     /// Takes in how the attempt at `server` ended, if it was not answered.
     /// `may_repeat` pays for a repeat, and is asked only if one is due.
     pub fn attempt_ended(
@@ -162,7 +167,9 @@
         end: &AttemptEnd,
         may_repeat: impl FnOnce() -> bool,
     ) -> NextStep {
-        self.excluded.push(server.clone());
+        if !self.excluded.contains(server) {
+            self.excluded.push(server.clone());
+        }
         match end {
             AttemptEnd::Answered => {}
             AttemptEnd::NotRun {
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -2,8 +2,9 @@
 //!
 //! Every node sees only its own requests and what servers' nodes say with their
 //! answers. The least utilized server is taken; the own zone is preferred while
-//! its servers are not much busier than others. Servers that stay silent or
-//! can't be reached are set aside and tried again after a while.
+//! its servers are not much busier than others. A server that stays silent or
+//! can't be reached is set aside until its node has answered a probe, so that no
+//! request is spent on finding out.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -24,10 +25,11 @@
 const JITTER: f64 = 0.05;
 /// A load report loses half its weight in this time.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-/// A server that just failed is set aside this long; doubled with each failure.
-const FIRST_EJECTION: Duration = Duration::from_millis(250);
-/// The longest time a server is set aside.
-const MAX_EJECTION: Duration = Duration::from_secs(2);
+/// Time until the first probe of a server that was set aside; doubled with each
+/// probe that fails.
+const FIRST_PROBE_DELAY: Duration = Duration::from_millis(150);
+/// The longest time between probes.
+const MAX_PROBE_DELAY: Duration = Duration::from_millis(600);
 /// Utilization added to a server that is still warming up.
 const WARM_UP_PENALTY: f64 = 0.25;
 /// Without samples an answer is expected within this time.
@@ -35,6 +37,20 @@
 /// A server is not called silent before this time.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
+/// Whether a server may get attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It may.
+    Good,
+    /// Only if there is no other; probes that failed so far are counted.
+    Suspect {
+        /// How many.
+        failed_probes: u32,
+    },
+    /// Never: its node says that it leaves, or that another has its address.
+    Withdrawn,
+}
+
 /// What this node knows of one server.
 #[derive(Clone, Debug)]
 struct ServerRecord {
@@ -45,8 +61,7 @@
     own_at_report: u32,
     reported: Timestamp,
     heard: Timestamp,
-    failures: u32,
-    ejected_until: Timestamp,
+    standing: Standing,
     latency: LatencyEstimate,
 }
 
@@ -84,7 +99,8 @@
                     .push(instance.id.clone());
             }
             match self.records.get_mut(&instance.id) {
-                Some(record) => record.instance = instance,
+                Some(record) if record.instance == instance => {}
+                Some(record) => record.replace_instance(instance),
                 None => {
                     let record = ServerRecord::new(now, instance);
                     self.records.insert(record.instance.id.clone(), record);
@@ -113,8 +129,9 @@
         let allowed = candidates.iter().filter(|id| !excluded.contains(id));
         let best = allowed
             .filter_map(|id| self.records.get(id))
+            .filter(|record| record.standing != Standing::Withdrawn)
             .map(|record| {
-                let set_aside = record.is_set_aside(now);
+                let set_aside = record.standing != Standing::Good;
                 let jitter = random.random::<f64>() * JITTER;
                 (set_aside, self.cost(now, record) + jitter, record)
             })
@@ -148,8 +165,7 @@
             return;
         };
         record.heard = now;
-        record.failures = 0;
-        record.ejected_until = now;
+        record.trust_again();
         if let Some(load) = load {
             record.note_report(now, load);
         }
@@ -165,19 +181,55 @@
         }
     }
 
-    /// The server or its node could not be reached, or an answer was lost.
-    /// Says for how long the server is set aside.
-    pub fn failed(&mut self, now: Timestamp, id: &InstanceId) -> Duration {
+    /// The server or its node could not be reached, or stayed silent. True if it
+    /// was in good standing: it is to be probed from now on.
+    pub fn set_aside(&mut self, id: &InstanceId) -> bool {
+        match self.records.get_mut(id) {
+            Some(record) if record.standing == Standing::Good => {
+                record.standing = Standing::Suspect { failed_probes: 0 };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// The server's node says that it leaves or that another has its address.
+    /// It gets nothing until it announces something else.
+    pub fn withdraw(&mut self, id: &InstanceId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.standing = Standing::Withdrawn;
+        }
+    }
+
+    /// When the server should be probed next; none if it need not be.
+    pub fn probe_delay(&self, id: &InstanceId) -> Option<Duration> {
+        let record = self.records.get(id)?;
+        let Standing::Suspect { failed_probes } = record.standing else {
+            return None;
+        };
+        let doublings = failed_probes.min(8);
+        let delay = FIRST_PROBE_DELAY.saturating_mul(1 << doublings);
+        Some(delay.min(MAX_PROBE_DELAY))
+    }
+
+    /// A probe of the server's node has ended.
+    pub fn probed(&mut self, id: &InstanceId, answered: bool) {
         let Some(record) = self.records.get_mut(id) else {
-            return Duration::ZERO;
+            return;
         };
-        let doublings = record.failures.min(8);
-        let ejection = FIRST_EJECTION
-            .saturating_mul(1 << doublings)
-            .min(MAX_EJECTION);
-        record.failures += 1;
-        record.ejected_until = now + ejection;
-        ejection
+        if answered {
+            record.trust_again();
+        } else if let Standing::Suspect { failed_probes } = &mut record.standing {
+            *failed_probes += 1;
+        }
+    }
+
+    /// Servers that are set aside.
+    pub fn set_aside_count(&self) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|record| record.standing != Standing::Good)
+            .count()
     }
 
     /// Whether a server that was sent an attempt at `sent` has been silent for
@@ -232,8 +284,7 @@
             own_at_report: 0,
             reported: Timestamp::ZERO,
             heard: Timestamp::ZERO,
-            failures: 0,
-            ejected_until: Timestamp::ZERO,
+            standing: Standing::Good,
             latency: LatencyEstimate::default(),
         }
     }
@@ -244,8 +295,18 @@
         self.own_at_report = self.in_flight;
     }
 
-    fn is_set_aside(&self, now: Timestamp) -> bool {
-        now < self.ejected_until
+    /// A new announcement: what the node said of the former is void.
+    fn replace_instance(&mut self, instance: ServerInstance) {
+        self.instance = instance;
+        if self.standing == Standing::Withdrawn {
+            self.standing = Standing::Good;
+        }
+    }
+
+    fn trust_again(&mut self) {
+        if self.standing != Standing::Withdrawn {
+            self.standing = Standing::Good;
+        }
     }
 
     /// Own requests, which are known, and those of others as last reported.
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -19,7 +19,7 @@
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::http::{ProxyBody, headers};
 use crate::node::Node;
-use crate::{peer_headers, snapshots};
+use crate::{peer_headers, probe, snapshots};
 
 /// Answers up to this size are taken in whole before any of it is passed on, so
 /// that one which breaks off can still be asked for elsewhere.
@@ -155,11 +155,13 @@
 async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
     let now = node.now();
     let patience = attempt.patience.min(attempt.ends.saturating_since(now));
-    let admission = node
-        .state
-        .borrow_mut()
-        .queue
-        .offer(now, attempt.rank, patience);
+    let admission = {
+        let mut state = node.state.borrow_mut();
+        if !state.queue.may_try(now) {
+            return Err(AttemptOutcome::not_run(NotRunReason::ServerUnreachable));
+        }
+        state.queue.offer(now, attempt.rank, patience)
+    };
     match admission {
         Admission::Run => Ok(permit(node)),
         Admission::Refuse { retry_after } => Err(AttemptOutcome {
@@ -225,6 +227,7 @@
         }
         Err(SendError::Lost(error)) => return AttemptOutcome::unknown(lost_reason(&error)),
     };
+    node.state.borrow_mut().queue.answered(node.now());
     if response.headers().get(&names.request_id) != id.as_ref() {
         return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
     }
@@ -311,8 +314,10 @@
 impl Handler for Inbound {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
         let node = &self.0;
-        if request.uri().path() == peer_headers::SNAPSHOT_PATH {
-            return snapshots::answer(node);
+        match request.uri().path() {
+            peer_headers::SNAPSHOT_PATH => return snapshots::answer(node),
+            peer_headers::PROBE_PATH => return probe::answer(node),
+            _ => {}
         }
         let outcome = match read_attempt(node, request).await {
             Some(attempt) => execute(node, attempt).await,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`outbound`]: requests of local callers, to any service;
 //! - [`inbound`]: attempts of other nodes, for the server beside this node;
 //! - [`node`]: the state that both share;
+//! - [`probe`]: whether a server that fell silent can be trusted again;
 //! - [`snapshots`]: what comes from outside, and from other nodes in its place;
 //! - [`http`]: connections, bodies;
 //! - [`process`]: listeners, signals, start and stop.
@@ -23,6 +24,7 @@
 pub mod node;
 pub mod outbound;
 pub mod peer_headers;
+pub mod probe;
 pub mod process;
 pub mod settings;
 pub mod snapshots;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -158,6 +158,11 @@
         Some(known.instance.clone())
     }
 
+    /// Whether the server beside this node has stopped answering.
+    pub fn is_own_server_silent(&self) -> bool {
+        self.state.borrow().queue.is_silent(self.now())
+    }
+
     /// Starts attempts that no longer have to wait.
     pub fn start_waiting(&self, state: &mut TrafficState, tickets: Vec<Ticket>) {
         for ticket in tickets {
@@ -215,7 +220,7 @@
         let own = servers.iter().find(|server| self.is_beside(server));
         if let Some(own) = own {
             let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
-            let started = state.queue.set_limit(used.max(1));
+            let started = state.queue.set_limit(self.now(), used.max(1));
             self.start_waiting(state, started);
         }
     }
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -1,9 +1,12 @@
 //! Requests of local callers: routed, attempted, answered.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
@@ -24,7 +27,7 @@
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::inbound::{self, Attempt, AttemptOutcome, milliseconds_value};
 use crate::node::Node;
-use crate::{peer_headers, snapshots};
+use crate::{peer_headers, probe, snapshots};
 
 /// Bodies up to this size are taken in whole, so that they can be sent again.
 const MAX_HELD_REQUEST: usize = 256 * 1024;
@@ -179,135 +182,138 @@
         .unwrap_or(MAX_BODY_BYTES)
 }
 
-/// Sends attempts until one is answered or none is left.
+/// An attempt on its way, with the server it went to.
+type Sending<'a> = Pin<Box<dyn Future<Output = (ServerInstance, AttemptOutcome)> + 'a>>;
+
+/// Sends attempts until one is answered or none is left. An attempt whose server
+/// falls silent is not given up: if its node doesn't answer either, another runs
+/// beside it.
 async fn attempts(
     node: &Rc<Node>,
     request: &mut RoutedRequest,
     mut call: Call,
 ) -> (&'static str, Response<ProxyBody>) {
+    let ends = node.clock.instant(call.ends()).into();
+    let mut sending: FuturesUnordered<Sending> = FuturesUnordered::new();
+    let mut watched = match start(node, request, &mut call, &mut sending) {
+        Ok(watched) => watched,
+        Err(answer) => return finish(node, request, answer),
+    };
     loop {
-        let Some(server) = choose_server(node, request, &call) else {
-            let answer = call.give_up();
-            return finish(node, request, answer);
-        };
-        if node.now() >= call.ends() {
-            let answer = call.timed_out(false);
-            return finish(node, request, answer);
-        }
-        let ended = attempt(node, request, &mut call, &server).await;
-        let next = match ended {
-            Ended::Answered(response) => return ("answered", response),
-            Ended::TimedOut => {
-                let answer = call.timed_out(true);
-                return finish(node, request, answer);
+        let next = tokio::select! {
+            biased;
+            Some((server, outcome)) = sending.next() => {
+                if let Some(response) = outcome.response {
+                    return ("answered", response);
+                }
+                note_failure(node, &server, &outcome.end);
+                let next = call.attempt_ended(&server.id, &outcome.end, || pay_for_repeat(node, request));
+                match next {
+                    _ if !sending.is_empty() => continue,
+                    next => next,
+                }
             }
-            Ended::Prepaid(end) => call.attempt_ended(&server.id, &end, || true),
-            Ended::Failed(end) => {
-                note_failure(node, &server, &end);
-                call.attempt_ended(&server.id, &end, || pay_for_repeat(node, request))
+            _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
+            silent = watched.is_silent(node) => {
+                let may_hedge = silent && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
+                if !may_hedge || !pay_for_repeat(node, request) {
+                    continue;
+                }
+                call.hedge(&watched.server.id);
+                NextStep::Attempt
             }
         };
-        match next {
-            NextStep::Attempt if !request.body.is_spent() => {}
-            NextStep::Attempt => {
-                let answer = call.give_up();
-                return finish(node, request, answer);
-            }
-            NextStep::Finish(answer) => return finish(node, request, answer),
-        }
+        let answer = match next {
+            NextStep::Finish(answer) => answer,
+            NextStep::Attempt if request.body.is_spent() => call.give_up(),
+            NextStep::Attempt => match start(node, request, &mut call, &mut sending) {
+                Ok(started) => {
+                    watched = started;
+                    continue;
+                }
+                Err(_) if !sending.is_empty() => continue,
+                Err(answer) => answer,
+            },
+        };
+        return finish(node, request, answer);
     }
 }
 
-fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<ServerInstance> {
-    let mut state = node.state.borrow_mut();
-    let state = &mut *state;
-    let service = &request.route.service;
-    state
-        .servers
-        .choose(node.now(), service, call.excluded(), &mut state.random)
+/// Watches whether a server that has an attempt falls silent.
+struct Watched {
+    server: ServerInstance,
+    sent: Timestamp,
+    check: Timestamp,
+    silence: Duration,
 }
 
-fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
-    let now = node.now();
-    let mut state = node.state.borrow_mut();
-    let paid = state.budgets.withdraw(now, &request.route.service);
-    if paid {
-        node.metrics.repeats.inc();
+impl Watched {
+    /// Resolves when it is time to look: true if the server has answered nothing
+    /// since the attempt was sent and its node doesn't answer a probe.
+    async fn is_silent(&mut self, node: &Rc<Node>) -> bool {
+        sleep_until(node.clock.instant(self.check).into()).await;
+        let now = node.now();
+        let is_quiet = {
+            let state = node.state.borrow();
+            state.servers.is_silent(now, &self.server.id, self.sent)
+        };
+        let is_silent = is_quiet && !probe::is_alive(node, &self.server).await;
+        self.check = node.now() + self.silence;
+        if is_silent {
+            probe::set_aside(node, &self.server, "silent");
+        }
+        is_silent
     }
-    paid
-}
-
-/// How one attempt ended, as seen from the caller's side.
-enum Ended {
-    Answered(Response<ProxyBody>),
-    Failed(AttemptEnd),
-    /// It was given up for another attempt that is already paid for.
-    Prepaid(AttemptEnd),
-    TimedOut,
 }
 
-async fn attempt(
-    node: &Rc<Node>,
+/// Starts an attempt at the server that suits best.
+fn start<'a>(
+    node: &'a Rc<Node>,
     request: &mut RoutedRequest,
     call: &mut Call,
-    server: &ServerInstance,
-) -> Ended {
+    sending: &mut FuturesUnordered<Sending<'a>>,
+) -> Result<Watched, FinalAnswer> {
     let sent = node.now();
-    let Some(body) = request.body.take() else {
-        return Ended::Failed(AttemptEnd::Unknown {
-            reason: UnknownReason::AnswerLost,
-        });
-    };
-    {
+    if sent >= call.ends() {
+        return Err(call.timed_out(false));
+    }
+    let server = choose_server(node, request, call).ok_or_else(|| call.give_up())?;
+    let body = request.body.take().ok_or_else(|| call.give_up())?;
+    let silence = {
         let mut state = node.state.borrow_mut();
         if !call.is_repeat() {
             state.budgets.deposit(sent, &request.route.service);
         }
         state.servers.sent(&server.id);
-    }
-    let _in_flight = InFlight { node, server };
-    let outgoing = outgoing_request(node, request, server, body);
+        state.servers.silence(&server.id)
+    };
+    let in_flight = InFlight {
+        node,
+        server: server.clone(),
+    };
     let attempt = Attempt {
-        request: outgoing,
+        request: outgoing_request(node, request, &server, body),
         server: server.id.clone(),
         ends: call.ends(),
         rank: Rank(u16::from(request.route.route.priority)),
         patience: queue_patience(request, sent),
     };
-    let ends = node.clock.instant(call.ends()).into();
-    let silence = node.state.borrow().servers.silence(&server.id);
-    let mut check = node.clock.instant(sent + silence).into();
-    let mut sending = std::pin::pin!(send(node, server, attempt));
-    loop {
-        tokio::select! {
-            biased;
-            outcome = &mut sending => {
-                return match outcome.response {
-                    Some(response) => Ended::Answered(response),
-                    None => Ended::Failed(outcome.end),
-                };
-            }
-            _ = sleep_until(ends) => return Ended::TimedOut,
-            _ = sleep_until(check) => {
-                let now = node.now();
-                if node.state.borrow().servers.is_silent(now, &server.id, sent)
-                    && call.may_repeat_elsewhere()
-                    && pay_for_repeat(node, request)
-                {
-                    let reason = UnknownReason::Silent;
-                    note_failure(node, server, &AttemptEnd::Unknown { reason });
-                    return Ended::Prepaid(AttemptEnd::Unknown { reason });
-                }
-                check = node.clock.instant(now + silence).into();
-            }
-        }
-    }
+    sending.push(Box::pin(async move {
+        let outcome = send(node, &in_flight.server, attempt).await;
+        (in_flight.server.clone(), outcome)
+    }));
+    Ok(Watched {
+        server,
+        sent,
+        check: sent + silence,
+        silence,
+    })
 }
 
 /// Counts an attempt as in flight while it lives.
 struct InFlight<'a> {
     node: &'a Rc<Node>,
-    server: &'a ServerInstance,
+    server: ServerInstance,
 }
 
 impl Drop for InFlight<'_> {
@@ -317,6 +323,25 @@
     }
 }
 
+fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<ServerInstance> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let service = &request.route.service;
+    state
+        .servers
+        .choose(node.now(), service, call.excluded(), &mut state.random)
+}
+
+fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let paid = state.budgets.withdraw(now, &request.route.service);
+    if paid {
+        node.metrics.repeats.inc();
+    }
+    paid
+}
+
 fn queue_patience(request: &RoutedRequest, now: Timestamp) -> Duration {
     let target = request.route.route.target_latency;
     let whole = target.map_or(DEFAULT_QUEUE_TIME, |target| target.mul_f64(QUEUE_SHARE));
@@ -449,31 +474,25 @@
     }
 }
 
-/// Sets a server aside that could not be reached or stayed silent.
+/// Sets a server aside that could not be reached.
 fn note_failure(node: &Rc<Node>, server: &ServerInstance, end: &AttemptEnd) {
-    let is_failure = match end {
-        AttemptEnd::Answered => false,
-        AttemptEnd::Unknown { reason } => *reason != UnknownReason::AnswerInvalid,
-        AttemptEnd::NotRun { reason, .. } => !matches!(
-            reason,
-            NotRunReason::QueueFull | NotRunReason::QueueTimeout | NotRunReason::ServerRefused
-        ),
+    let reason = match end {
+        AttemptEnd::Answered | AttemptEnd::Unknown { .. } => return,
+        AttemptEnd::NotRun { reason, .. } => *reason,
     };
-    if !is_failure {
-        return;
-    }
-    let now = node.now();
-    let set_aside = node.state.borrow_mut().servers.failed(now, &server.id);
-    if node.may_log() {
-        info!(node.log, "server set aside"; "server" => server.id.as_str(), "service" => &server.service, "why" => end_word(end), "for_ms" => set_aside.as_millis() as u64);
-    }
-}
-
-fn end_word(end: &AttemptEnd) -> &'static str {
-    match end {
-        AttemptEnd::Answered => "answered",
-        AttemptEnd::NotRun { reason, .. } => peer_headers::not_run_word(*reason),
-        AttemptEnd::Unknown { reason } => peer_headers::unknown_word(*reason),
+    match reason {
+        NotRunReason::QueueFull | NotRunReason::QueueTimeout | NotRunReason::ServerRefused => {}
+        NotRunReason::ServerDraining | NotRunReason::WrongInstance => {
+            node.state.borrow_mut().servers.withdraw(&server.id);
+            info!(node.log, "server withdrawn"; "server" => server.id.as_str(),
+                "service" => &server.service, "why" => peer_headers::not_run_word(reason),
+                "revision" => node.revision());
+        }
+        NotRunReason::NodeUnreachable
+        | NotRunReason::NodeLeaving
+        | NotRunReason::ServerUnreachable => {
+            probe::set_aside(node, server, peer_headers::not_run_word(reason));
+        }
     }
 }
 
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -12,6 +12,8 @@
 pub const PREFIX: &str = "lifthollow-";
 /// Path at which a node gives its snapshot.
 pub const SNAPSHOT_PATH: &str = "/lifthollow/snapshot";
+/// Path at which a node says whether it and its server answer.
+pub const PROBE_PATH: &str = "/lifthollow/probe";
 /// Order of the attempt among others.
 pub const RANK: HeaderName = HeaderName::from_static("lifthollow-rank");
 /// How long the attempt may wait before it runs, milliseconds.
