--- /dev/null
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -0,0 +1,228 @@
+//! Admission of attempts to the server beside a node: the decisions composed.
+//!
+//! An attempt passes, in this order: whether the server answers at all, what the
+//! services needed further down admit, a free slot, the queue. Each step can
+//! refuse it, at once. What is turned away moves the admission level that
+//! callers' nodes are told ([`AdmissionThreshold`]).
+
+use std::time::Duration;
+
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::{Priority, ServiceName, Timestamp};
+
+use crate::inbound::InboundId;
+use crate::inbound::admission_threshold::{self, AdmissionThreshold};
+use crate::mesh::admission_queue::{Admission, AdmissionQueue, Occupancy, Rank, Ticket};
+use crate::mesh::call::NotRunReason;
+use crate::mesh::request_tree::{Parent, RunningRequests};
+use crate::pressure::{CallGraph, CallSource, downstream_level};
+
+/// The levels that rank counts down from.
+const MAX_LEVEL: u16 = 384;
+
+/// An attempt that asks to run.
+#[derive(Clone, Debug)]
+pub struct ArrivingAttempt {
+    /// The caller's identity of the request.
+    pub request_id: String,
+    /// Its place in the order of shedding.
+    pub priority: Priority,
+    /// Whether it was made by another server, for a request of its own.
+    pub is_nested: bool,
+    /// Whether a server may have run it, or the request it is made for, before.
+    pub is_repeat: bool,
+    /// When its caller's node gives it up.
+    pub deadline: Timestamp,
+    /// How long it can wait.
+    pub patience: Duration,
+}
+
+/// What becomes of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It runs now.
+    Run,
+    /// It waits until it is named by [`ServerAdmission::finish`].
+    Wait(Ticket),
+    /// It is not run.
+    Refuse {
+        /// Why.
+        reason: NotRunReason,
+        /// When there may be room.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// State of the admission to one server.
+#[derive(Debug)]
+pub struct ServerAdmission {
+    service: ServiceName,
+    queue: AdmissionQueue,
+    threshold: AdmissionThreshold,
+    graph: CallGraph,
+    running: RunningRequests,
+    next_run: u64,
+}
+
+impl ServerAdmission {
+    /// Admission to a server of `service` that takes `limit` requests at once.
+    pub fn new(service: &str, limit: u32) -> Self {
+        ServerAdmission {
+            service: ServiceName::new(service),
+            queue: AdmissionQueue::new(limit),
+            threshold: AdmissionThreshold::default(),
+            graph: CallGraph::default(),
+            running: RunningRequests::default(),
+            next_run: 0,
+        }
+    }
+
+    /// Sets how many requests may be at the server at once. Returns those that
+    /// may run now.
+    pub fn set_limit(&mut self, now: Timestamp, limit: u32) -> Vec<Ticket> {
+        self.queue.set_limit(now, limit)
+    }
+
+    /// The load here.
+    pub fn occupancy(&self) -> Occupancy {
+        self.queue.occupancy()
+    }
+
+    /// Whether the server has stopped answering.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        self.queue.is_silent(now)
+    }
+
+    /// The lowest level that gets through here and further down, where
+    /// `level_of` tells the level of a service.
+    pub fn level(
+        &self,
+        is_nested: bool,
+        level_of: impl Fn(&ServiceName) -> AdmissionLevel,
+    ) -> AdmissionLevel {
+        let needed = downstream_level(&self.graph, &self.source(is_nested), level_of);
+        self.threshold.level().max(needed)
+    }
+
+    /// An attempt arrived.
+    pub fn arrive(
+        &mut self,
+        now: Timestamp,
+        attempt: &ArrivingAttempt,
+        level_of: impl Fn(&ServiceName) -> AdmissionLevel,
+    ) -> Verdict {
+        if !self.queue.may_try(now) {
+            return refusal(NotRunReason::ServerUnreachable, None);
+        }
+        let needed = downstream_level(&self.graph, &self.source(attempt.is_nested), level_of);
+        if !needed.admits(attempt.priority) {
+            return refusal(NotRunReason::DownstreamOverloaded, None);
+        }
+        self.observe(now);
+        self.threshold
+            .arrived(AdmissionLevel::of(attempt.priority));
+        match self.queue.offer(now, rank(attempt), attempt.patience) {
+            Admission::Run => Verdict::Run,
+            Admission::Wait(ticket) => Verdict::Wait(ticket),
+            Admission::Refuse { retry_after } => {
+                self.threshold.turned_away();
+                refusal(NotRunReason::QueueFull, Some(retry_after))
+            }
+        }
+    }
+
+    /// An attempt stopped waiting; `in_vain` if it waited as long as it could.
+    /// False if it was not waiting any more: then it counts as running.
+    pub fn withdraw(&mut self, attempt: &ArrivingAttempt, ticket: Ticket, in_vain: bool) -> bool {
+        if in_vain {
+            self.threshold.turned_away();
+        }
+        self.queue.withdraw(rank(attempt), ticket)
+    }
+
+    /// An attempt goes to the server.
+    pub fn started(&mut self, attempt: &ArrivingAttempt) -> InboundId {
+        let run = InboundId(self.next_run);
+        self.next_run += 1;
+        let source = self.source(attempt.is_nested);
+        self.graph.arrived(run, source, attempt.priority.class);
+        let as_parent = Parent {
+            run,
+            priority: attempt.priority,
+            is_repeat: attempt.is_repeat,
+        };
+        self.running
+            .started(&attempt.request_id, attempt.deadline, as_parent);
+        run
+    }
+
+    /// The server answered a run; `success` unless it failed.
+    pub fn answered(&mut self, now: Timestamp, run: InboundId, success: bool) {
+        self.queue.answered(now);
+        self.graph.completed(run, success);
+    }
+
+    /// A run is over. `ran_for` is told if the server answered. Returns the
+    /// attempts that may run now.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        attempt: &ArrivingAttempt,
+        run: InboundId,
+        ran_for: Option<Duration>,
+    ) -> Vec<Ticket> {
+        self.graph.dropped(run);
+        self.running.ended(&attempt.request_id, run);
+        self.observe(now);
+        self.threshold.finished();
+        self.queue.finish(now, ran_for)
+    }
+
+    /// A place that was given to an attempt was not used.
+    pub fn give_back(&mut self, now: Timestamp) -> Vec<Ticket> {
+        self.queue.finish(now, None)
+    }
+
+    /// The request that a call from the server is made for.
+    pub fn parent_of(&self, request_id: &str, deadline: Timestamp) -> Option<Parent> {
+        self.running.parent_of(request_id, deadline)
+    }
+
+    /// A run called another service.
+    pub fn called(&mut self, run: InboundId, service: &str) {
+        self.graph.called(run, &ServiceName::new(service));
+    }
+
+    /// Accounts for the time that has passed.
+    pub fn observe(&mut self, now: Timestamp) {
+        let load = self.queue.occupancy();
+        let occupancy = admission_threshold::Occupancy {
+            running: load.running as usize,
+            limit: load.limit,
+            queued: load.waiting as usize,
+        };
+        self.threshold.observe(now, occupancy);
+    }
+
+    /// Nested calls need other services than requests of callers.
+    fn source(&self, is_nested: bool) -> CallSource {
+        CallSource {
+            service: self.service.clone(),
+            caller: is_nested.then(|| self.service.clone()),
+        }
+    }
+}
+
+fn refusal(reason: NotRunReason, retry_after: Option<Duration>) -> Verdict {
+    Verdict::Refuse {
+        reason,
+        retry_after,
+    }
+}
+
+/// Calls of trees that were admitted go before new requests of their priority.
+fn rank(attempt: &ArrivingAttempt) -> Rank {
+    let level = AdmissionLevel::of(attempt.priority).0;
+    let below = MAX_LEVEL.saturating_sub(level);
+    Rank(below * 2 + u16::from(!attempt.is_nested))
+}
