Admit and refuse whole request trees; tell admission levels upstream

Nested calls now take over their request's priority, queues shed by it, and the product's admission threshold is told upstream with each answer.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -46,6 +46,8 @@
     WrongInstance,
     /// No connection to the server.
     ServerUnreachable,
+    /// Services that it needs further down refuse requests of its priority.
+    DownstreamOverloaded,
     /// The queue at the server's node is too long.
     QueueFull,
     /// It waited at the server's node as long as it could.
@@ -88,6 +90,8 @@
     NotConfigured,
     /// No server of the service is known.
     NoServer,
+    /// The service, or one that it needs, refuses requests of its priority.
+    Overloaded,
     /// Every server that was asked refused.
     AllRefused(NotRunReason),
     /// Its time ran out before any server had taken it.
@@ -221,6 +225,10 @@
 
     fn may_continue(&self) -> bool {
         let allowed = self.idempotent || !self.may_have_run;
-        allowed && self.offered < self.max_attempts && self.refused < MAX_REFUSED_ATTEMPTS
+        let is_futile = self.last_refusal.is_some_and(|(reason, _)| {
+            // What it needs further down is the same for all servers.
+            reason == NotRunReason::DownstreamOverloaded
+        });
+        allowed && !is_futile && self.offered < self.max_attempts && self.refused < MAX_REFUSED_ATTEMPTS
     }
 }
--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -7,15 +7,19 @@
 //! 3. [`call`]: whether there is another attempt, and what the caller is told;
 //! 4. [`server_selection`]: which server gets the attempt;
 //! 5. [`retry_budget`]: whether a repeat may be spent on it;
-//! 6. [`admission_queue`]: at the server's node, whether it runs, waits or is
-//!    refused.
+//! 6. [`server_admission`]: at the server's node, whether it runs, waits
+//!    ([`admission_queue`]) or is refused.
+//!
+//! [`request_tree`] tells which request a nested call is made for.
 //!
 //! [`snapshot_store`] keeps what the node was told from outside, forward only.
 
 pub mod admission_queue;
 pub mod call;
+pub mod request_tree;
 pub mod retry_budget;
 pub mod route_table;
+pub mod server_admission;
 pub mod server_selection;
 pub mod snapshot_store;
 pub mod weighted_split;
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -9,6 +9,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{InstanceId, ServerInstance};
 use rand::{Rng, RngExt};
@@ -25,6 +26,10 @@
 const JITTER: f64 = 0.05;
 /// A load report loses half its weight in this time.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+/// An admission level is believed this long, and halved again and again after.
+const LEVEL_VALIDITY: Duration = Duration::from_millis(250);
+/// How long it then takes to be halved.
+const LEVEL_HALF_LIFE: Duration = Duration::from_millis(300);
 /// Time until the first probe of a server that was set aside; doubled with each
 /// probe that fails.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(150);
@@ -37,6 +42,17 @@
 /// A server is not called silent before this time.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
+/// What a server's node tells of its load with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests there.
+    pub occupancy: Occupancy,
+    /// The lowest level that gets through there and further down.
+    pub level: AdmissionLevel,
+    /// Whether the level is that of nested calls.
+    pub is_nested: bool,
+}
+
 /// Whether a server may get attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Standing {
@@ -60,6 +76,9 @@
     report: Occupancy,
     own_at_report: u32,
     reported: Timestamp,
+    /// Admission levels of callers' requests and of nested calls, with the times
+    /// at which they were reported.
+    levels: [(AdmissionLevel, Timestamp); 2],
     heard: Timestamp,
     standing: Standing,
     latency: LatencyEstimate,
@@ -158,7 +177,7 @@
         &mut self,
         now: Timestamp,
         id: &InstanceId,
-        load: Option<Occupancy>,
+        load: Option<ReportedLoad>,
         latency: Option<Duration>,
     ) {
         let Some(record) = self.records.get_mut(id) else {
@@ -175,7 +194,7 @@
     }
 
     /// The server's node told its load without an answer of the server.
-    pub fn reported(&mut self, now: Timestamp, id: &InstanceId, load: Occupancy) {
+    pub fn reported(&mut self, now: Timestamp, id: &InstanceId, load: ReportedLoad) {
         if let Some(record) = self.records.get_mut(id) {
             record.note_report(now, load);
         }
@@ -261,6 +280,22 @@
             .min_by(f64::total_cmp)
     }
 
+    /// The lowest level that some server of `service` lets through, as last
+    /// reported; it opens by itself where nothing is reported.
+    pub fn admission_level(
+        &self,
+        now: Timestamp,
+        service: &str,
+        is_nested: bool,
+    ) -> AdmissionLevel {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.records.get(id))
+            .filter(|record| record.standing == Standing::Good)
+            .map(|record| record.level(now, is_nested))
+            .min()
+            .unwrap_or(AdmissionLevel::OPEN)
+    }
+
     fn cost(&self, now: Timestamp, record: &ServerRecord) -> f64 {
         let mut cost = record.utilization(now);
         if now < record.warm_until {
@@ -283,14 +318,16 @@
             report: Occupancy::default(),
             own_at_report: 0,
             reported: Timestamp::ZERO,
+            levels: [(AdmissionLevel::OPEN, Timestamp::ZERO); 2],
             heard: Timestamp::ZERO,
             standing: Standing::Good,
             latency: LatencyEstimate::default(),
         }
     }
 
-    fn note_report(&mut self, now: Timestamp, load: Occupancy) {
-        self.report = load;
+    fn note_report(&mut self, now: Timestamp, load: ReportedLoad) {
+        self.report = load.occupancy;
+        self.levels[usize::from(load.is_nested)] = (load.level, now);
         self.reported = now;
         self.own_at_report = self.in_flight;
     }
@@ -309,6 +346,14 @@
         }
     }
 
+    fn level(&self, now: Timestamp, is_nested: bool) -> AdmissionLevel {
+        let (level, reported) = self.levels[usize::from(is_nested)];
+        let age = now.saturating_since(reported);
+        let stale = age.saturating_sub(LEVEL_VALIDITY).as_secs_f64();
+        let kept = 0.5_f64.powf(stale / LEVEL_HALF_LIFE.as_secs_f64());
+        AdmissionLevel((f64::from(level.0) * kept) as u16)
+    }
+
     /// Own requests, which are known, and those of others as last reported.
     fn utilization(&self, now: Timestamp) -> f64 {
         let limit = self.report.limit.max(self.instance.slots).max(1);
--- a/crates/protocol/src/load.rs
+++ b/crates/protocol/src/load.rs
@@ -28,6 +28,17 @@
         AdmissionLevel(class * USER_LEVELS + u16::from(priority.user).min(USER_LEVELS - 1))
     }
 
+    /// The priority whose level this is; the inverse of [`AdmissionLevel::of`].
+    pub fn priority(self) -> Priority {
+        let class = match self.0 / USER_LEVELS {
+            0 => PriorityClass::Sheddable,
+            1 => PriorityClass::Normal,
+            _ => PriorityClass::Critical,
+        };
+        let user = (self.0 % USER_LEVELS) as u8;
+        Priority { class, user }
+    }
+
     /// Whether a call of `priority` is admitted.
     pub fn admits(self, priority: Priority) -> bool {
         AdmissionLevel::of(priority) >= self
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -6,9 +6,11 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use lifthollow_coordination::mesh::admission_queue::{Admission, Rank, Ticket};
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
-use lifthollow_state::Timestamp;
+use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
+use lifthollow_state::{ServiceName, Timestamp};
 use lifthollow_state::mesh::InstanceId;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -19,6 +21,7 @@
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::http::{ProxyBody, headers};
 use crate::node::Node;
+use crate::peer_headers::TreePlace;
 use crate::{peer_headers, probe, snapshots};
 
 /// Answers up to this size are taken in whole before any of it is passed on, so
@@ -35,8 +38,8 @@
     pub server: InstanceId,
     /// When the caller's node gives it up.
     pub ends: Timestamp,
-    /// Its order among others.
-    pub rank: Rank,
+    /// Its place in the tree of its request.
+    pub tree: TreePlace,
     /// How long it may wait before it runs.
     pub patience: Duration,
 }
@@ -69,41 +72,62 @@
     }
 }
 
-/// The right to have one request at the server.
+/// One request at the server. Dropping it frees its slot.
 struct Permit {
     node: Rc<Node>,
+    arriving: ArrivingAttempt,
+    run: InboundId,
     started: Timestamp,
     answered: bool,
 }
 
+impl Permit {
+    fn new(node: &Rc<Node>, arriving: ArrivingAttempt) -> Self {
+        let run = node.state.borrow_mut().admission.started(&arriving);
+        Permit {
+            node: node.clone(),
+            arriving,
+            run,
+            started: node.now(),
+            answered: false,
+        }
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         let now = self.node.now();
         let ran_for = self.answered.then(|| now.saturating_since(self.started));
         let mut state = self.node.state.borrow_mut();
-        let started = state.queue.finish(now, ran_for);
+        let started = state
+            .admission
+            .finish(now, &self.arriving, self.run, ran_for);
         self.node.start_waiting(&mut state, started);
     }
 }
 
 /// A place in the queue. Dropping it leaves the queue.
-struct Place {
-    node: Rc<Node>,
-    rank: Rank,
+struct Place<'a> {
+    node: &'a Rc<Node>,
+    arriving: &'a ArrivingAttempt,
     ticket: Ticket,
     started: oneshot::Receiver<()>,
+    in_vain: bool,
     left: bool,
 }
 
-impl Drop for Place {
+impl Drop for Place<'_> {
     fn drop(&mut self) {
         if self.left {
             return;
         }
         let mut state = self.node.state.borrow_mut();
         state.waiters.remove(&self.ticket);
-        if !state.queue.withdraw(self.rank, self.ticket) {
-            let started = state.queue.finish(self.node.now(), None);
+        let was_waiting = state
+            .admission
+            .withdraw(self.arriving, self.ticket, self.in_vain);
+        if !was_waiting {
+            let started = state.admission.give_back(self.node.now());
             self.node.start_waiting(&mut state, started);
         }
     }
@@ -154,58 +178,68 @@
 
 async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
     let now = node.now();
-    let patience = attempt.patience.min(attempt.ends.saturating_since(now));
-    let admission = {
+    let id = attempt.request.headers().get(&node.names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let arriving = ArrivingAttempt {
+        request_id: id.to_owned(),
+        priority: attempt.tree.priority,
+        is_nested: attempt.tree.is_nested,
+        is_repeat: attempt.tree.is_repeat,
+        deadline: attempt.ends,
+        patience: attempt.patience.min(attempt.ends.saturating_since(now)),
+    };
+    let verdict = {
         let mut state = node.state.borrow_mut();
-        if !state.queue.may_try(now) {
-            return Err(AttemptOutcome::not_run(NotRunReason::ServerUnreachable));
-        }
-        state.queue.offer(now, attempt.rank, patience)
+        let state = &mut *state;
+        let servers = &state.servers;
+        let level_of = |service: &ServiceName| servers.admission_level(now, service.as_str(), true);
+        state.admission.arrive(now, &arriving, level_of)
     };
-    match admission {
-        Admission::Run => Ok(permit(node)),
-        Admission::Refuse { retry_after } => Err(AttemptOutcome {
+    match verdict {
+        Verdict::Run => Ok(Permit::new(node, arriving)),
+        Verdict::Wait(ticket) => wait(node, arriving, ticket, now).await,
+        Verdict::Refuse {
+            reason,
+            retry_after,
+        } => Err(AttemptOutcome {
             end: AttemptEnd::NotRun {
                 offered: false,
-                reason: NotRunReason::QueueFull,
-                retry_after: Some(retry_after),
+                reason,
+                retry_after,
             },
             response: None,
         }),
-        Admission::Wait(ticket) => wait(node, attempt.rank, ticket, now + patience).await,
     }
 }
 
 async fn wait(
     node: &Rc<Node>,
-    rank: Rank,
+    arriving: ArrivingAttempt,
     ticket: Ticket,
-    until: Timestamp,
+    now: Timestamp,
 ) -> Result<Permit, AttemptOutcome> {
     let (start, started) = oneshot::channel();
     node.state.borrow_mut().waiters.insert(ticket, start);
     let mut place = Place {
-        node: node.clone(),
-        rank,
+        node,
+        arriving: &arriving,
         ticket,
         started,
+        in_vain: false,
         left: false,
     };
-    let until = node.clock.instant(until).into();
+    let until = node.clock.instant(now + arriving.patience).into();
     match timeout_at(until, &mut place.started).await {
         Ok(Ok(())) => {
             place.left = true;
-            Ok(permit(node))
+            drop(place);
+            Ok(Permit::new(node, arriving))
+        }
+        _ => {
+            place.in_vain = true;
+            drop(place);
+            Err(AttemptOutcome::not_run(NotRunReason::QueueTimeout))
         }
-        _ => Err(AttemptOutcome::not_run(NotRunReason::QueueTimeout)),
-    }
-}
-
-fn permit(node: &Rc<Node>) -> Permit {
-    Permit {
-        node: node.clone(),
-        started: node.now(),
-        answered: false,
     }
 }
 
@@ -227,7 +261,11 @@
         }
         Err(SendError::Lost(error)) => return AttemptOutcome::unknown(lost_reason(&error)),
     };
-    node.state.borrow_mut().queue.answered(node.now());
+    let is_failure = response.status().is_server_error();
+    node.state
+        .borrow_mut()
+        .admission
+        .answered(node.now(), permit.run, !is_failure);
     if response.headers().get(&names.request_id) != id.as_ref() {
         return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
     }
@@ -319,11 +357,12 @@
             peer_headers::PROBE_PATH => return probe::answer(node),
             _ => {}
         }
+        let is_nested = peer_headers::tree(request.headers()).is_nested;
         let outcome = match read_attempt(node, request).await {
             Some(attempt) => execute(node, attempt).await,
             None => AttemptOutcome::not_run(NotRunReason::WrongInstance),
         };
-        answer(node, outcome)
+        answer(node, outcome, is_nested)
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
@@ -348,7 +387,7 @@
         },
     };
     Some(Attempt {
-        rank: peer_headers::rank(&head.headers),
+        tree: peer_headers::tree(&head.headers),
         server,
         ends: arrived + left.unwrap_or(DEFAULT_DEADLINE),
         patience: patience.unwrap_or_default(),
@@ -356,19 +395,19 @@
     })
 }
 
-fn answer(node: &Rc<Node>, outcome: AttemptOutcome) -> Response<ProxyBody> {
+fn answer(node: &Rc<Node>, outcome: AttemptOutcome, is_nested: bool) -> Response<ProxyBody> {
     let mut response = outcome.response.unwrap_or_else(|| {
         let mut empty = Response::new(ProxyBody::empty());
         *empty.status_mut() = StatusCode::BAD_GATEWAY;
         empty
     });
-    let load = node.state.borrow().queue.occupancy();
+    let load = node.own_load(is_nested);
     let headers = response.headers_mut();
     headers.insert(
         peer_headers::OUTCOME,
         peer_headers::outcome_value(&outcome.end),
     );
-    headers.insert(peer_headers::LOAD, peer_headers::load_value(load));
+    headers.insert(peer_headers::LOAD, peer_headers::load_value(&load));
     headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
     response
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lifthollow_coordination::mesh::admission_queue::{AdmissionQueue, Ticket};
+use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
-use lifthollow_coordination::mesh::server_selection::ServerPool;
+use lifthollow_coordination::mesh::server_admission::ServerAdmission;
+use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::Timestamp;
+use lifthollow_state::{ServiceName, Timestamp};
 use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -54,8 +55,8 @@
     pub servers: ServerPool,
     /// Repeats that this node may send.
     pub budgets: RetryBudgets,
-    /// The queue for the server beside this node.
-    pub queue: AdmissionQueue,
+    /// Admission to the server beside this node.
+    pub admission: ServerAdmission,
     /// Attempts that wait in the queue.
     pub waiters: HashMap<Ticket, oneshot::Sender<()>>,
     /// Random numbers.
@@ -102,7 +103,7 @@
             split: WeightedSplit::default(),
             servers: ServerPool::new(&settings.zone),
             budgets: RetryBudgets::new(settings.retry_bound),
-            queue: AdmissionQueue::new(UNKNOWN_SLOTS),
+            admission: ServerAdmission::new(&settings.service, UNKNOWN_SLOTS),
             waiters: HashMap::new(),
             random: SmallRng::from_rng(&mut rand::rng()),
         };
@@ -160,7 +161,20 @@
 
     /// Whether the server beside this node has stopped answering.
     pub fn is_own_server_silent(&self) -> bool {
-        self.state.borrow().queue.is_silent(self.now())
+        self.state.borrow().admission.is_silent(self.now())
+    }
+
+    /// The load of the server beside this node, as told to callers' nodes.
+    pub fn own_load(&self, is_nested: bool) -> ReportedLoad {
+        let now = self.now();
+        let state = self.state.borrow();
+        let level_of =
+            |service: &ServiceName| state.servers.admission_level(now, service.as_str(), true);
+        ReportedLoad {
+            occupancy: state.admission.occupancy(),
+            level: state.admission.level(is_nested, level_of),
+            is_nested,
+        }
     }
 
     /// Starts attempts that no longer have to wait.
@@ -168,7 +182,7 @@
         for ticket in tickets {
             let started = state.waiters.remove(&ticket).map(|waiter| waiter.send(()));
             if !matches!(started, Some(Ok(()))) {
-                let more = state.queue.finish(self.now(), None);
+                let more = state.admission.give_back(self.now());
                 self.start_waiting(state, more);
             }
         }
@@ -220,7 +234,7 @@
         let own = servers.iter().find(|server| self.is_beside(server));
         if let Some(own) = own {
             let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
-            let started = state.queue.set_limit(self.now(), used.max(1));
+            let started = state.admission.set_limit(self.now(), used.max(1));
             self.start_waiting(state, started);
         }
     }
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -11,12 +11,14 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use lifthollow_coordination::mesh::admission_queue::Rank;
 use lifthollow_coordination::mesh::call::{
     AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
 };
+use lifthollow_coordination::mesh::request_tree::priority_of_request;
+use lifthollow_coordination::mesh::server_selection::ReportedLoad;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{Route, ServerInstance};
+use rand::RngExt;
 use slog::info;
 use tokio::time::{sleep_until, timeout_at};
 
@@ -27,6 +29,7 @@
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::inbound::{self, Attempt, AttemptOutcome, milliseconds_value};
 use crate::node::Node;
+use crate::peer_headers::TreePlace;
 use crate::{peer_headers, probe, snapshots};
 
 /// Bodies up to this size are taken in whole, so that they can be sent again.
@@ -37,6 +40,11 @@
 const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 /// The part of the target latency that a request may spend in queues.
 const QUEUE_SHARE: f64 = 0.2;
+/// The part of the time it has left that a nested call may spend in queues.
+const NESTED_QUEUE_SHARE: f64 = 0.5;
+/// Callers refused for overload are asked to come back after this time, at the
+/// earliest; at the latest after twice as long.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time in queues for routes without a target latency.
 const DEFAULT_QUEUE_TIME: Duration = Duration::from_millis(200);
 /// When callers may come back before there is a configuration.
@@ -66,6 +74,7 @@
     head: Parts,
     body: HeldBody,
     route: Rc<RouteInForce>,
+    tree: TreePlace,
     arrived: Timestamp,
 }
 
@@ -115,6 +124,7 @@
     };
     let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let call = Call::new(arrived, &route.route, patience);
+    let tree = tree_place(node, &head, &route, &call);
     let body = match read_body(node, &call, incoming).await {
         Ok(body) => body,
         Err(refused) => return ("bad-request", status(refused)),
@@ -123,11 +133,59 @@
         head,
         body,
         route,
+        tree,
         arrived,
     };
+    if let Some(refusal) = refuse_overload(node, &request) {
+        return finish(node, &request, refusal);
+    }
     attempts(node, &mut request, call).await
 }
 
+/// Where the request stands: its own tree's root, or a call of a run on the
+/// server beside this node.
+fn tree_place(node: &Rc<Node>, head: &Parts, route: &RouteInForce, call: &Call) -> TreePlace {
+    let id = head.headers.get(&node.names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let told = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
+    let deadline = told.map_or(call.ends(), |told| node.now() + told);
+    let mut state = node.state.borrow_mut();
+    match state.admission.parent_of(id, deadline) {
+        Some(parent) => {
+            state.admission.called(parent.run, &route.service);
+            TreePlace {
+                priority: parent.priority,
+                is_nested: true,
+                is_repeat: parent.is_repeat,
+            }
+        }
+        None => TreePlace {
+            priority: priority_of_request(route.route.priority, id),
+            is_nested: false,
+            is_repeat: false,
+        },
+    }
+}
+
+/// A new request that would be refused further down is refused before any work
+/// is done for it.
+fn refuse_overload(node: &Rc<Node>, request: &RoutedRequest) -> Option<FinalAnswer> {
+    if request.tree.is_nested {
+        return None;
+    }
+    let mut state = node.state.borrow_mut();
+    let service = &request.route.service;
+    let level = state.servers.admission_level(node.now(), service, false);
+    if level.admits(request.tree.priority) {
+        return None;
+    }
+    let retry_after = OVERLOAD_RETRY_AFTER.mul_f64(1.0 + state.random.random::<f64>());
+    Some(FinalAnswer::Refused {
+        retry_after,
+        reason: RefusalReason::Overloaded,
+    })
+}
+
 fn find_route(node: &Rc<Node>, head: &Parts) -> Result<RouteInForce, StatusCode> {
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
@@ -295,8 +353,11 @@
         request: outgoing_request(node, request, &server, body),
         server: server.id.clone(),
         ends: call.ends(),
-        rank: Rank(u16::from(request.route.route.priority)),
-        patience: queue_patience(request, sent),
+        tree: TreePlace {
+            is_repeat: request.tree.is_repeat || call.is_repeat(),
+            ..request.tree
+        },
+        patience: queue_patience(request, sent, call.ends()),
     };
     sending.push(Box::pin(async move {
         let outcome = send(node, &in_flight.server, attempt).await;
@@ -342,7 +403,10 @@
     paid
 }
 
-fn queue_patience(request: &RoutedRequest, now: Timestamp) -> Duration {
+fn queue_patience(request: &RoutedRequest, now: Timestamp, ends: Timestamp) -> Duration {
+    if request.tree.is_nested {
+        return ends.saturating_since(now).mul_f64(NESTED_QUEUE_SHARE);
+    }
     let target = request.route.route.target_latency;
     let whole = target.map_or(DEFAULT_QUEUE_TIME, |target| target.mul_f64(QUEUE_SHARE));
     whole.saturating_sub(now.saturating_since(request.arrived))
@@ -376,10 +440,10 @@
 async fn send(node: &Rc<Node>, server: &ServerInstance, attempt: Attempt) -> AttemptOutcome {
     let started = node.now();
     let is_beside = node.is_beside(server);
+    let is_nested = attempt.tree.is_nested;
     let (outcome, load) = if is_beside {
         let outcome = inbound::execute(node, attempt).await;
-        let load = node.state.borrow().queue.occupancy();
-        (outcome, Some(load))
+        (outcome, Some(node.own_load(is_nested)))
     } else {
         send_to_node(node, server, attempt).await
     };
@@ -402,14 +466,14 @@
     mut attempt: Attempt,
 ) -> (
     AttemptOutcome,
-    Option<lifthollow_coordination::mesh::admission_queue::Occupancy>,
+    Option<ReportedLoad>,
 ) {
     let address = node.node_beside(server);
     let now = node.now();
     let headers = attempt.request.headers_mut();
     let left = attempt.ends.saturating_since(now);
     headers.insert(&node.names.deadline_ms, milliseconds_value(left));
-    headers.insert(peer_headers::RANK, HeaderValue::from(attempt.rank.0));
+    headers.insert(peer_headers::TREE, peer_headers::tree_value(&attempt.tree));
     headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
     headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
     let sent = node.peer_connections.send(address, attempt.request).await;
@@ -481,7 +545,10 @@
         AttemptEnd::NotRun { reason, .. } => *reason,
     };
     match reason {
-        NotRunReason::QueueFull | NotRunReason::QueueTimeout | NotRunReason::ServerRefused => {}
+        NotRunReason::QueueFull
+        | NotRunReason::QueueTimeout
+        | NotRunReason::DownstreamOverloaded
+        | NotRunReason::ServerRefused => {}
         NotRunReason::ServerDraining | NotRunReason::WrongInstance => {
             node.state.borrow_mut().servers.withdraw(&server.id);
             info!(node.log, "server withdrawn"; "server" => server.id.as_str(),
@@ -522,6 +589,7 @@
             let why = match reason {
                 RefusalReason::NotConfigured => "not-configured",
                 RefusalReason::NoServer => "no-server",
+                RefusalReason::Overloaded => "overloaded",
                 RefusalReason::OutOfTime => "out-of-time",
                 RefusalReason::AllRefused(reason) => peer_headers::not_run_word(*reason),
             };
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -5,8 +5,11 @@
 
 use hyper::HeaderMap;
 use hyper::header::{HeaderName, HeaderValue};
-use lifthollow_coordination::mesh::admission_queue::{Occupancy, Rank};
+use lifthollow_coordination::mesh::admission_queue::Occupancy;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_coordination::mesh::server_selection::ReportedLoad;
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::Priority;
 
 /// What all of them begin with. Callers' headers of this kind are dropped.
 pub const PREFIX: &str = "lifthollow-";
@@ -14,8 +17,8 @@
 pub const SNAPSHOT_PATH: &str = "/lifthollow/snapshot";
 /// Path at which a node says whether it and its server answer.
 pub const PROBE_PATH: &str = "/lifthollow/probe";
-/// Order of the attempt among others.
-pub const RANK: HeaderName = HeaderName::from_static("lifthollow-rank");
+/// The attempt's tree: place in the order of shedding, nested, repeat.
+pub const TREE: HeaderName = HeaderName::from_static("lifthollow-tree");
 /// How long the attempt may wait before it runs, milliseconds.
 pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
 /// Revision of the sender's snapshot.
@@ -25,11 +28,23 @@
 /// Running, waiting and allowed requests at the server.
 pub const LOAD: HeaderName = HeaderName::from_static("lifthollow-load");
 
+/// Where an attempt stands in the tree of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TreePlace {
+    /// The tree's place in the order of shedding.
+    pub priority: Priority,
+    /// Whether a server made it for a request of its own.
+    pub is_nested: bool,
+    /// Whether a server may have run it, or what it is made for, before.
+    pub is_repeat: bool,
+}
+
 const ANSWERED: &str = "answered";
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
 
-const NOT_RUN_REASONS: [(&str, NotRunReason); 8] = [
+const NOT_RUN_REASONS: [(&str, NotRunReason); 9] = [
+    ("downstream-overloaded", NotRunReason::DownstreamOverloaded),
     ("node-unreachable", NotRunReason::NodeUnreachable),
     ("node-leaving", NotRunReason::NodeLeaving),
     ("server-draining", NotRunReason::ServerDraining),
@@ -118,25 +133,58 @@
 }
 
 /// The value of [`LOAD`].
-pub fn load_value(load: Occupancy) -> HeaderValue {
-    let text = format!("{} {} {}", load.running, load.waiting, load.limit);
+pub fn load_value(load: &ReportedLoad) -> HeaderValue {
+    let Occupancy {
+        running,
+        waiting,
+        limit,
+    } = load.occupancy;
+    let (level, nested) = (load.level.0, u8::from(load.is_nested));
+    let text = format!("{running} {waiting} {limit} {level} {nested}");
     HeaderValue::try_from(text).expect("digits and blanks")
 }
 
 /// Reads [`LOAD`].
-pub fn load(headers: &HeaderMap) -> Option<Occupancy> {
+pub fn load(headers: &HeaderMap) -> Option<ReportedLoad> {
     let value = headers.get(LOAD)?.to_str().ok()?;
-    let mut numbers = value.split(' ').map(|number| number.parse().ok());
-    Some(Occupancy {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        limit: numbers.next()??,
+    let mut numbers = value.split(' ').map(|number| number.parse::<u32>().ok());
+    let mut next = || numbers.next().flatten();
+    let occupancy = Occupancy {
+        running: next()?,
+        waiting: next()?,
+        limit: next()?,
+    };
+    Some(ReportedLoad {
+        occupancy,
+        level: AdmissionLevel(u16::try_from(next()?).ok()?),
+        is_nested: next()? != 0,
     })
 }
 
-/// Reads [`RANK`]; requests without one come last.
-pub fn rank(headers: &HeaderMap) -> Rank {
-    Rank(number(headers, &RANK).unwrap_or(u16::MAX))
+/// The value of [`TREE`].
+pub fn tree_value(tree: &TreePlace) -> HeaderValue {
+    let level = AdmissionLevel::of(tree.priority).0;
+    let text = format!(
+        "{level} {} {}",
+        u8::from(tree.is_nested),
+        u8::from(tree.is_repeat)
+    );
+    HeaderValue::try_from(text).expect("digits and blanks")
+}
+
+/// Reads [`TREE`]; requests without one are the least important.
+pub fn tree(headers: &HeaderMap) -> TreePlace {
+    let value = headers.get(TREE).and_then(|value| value.to_str().ok());
+    let mut numbers = value
+        .unwrap_or_default()
+        .split(' ')
+        .map(|number| number.parse::<u16>().unwrap_or_default());
+    let mut next = || numbers.next().unwrap_or_default();
+    TreePlace {
+        priority: AdmissionLevel(next()).priority(),
+        is_nested: next() != 0,
+        is_repeat: next() != 0,
+    }
 }
 
 /// Reads a header that holds a whole number.
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -111,12 +111,14 @@
         }
         note_gauges(&node);
         let mut state = node.state.borrow_mut();
+        let now = node.now();
+        state.admission.observe(now);
         node.refresh(&mut state);
     }
 }
 
 fn note_gauges(node: &Rc<Node>) {
-    let load = node.state.borrow().queue.occupancy();
+    let load = node.state.borrow().admission.occupancy();
     let gauge = |what: &str, value: u32| {
         node.metrics.load.with_label_values(&[what]).set(i64::from(value));
     };
