--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -114,8 +114,7 @@
         if !self.queue.may_try(now) {
             return refusal(NotRunReason::ServerUnreachable, None);
         }
-        let needed = downstream_level(&self.graph, &self.source(attempt.is_nested), level_of);
-        if !needed.admits(attempt.priority) {
+        if !attempt.is_nested && !self.needed_level(level_of).admits(attempt.priority) {
             return refusal(NotRunReason::DownstreamOverloaded, None);
         }
         self.observe(now);
@@ -204,6 +203,13 @@
         self.threshold.observe(now, occupancy);
     }
 
+    /// What the services needed by requests of callers admit. Nested calls are
+    /// not held to it: work has been done for their trees already, and what was
+    /// admitted above the line a moment ago is little.
+    fn needed_level(&self, level_of: impl Fn(&ServiceName) -> AdmissionLevel) -> AdmissionLevel {
+        downstream_level(&self.graph, &self.source(false), level_of)
+    }
+
     /// Nested calls need other services than requests of callers.
     fn source(&self, is_nested: bool) -> CallSource {
         CallSource {
