--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -19,6 +19,13 @@
 
 /// The levels that rank counts down from.
 const MAX_LEVEL: u16 = 384;
+/// User priorities there are in a class.
+const USER_PRIORITIES: u16 = 128;
+/// The part of the user priorities of a class that nested calls are above: work
+/// has been done for their trees already, so that as many requests of callers
+/// are shed before the first nested call is. The rest is shared, so that neither
+/// kind is starved for the other.
+const NESTED_ADVANTAGE: f64 = 0.4;
 
 /// An attempt that asks to run.
 #[derive(Clone, Debug)]
@@ -101,7 +108,12 @@
         level_of: impl Fn(&ServiceName) -> AdmissionLevel,
     ) -> AdmissionLevel {
         let needed = downstream_level(&self.graph, &self.source(is_nested), level_of);
-        self.threshold.level().max(needed)
+        let own = self.threshold.level();
+        if is_nested {
+            needed.max(level_of_nested(own))
+        } else {
+            needed.max(own)
+        }
     }
 
     /// An attempt arrived.
@@ -118,8 +130,7 @@
             return refusal(NotRunReason::DownstreamOverloaded, None);
         }
         self.observe(now);
-        self.threshold
-            .arrived(AdmissionLevel::of(attempt.priority));
+        self.threshold.arrived(place(attempt));
         match self.queue.offer(now, rank(attempt), attempt.patience) {
             Admission::Run => Verdict::Run,
             Admission::Wait(ticket) => Verdict::Wait(ticket),
@@ -226,9 +237,32 @@
     }
 }
 
-/// Calls of trees that were admitted go before new requests of their priority.
+/// The order in the queue.
 fn rank(attempt: &ArrivingAttempt) -> Rank {
-    let level = AdmissionLevel::of(attempt.priority).0;
-    let below = MAX_LEVEL.saturating_sub(level);
-    Rank(below * 2 + u16::from(!attempt.is_nested))
+    Rank(MAX_LEVEL.saturating_sub(place(attempt).0))
+}
+
+/// Where an attempt stands among those for this server.
+fn place(attempt: &ArrivingAttempt) -> AdmissionLevel {
+    let level = AdmissionLevel::of(attempt.priority);
+    if !attempt.is_nested {
+        return level;
+    }
+    let user = f64::from(level.0 % USER_PRIORITIES);
+    let last = f64::from(USER_PRIORITIES - 1);
+    let raised = last * NESTED_ADVANTAGE + user * (1.0 - NESTED_ADVANTAGE);
+    AdmissionLevel(class_base(level) + raised.round() as u16)
+}
+
+/// The level of trees whose nested calls are at `place` among the attempts for
+/// this server; the inverse of [`place`].
+fn level_of_nested(place: AdmissionLevel) -> AdmissionLevel {
+    let raised = f64::from(place.0 % USER_PRIORITIES);
+    let last = f64::from(USER_PRIORITIES - 1);
+    let user = (raised - last * NESTED_ADVANTAGE) / (1.0 - NESTED_ADVANTAGE);
+    AdmissionLevel(class_base(place) + user.max(0.0).round() as u16)
+}
+
+fn class_base(level: AdmissionLevel) -> u16 {
+    level.0 - level.0 % USER_PRIORITIES
 }
