--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -280,8 +280,9 @@
             .min_by(f64::total_cmp)
     }
 
-    /// The lowest level that some server of `service` lets through, as last
-    /// reported; it opens by itself where nothing is reported.
+    /// The lowest level that some server of `service` lets through, of those
+    /// that reported a moment ago. Without such, what was reported last counts,
+    /// less and less.
     pub fn admission_level(
         &self,
         now: Timestamp,
@@ -289,11 +290,18 @@
         is_nested: bool,
     ) -> AdmissionLevel {
         let ids = self.by_service.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.records.get(id))
+        let levels: Vec<(AdmissionLevel, Duration)> = ids
+            .filter_map(|id| self.records.get(id))
             .filter(|record| record.standing == Standing::Good)
-            .map(|record| record.level(now, is_nested))
-            .min()
-            .unwrap_or(AdmissionLevel::OPEN)
+            .map(|record| record.levels[usize::from(is_nested)])
+            .map(|(level, reported)| (level, now.saturating_since(reported)))
+            .collect();
+        let is_fresh = |(_, age): &&(AdmissionLevel, Duration)| *age <= LEVEL_VALIDITY;
+        if let Some(lowest) = levels.iter().filter(is_fresh).map(|(level, _)| *level).min() {
+            return lowest;
+        }
+        let last = levels.iter().min_by_key(|(_, age)| *age);
+        last.map_or(AdmissionLevel::OPEN, |(level, age)| faded(*level, *age))
     }
 
     fn cost(&self, now: Timestamp, record: &ServerRecord) -> f64 {
@@ -346,14 +354,6 @@
         }
     }
 
-    fn level(&self, now: Timestamp, is_nested: bool) -> AdmissionLevel {
-        let (level, reported) = self.levels[usize::from(is_nested)];
-        let age = now.saturating_since(reported);
-        let stale = age.saturating_sub(LEVEL_VALIDITY).as_secs_f64();
-        let kept = 0.5_f64.powf(stale / LEVEL_HALF_LIFE.as_secs_f64());
-        AdmissionLevel((f64::from(level.0) * kept) as u16)
-    }
-
     /// Own requests, which are known, and those of others as last reported.
     fn utilization(&self, now: Timestamp) -> f64 {
         let limit = self.report.limit.max(self.instance.slots).max(1);
@@ -365,3 +365,10 @@
         (f64::from(self.in_flight) + others) / f64::from(limit)
     }
 }
+
+/// What is left of a level that was reported `age` ago.
+fn faded(level: AdmissionLevel, age: Duration) -> AdmissionLevel {
+    let stale = age.saturating_sub(LEVEL_VALIDITY).as_secs_f64();
+    let kept = 0.5_f64.powf(stale / LEVEL_HALF_LIFE.as_secs_f64());
+    AdmissionLevel((f64::from(level.0) * kept) as u16)
+}
