--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -42,7 +42,7 @@
 const QUEUE_GAIN: f64 = 0.1;
 /// Calls that may wait, relative to the square root of those that run: that is
 /// how much the number of arrivals varies by chance.
-const TARGET_QUEUE: f64 = 0.8;
+const DEFAULT_TARGET_QUEUE: f64 = 0.8;
 /// Largest share of the demand that one window shuts out.
 const MAX_RAISE: f64 = 0.3;
 /// Levels that one window lets in at most.
@@ -66,6 +66,8 @@
     demand: Vec<f64>,
     /// Runs that ended, remembered as long as the demand.
     served: f64,
+    /// Calls that may wait, relative to the square root of the limit.
+    target_queue: f64,
     window: Window,
 }
 
@@ -88,12 +90,22 @@
             level: 0,
             demand: vec![0.0; LEVELS],
             served: 0.0,
+            target_queue: DEFAULT_TARGET_QUEUE,
             window: Window::default(),
         }
     }
 }
 
 impl AdmissionThreshold {
+    /// A threshold that keeps about `target_queue` times the square root of the
+    /// limit waiting.
+    pub fn with_target_queue(target_queue: f64) -> Self {
+        AdmissionThreshold {
+            target_queue,
+            ..AdmissionThreshold::default()
+        }
+    }
+
     /// The lowest level that gets through.
     pub fn level(&self) -> AdmissionLevel {
         AdmissionLevel(self.level)
@@ -136,7 +148,7 @@
     }
 
     fn revise(&mut self) {
-        let correction = SURPLUS_GAIN * self.window.surplus() + QUEUE_GAIN * self.window.backlog();
+        let correction = SURPLUS_GAIN * self.window.surplus() + QUEUE_GAIN * self.window.backlog(self.target_queue);
         let share = correction / f64::from(self.window.arrivals.max(1));
         if share > 0.0 {
             self.raise(share.min(MAX_RAISE));
@@ -212,8 +224,8 @@
     }
 
     /// Calls that wait beyond the target.
-    fn backlog(&self) -> f64 {
-        let target = f64::from(self.last.limit).sqrt() * TARGET_QUEUE;
+    fn backlog(&self, target_queue: f64) -> f64 {
+        let target = f64::from(self.last.limit).sqrt() * target_queue;
         self.last.queued as f64 - target
     }
 
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -25,7 +25,7 @@
 /// has been done for their trees already, so that as many requests of callers
 /// are shed before the first nested call is. The rest is shared, so that neither
 /// kind is starved for the other.
-const NESTED_ADVANTAGE: f64 = 0.4;
+const NESTED_ADVANTAGE: f64 = 0.6;
 
 /// An attempt that asks to run.
 #[derive(Clone, Debug)]
@@ -60,6 +60,10 @@
     },
 }
 
+/// Attempts that may wait before the level rises, relative to the square root of
+/// those that run. Runs are short against the time that a request has.
+const TARGET_QUEUE: f64 = 2.5;
+
 /// State of the admission to one server.
 #[derive(Debug)]
 pub struct ServerAdmission {
@@ -77,7 +81,7 @@
         ServerAdmission {
             service: ServiceName::new(service),
             queue: AdmissionQueue::new(limit),
-            threshold: AdmissionThreshold::default(),
+            threshold: AdmissionThreshold::with_target_queue(TARGET_QUEUE),
             graph: CallGraph::default(),
             running: RunningRequests::default(),
             next_run: 0,
