Answer pipelined requests at once

Heads are now found in the bytes read ahead and idempotent requests without a body are started at once.

--- a/crates/proxy/src/http/caller_stream.rs
+++ b/crates/proxy/src/http/caller_stream.rs
@@ -23,6 +23,10 @@
 struct Shared {
     stream: TcpStream,
     ahead: BytesMut,
+    /// Bytes of `ahead` that were handed to be inspected.
+    inspected: usize,
+    /// Reading stopped for lack of room.
+    was_full: bool,
     ended: bool,
     failed: bool,
 }
@@ -38,6 +42,8 @@
     let shared = Rc::new(RefCell::new(Shared {
         stream,
         ahead: BytesMut::new(),
+        inspected: 0,
+        was_full: false,
         ended: false,
         failed: false,
     }));
@@ -45,9 +51,22 @@
 }
 
 impl ReadAhead {
-    /// Reads what has arrived. The task is woken when more does.
-    pub fn poll(&mut self, context: &mut Context<'_>) {
-        self.0.borrow_mut().fill(context);
+    /// Reads what has arrived, and hands new bytes to `inspect`. The task is
+    /// woken when more arrives.
+    pub fn poll(&mut self, context: &mut Context<'_>, inspect: impl FnOnce(&[u8])) {
+        let mut shared = self.0.borrow_mut();
+        shared.fill(context);
+        if shared.inspected < shared.ahead.len() {
+            inspect(&shared.ahead[shared.inspected..]);
+            shared.inspected = shared.ahead.len();
+        }
+    }
+
+    /// Whether reading stopped for lack of room, and there is room again. Then
+    /// nothing wakes the task: [`ReadAhead::poll`] is due at once.
+    pub fn has_room_again(&self) -> bool {
+        let shared = self.0.borrow();
+        shared.was_full && shared.ahead.len() < MAX_READ_AHEAD
     }
 
     /// Whether the caller has closed the connection.
@@ -59,6 +78,7 @@
 
 impl Shared {
     fn fill(&mut self, context: &mut Context<'_>) {
+        self.was_full = false;
         while !self.ended && !self.failed && self.ahead.len() < MAX_READ_AHEAD {
             let length = self.ahead.len();
             self.ahead.resize(length + READ_SIZE, 0);
@@ -72,32 +92,33 @@
                 Poll::Ready(Err(_)) => self.failed = true,
             }
         }
+        self.was_full = !self.ended && !self.failed;
     }
 }
 
 impl Read for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        _context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        // Only what was inspected is taken, so that nothing passes uninspected.
         let mut shared = self.0.borrow_mut();
-        if shared.ahead.is_empty() {
-            shared.fill(context);
-        }
-        if !shared.ahead.is_empty() {
-            let length = shared.ahead.len().min(buffer.remaining());
+        if shared.inspected > 0 {
+            let length = shared.inspected.min(buffer.remaining());
             buffer.put_slice(&shared.ahead[..length]);
             shared.ahead.advance(length);
+            shared.inspected -= length;
             return Poll::Ready(Ok(()));
         }
         if shared.failed {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
-        match shared.ended {
-            true => Poll::Ready(Ok(())),
-            false => Poll::Pending,
+        let has_ended = shared.ended && shared.ahead.is_empty();
+        if has_ended {
+            return Poll::Ready(Ok(()));
         }
+        Poll::Pending
     }
 }
 
--- a/crates/proxy/src/http/mod.rs
+++ b/crates/proxy/src/http/mod.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod caller_stream;
 pub mod headers;
+pub mod pipeline;
 pub mod pool;
 pub mod server;
 pub mod socket;
--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::http::caller_stream;
+use crate::http::pipeline::{AbortOnDrop, HeadScanner, Pipeline};
 use crate::http::{ProxyBody, socket};
 
 /// Pause after the system refused to accept a connection (out of descriptors).
@@ -26,12 +27,18 @@
 
 /// Answers requests. The future is dropped when the caller hangs up.
 pub trait Handler: 'static {
-    /// Answers `request`.
+    /// Answers `request`, whose body is given if one may follow.
     fn handle(
         self: Rc<Self>,
-        request: Request<Incoming>,
+        request: Request<Option<Incoming>>,
     ) -> impl Future<Output = Response<ProxyBody>> + 'static;
 
+    /// Whether a request may be answered while another that came before it on
+    /// its connection is. If the connection ends early, it may be sent again.
+    fn may_answer_early(&self, _request: &Request<()>) -> bool {
+        false
+    }
+
     /// What a caller may send and how long it may take.
     fn connection_limits(&self) -> ConnectionLimits;
 }
@@ -58,6 +65,10 @@
         self.requests.get()
     }
 
+    fn count_request(&self) -> Counted {
+        Counted::new(&self.requests)
+    }
+
     /// Open connections.
     pub fn connections(&self) -> usize {
         self.connections.get()
@@ -113,17 +124,21 @@
     let _open = Counted::new(&in_progress.connections);
     let limits = handler.connection_limits();
     let active = Rc::new(Cell::new(0));
+    let pipeline = Pipeline::default();
+    let mut scanner = HeadScanner::new(limits.max_header_bytes);
     let (stream, mut ahead) = caller_stream::split(stream);
     let service = service_fn({
-        let active = active.clone();
-        move |request| {
-            let answer = handler.clone().handle(request);
-            let counted = (
-                Counted::new(&active),
-                Counted::new(&in_progress.requests),
-            );
+        let (active, pipeline) = (active.clone(), pipeline.clone());
+        let (handler, in_progress) = (handler.clone(), in_progress.clone());
+        move |request: Request<Incoming>| {
+            let early = pipeline.take(request.method(), request.uri(), request.headers());
+            let handler = handler.clone();
+            let counted = (Counted::new(&active), in_progress.count_request());
             async move {
-                let answer = answer.await;
+                let answer = match early {
+                    Some(early) => early.finished().await,
+                    None => handler.handle(request.map(Some)).await,
+                };
                 drop(counted);
                 Ok::<_, Infallible>(answer)
             }
@@ -137,17 +152,48 @@
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
     let mut asked_to_close = pin!(closing.wait_for(|closing| *closing));
+    let mut is_asked_to_close = false;
     let mut is_closing = false;
-    poll_fn(|context| {
-        ahead.poll(context);
+    poll_fn(|context| loop {
+        ahead.poll(context, |bytes| {
+            for request in scanner.scan(bytes) {
+                pipeline.found(request, active.get() > 0, |request| {
+                    let may_start = !is_asked_to_close && handler.may_answer_early(request);
+                    may_start.then(|| start_early(&handler, &in_progress, request.clone()))
+                });
+            }
+        });
         if ahead.is_closed() && active.get() > 0 {
             return Poll::Ready(());
         }
-        if !is_closing && asked_to_close.as_mut().poll(context).is_ready() {
+        if !is_asked_to_close {
+            is_asked_to_close = asked_to_close.as_mut().poll(context).is_ready();
+        }
+        // What has been started is answered before the connection closes.
+        if is_asked_to_close && !is_closing && !pipeline.is_waiting() {
             is_closing = true;
             connection.as_mut().graceful_shutdown();
         }
-        connection.as_mut().poll(context).map(|_| ())
+        if connection.as_mut().poll(context).is_ready() {
+            return Poll::Ready(());
+        }
+        if !ahead.has_room_again() {
+            return Poll::Pending;
+        }
     })
     .await;
 }
+
+fn start_early<H: Handler>(
+    handler: &Rc<H>,
+    in_progress: &InProgress,
+    request: Request<()>,
+) -> AbortOnDrop {
+    let counted = in_progress.count_request();
+    let answer = handler.clone().handle(request.map(|()| None));
+    AbortOnDrop(tokio::task::spawn_local(async move {
+        let answer = answer.await;
+        drop(counted);
+        answer
+    }))
+}
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -350,7 +350,7 @@
 pub struct Inbound(pub Rc<Node>);
 
 impl Handler for Inbound {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
+    async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
         match request.uri().path() {
             peer_headers::SNAPSHOT_PATH => return snapshots::answer(node),
@@ -370,7 +370,7 @@
     }
 }
 
-async fn read_attempt(node: &Rc<Node>, request: Request<Incoming>) -> Option<Attempt> {
+async fn read_attempt(node: &Rc<Node>, request: Request<Option<Incoming>>) -> Option<Attempt> {
     let arrived = node.now();
     let (mut head, incoming) = request.into_parts();
     headers::remove_single_connection(&mut head.headers);
@@ -378,7 +378,7 @@
     let server = InstanceId::new(server.to_str().ok()?);
     let left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let patience = peer_headers::milliseconds(&head.headers, &peer_headers::PATIENCE);
-    let body = match body::read(incoming, MAX_HELD_ANSWER).await.ok()? {
+    let body = match body::read(incoming?, MAX_HELD_ANSWER).await.ok()? {
         ReadBody::Whole(whole) => ProxyBody::Whole(whole),
         ReadBody::Larger { arrived, rest } => ProxyBody::Passing {
             arrived,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -104,7 +104,7 @@
 }
 
 impl Handler for Metrics {
-    async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Response<ProxyBody> {
+    async fn handle(self: Rc<Self>, _request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let text = self.text().unwrap_or_default();
         let mut response = Response::new(ProxyBody::Whole(text.into()));
         let format = hyper::header::HeaderValue::from_static(prometheus::TEXT_FORMAT);
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use lifthollow_coordination::mesh::call::{
     AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
 };
@@ -54,7 +54,7 @@
 pub struct Outbound(pub Rc<Node>);
 
 impl Handler for Outbound {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
+    async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
         let arrived = node.now();
         let (outcome, response) = serve(node, arrived, request).await;
@@ -64,6 +64,15 @@
         response
     }
 
+    fn may_answer_early(&self, request: &Request<()>) -> bool {
+        let state = self.0.state.borrow();
+        let route = state.routes.as_ref().and_then(|routes| {
+            let host = host(request.headers(), request.uri());
+            routes.find(host, request.uri().path())
+        });
+        route.is_some_and(|route| route.is_idempotent())
+    }
+
     fn connection_limits(&self) -> ConnectionLimits {
         self.0.connection_limits()
     }
@@ -106,7 +115,7 @@
 async fn serve(
     node: &Rc<Node>,
     arrived: Timestamp,
-    request: Request<Incoming>,
+    request: Request<Option<Incoming>>,
 ) -> (&'static str, Response<ProxyBody>) {
     let (mut head, incoming) = request.into_parts();
     remove_single_connection(&mut head.headers);
@@ -125,9 +134,12 @@
     let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let call = Call::new(arrived, &route.route, patience);
     let tree = tree_place(node, &head, &route, &call);
-    let body = match read_body(node, &call, incoming).await {
-        Ok(body) => body,
-        Err(refused) => return ("bad-request", status(refused)),
+    let body = match incoming {
+        None => HeldBody::Whole(Bytes::new()),
+        Some(incoming) => match read_body(node, &call, incoming).await {
+            Ok(body) => body,
+            Err(refused) => return ("bad-request", status(refused)),
+        },
     };
     let mut request = RoutedRequest {
         head,
@@ -193,10 +205,8 @@
         .routes
         .as_ref()
         .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = named.or(head.uri.host()).unwrap_or_default();
     let route = routes
-        .find(host, head.uri.path())
+        .find(host(&head.headers, &head.uri), head.uri.path())
         .ok_or(StatusCode::NOT_FOUND)?;
     let service = state.split.choose(route, &mut state.random).to_owned();
     Ok(RouteInForce {
@@ -206,6 +216,11 @@
     })
 }
 
+fn host<'r>(headers: &'r HeaderMap, uri: &'r Uri) -> &'r str {
+    let named = headers.get(HOST).and_then(|host| host.to_str().ok());
+    named.or(uri.host()).unwrap_or_default()
+}
+
 async fn read_body(
     node: &Rc<Node>,
     call: &Call,
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -136,7 +136,7 @@
 struct Readiness(Rc<Node>);
 
 impl Handler for Readiness {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ProxyBody> {
+    async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let is_known = request.uri().path() == self.0.names.readiness_path;
         let status = match (is_known, self.0.is_ready()) {
             (false, _) => StatusCode::NOT_FOUND,
