--- a/crates/coordination/src/inbound/admission_threshold.rs
+++ b/crates/coordination/src/inbound/admission_threshold.rs
@@ -148,7 +148,8 @@
     }
 
     fn revise(&mut self) {
-        let correction = SURPLUS_GAIN * self.window.surplus() + QUEUE_GAIN * self.window.backlog(self.target_queue);
+        let correction = SURPLUS_GAIN * self.window.surplus()
+            + QUEUE_GAIN * self.window.backlog(self.target_queue);
         let share = correction / f64::from(self.window.arrivals.max(1));
         if share > 0.0 {
             self.raise(share.min(MAX_RAISE));
--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -229,6 +229,9 @@
             // What it needs further down is the same for all servers.
             reason == NotRunReason::DownstreamOverloaded
         });
-        allowed && !is_futile && self.offered < self.max_attempts && self.refused < MAX_REFUSED_ATTEMPTS
+        allowed
+            && !is_futile
+            && self.offered < self.max_attempts
+            && self.refused < MAX_REFUSED_ATTEMPTS
     }
 }
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -297,7 +297,12 @@
             .map(|(level, reported)| (level, now.saturating_since(reported)))
             .collect();
         let is_fresh = |(_, age): &&(AdmissionLevel, Duration)| *age <= LEVEL_VALIDITY;
-        if let Some(lowest) = levels.iter().filter(is_fresh).map(|(level, _)| *level).min() {
+        if let Some(lowest) = levels
+            .iter()
+            .filter(is_fresh)
+            .map(|(level, _)| *level)
+            .min()
+        {
             return lowest;
         }
         let last = levels.iter().min_by_key(|(_, age)| *age);
--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -104,7 +104,10 @@
         self.vanished
             .retain(|_, (_, since)| now.saturating_since(*since) < VANISHED_GRACE);
         let ready = self.vanished.values().map(|(instance, _)| instance);
-        ready.filter(|instance| instance.is_ready()).cloned().collect()
+        ready
+            .filter(|instance| instance.is_ready())
+            .cloned()
+            .collect()
     }
 
     fn apply_configuration(&mut self, configuration: Configuration) -> Applied {
--- /dev/null
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -0,0 +1,244 @@
+//! Admission to one server, and the trees that requests form.
+
+mod mesh_support;
+
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::mesh::call::NotRunReason;
+use lifthollow_coordination::mesh::request_tree::{Parent, RunningRequests, priority_of_request};
+use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, ServerAdmission, Verdict};
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::{Priority, PriorityClass, ServiceName, Timestamp};
+use mesh_support::{at, ms};
+
+const LIMIT: u32 = 4;
+
+fn open(_: &ServiceName) -> AdmissionLevel {
+    AdmissionLevel::OPEN
+}
+
+fn attempt(id: &str, class: PriorityClass, user: u8) -> ArrivingAttempt {
+    ArrivingAttempt {
+        request_id: id.to_owned(),
+        priority: Priority { class, user },
+        is_nested: false,
+        is_repeat: false,
+        deadline: at(100_000),
+        patience: ms(500),
+    }
+}
+
+fn sheddable(id: &str, user: u8) -> ArrivingAttempt {
+    attempt(id, PriorityClass::Sheddable, user)
+}
+
+fn nested(id: &str, user: u8) -> ArrivingAttempt {
+    ArrivingAttempt {
+        is_nested: true,
+        ..sheddable(id, user)
+    }
+}
+
+/// A server whose slots are taken.
+fn full(now: Timestamp) -> ServerAdmission {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    for run in 0..LIMIT {
+        let verdict = admission.arrive(now, &sheddable(&run.to_string(), 0), open);
+        assert_eq!(verdict, Verdict::Run);
+    }
+    admission
+}
+
+fn started_next(admission: &mut ServerAdmission, now: Timestamp) -> Vec<u64> {
+    let tickets = admission.give_back(now);
+    tickets.into_iter().map(|ticket| ticket.0).collect()
+}
+
+#[test]
+fn the_server_never_has_more_than_it_works_on() {
+    let mut admission = full(at(0));
+    let verdict = admission.arrive(at(0), &sheddable("more", 0), open);
+    assert!(matches!(verdict, Verdict::Wait(_)));
+    assert_eq!(admission.occupancy().running, LIMIT);
+}
+
+#[test]
+fn more_important_requests_start_first() {
+    let mut admission = full(at(0));
+    admission.arrive(at(0), &sheddable("low", 3), open);
+    admission.arrive(at(0), &attempt("high", PriorityClass::Critical, 0), open);
+    admission.arrive(at(0), &sheddable("middle", 90), open);
+    assert_eq!(started_next(&mut admission, at(1)), [1]);
+    assert_eq!(started_next(&mut admission, at(1)), [2]);
+    assert_eq!(started_next(&mut admission, at(1)), [0]);
+}
+
+#[test]
+fn nested_calls_go_before_callers_requests_of_their_class() {
+    let mut admission = full(at(0));
+    admission.arrive(at(0), &sheddable("page", 60), open);
+    admission.arrive(at(0), &nested("call", 5), open);
+    assert_eq!(started_next(&mut admission, at(1)), [1]);
+}
+
+#[test]
+fn important_request_goes_before_nested_calls_of_a_lower_class() {
+    let mut admission = full(at(0));
+    admission.arrive(at(0), &nested("call", 127), open);
+    admission.arrive(at(0), &attempt("charge", PriorityClass::Critical, 0), open);
+    assert_eq!(started_next(&mut admission, at(1)), [1]);
+}
+
+#[test]
+fn request_that_would_wait_too_long_is_refused_at_once() {
+    let mut admission = full(at(0));
+    let mut hasty = sheddable("hasty", 0);
+    hasty.patience = ms(1);
+    let verdict = admission.arrive(at(0), &hasty, open);
+    let Verdict::Refuse {
+        reason,
+        retry_after,
+    } = verdict
+    else {
+        panic!("{verdict:?}");
+    };
+    assert_eq!(reason, NotRunReason::QueueFull);
+    assert!(
+        retry_after.is_some(),
+        "the caller is told when to come back"
+    );
+}
+
+#[test]
+fn withdrawn_request_frees_its_place() {
+    let mut admission = full(at(0));
+    let waiting = sheddable("waiting", 0);
+    let Verdict::Wait(ticket) = admission.arrive(at(0), &waiting, open) else {
+        panic!("it runs");
+    };
+    assert!(admission.withdraw(&waiting, ticket, true));
+    assert!(started_next(&mut admission, at(1)).is_empty());
+    assert!(!admission.withdraw(&waiting, ticket, true));
+}
+
+#[test]
+fn silent_server_gets_one_trial_at_a_time() {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    assert_eq!(
+        admission.arrive(at(0), &sheddable("first", 0), open),
+        Verdict::Run
+    );
+    assert!(!admission.is_silent(at(500)));
+    assert!(admission.is_silent(at(1000)));
+    assert_eq!(
+        admission.arrive(at(1000), &sheddable("trial", 0), open),
+        Verdict::Run
+    );
+    let verdict = admission.arrive(at(1100), &sheddable("next", 0), open);
+    let unreachable = Verdict::Refuse {
+        reason: NotRunReason::ServerUnreachable,
+        retry_after: None,
+    };
+    assert_eq!(verdict, unreachable);
+    let trial = admission.started(&sheddable("trial", 0));
+    admission.answered(at(1200), trial, true);
+    assert!(!admission.is_silent(at(1300)));
+}
+
+/// Overloads the server with trees of all priorities for two seconds.
+fn overload(admission: &mut ServerAdmission, arrivals_per_run: u32) {
+    let mut now = at(0);
+    for round in 0..400_u32 {
+        now = now + ms(5);
+        for copy in 0..arrivals_per_run {
+            let user = (round * 37 + copy * 61) % 128;
+            admission.arrive(now, &nested(&format!("{round}-{copy}"), user as u8), open);
+        }
+        admission.finish(now, &sheddable("", 0), InboundId(u64::MAX), Some(ms(20)));
+    }
+}
+
+#[test]
+fn overload_raises_the_level_of_callers_requests_before_that_of_nested_calls() {
+    let mut admission = full(at(0));
+    overload(&mut admission, 2);
+    let of_callers = admission.level(false, open);
+    let of_nested = admission.level(true, open);
+    assert!(of_callers > AdmissionLevel::OPEN);
+    assert!(of_nested < of_callers, "{of_nested:?} {of_callers:?}");
+    assert!(
+        of_callers < AdmissionLevel(256),
+        "critical requests are admitted"
+    );
+}
+
+#[test]
+fn what_a_needed_service_refuses_is_refused_before_work_is_done() {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    for number in 0..30 {
+        let request = sheddable(&number.to_string(), 0);
+        assert_eq!(admission.arrive(at(number), &request, open), Verdict::Run);
+        let run = admission.started(&request);
+        admission.called(run, "media");
+        admission.answered(at(number), run, true);
+        admission.finish(at(number), &request, run, Some(ms(1)));
+    }
+    let closed_to_most = |service: &ServiceName| match service.as_str() {
+        "media" => AdmissionLevel(100),
+        _ => AdmissionLevel::OPEN,
+    };
+    let low = admission.arrive(at(100), &sheddable("low", 50), closed_to_most);
+    assert!(matches!(
+        low,
+        Verdict::Refuse {
+            reason: NotRunReason::DownstreamOverloaded,
+            ..
+        }
+    ));
+    let high = admission.arrive(at(100), &sheddable("high", 120), closed_to_most);
+    assert_eq!(high, Verdict::Run);
+    let begun = admission.arrive(at(100), &nested("begun", 50), closed_to_most);
+    assert_eq!(begun, Verdict::Run, "trees that were admitted go on");
+    assert_eq!(admission.level(false, closed_to_most), AdmissionLevel(100));
+}
+
+fn parent(run: u64, is_repeat: bool) -> Parent {
+    Parent {
+        run: InboundId(run),
+        priority: priority_of_request(0, "root"),
+        is_repeat,
+    }
+}
+
+#[test]
+fn nested_call_takes_over_the_priority_of_its_run() {
+    let mut running = RunningRequests::default();
+    running.started("aa", at(1000), parent(1, false));
+    running.started("bb", at(2000), parent(2, true));
+    let by_identity = running.parent_of("bb.cc", at(1000)).expect("by identity");
+    assert!(by_identity.is_repeat);
+    let by_deadline = running.parent_of("zz", at(1001)).expect("by deadline");
+    assert_eq!(by_deadline.run, InboundId(1));
+    assert_eq!(running.parent_of("zz", at(1500)), None);
+    running.ended("bb", InboundId(2));
+    assert_eq!(running.parent_of("bb.cc", at(2100)), None);
+}
+
+#[test]
+fn end_of_a_former_run_does_not_end_its_repeat() {
+    let mut running = RunningRequests::default();
+    running.started("aa", at(1000), parent(1, false));
+    running.started("aa", at(1000), parent(2, true));
+    running.ended("aa", InboundId(1));
+    assert_eq!(
+        running.parent_of("aa.bb", at(0)).map(|found| found.run),
+        Some(InboundId(2))
+    );
+}
+
+#[test]
+fn whole_tree_shares_one_priority() {
+    let root = priority_of_request(2, "aa");
+    assert_eq!(priority_of_request(2, "aa.bb").user, root.user);
+    assert_eq!(priority_of_request(0, "aa").class, PriorityClass::Critical);
+    assert_eq!(root.class, PriorityClass::Sheddable);
+}
--- /dev/null
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -0,0 +1,254 @@
+//! Attempts of a request, choice of servers and the budget for repeats.
+
+mod mesh_support;
+
+use std::time::Duration;
+
+use lifthollow_coordination::mesh::admission_queue::Occupancy;
+use lifthollow_coordination::mesh::call::{
+    AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
+};
+use lifthollow_coordination::mesh::retry_budget::{FleetRetryBound, RetryBudgets};
+use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::mesh::RequestKind;
+use mesh_support::{at, id, ms, random, route, server};
+
+fn not_run(offered: bool, reason: NotRunReason) -> AttemptEnd {
+    AttemptEnd::NotRun {
+        offered,
+        reason,
+        retry_after: None,
+    }
+}
+
+fn lost() -> AttemptEnd {
+    AttemptEnd::Unknown {
+        reason: UnknownReason::AnswerLost,
+    }
+}
+
+#[test]
+fn request_that_may_have_run_is_sent_again_only_if_it_may_be_repeated() {
+    let mut once = route("once", "/");
+    once.kind = RequestKind::NonIdempotent;
+    let mut call = Call::new(at(0), &once, None);
+    let next = call.attempt_ended(&id("i-1"), &lost(), || true);
+    assert_eq!(next, NextStep::Finish(FinalAnswer::Unknown));
+
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    let next = call.attempt_ended(&id("i-1"), &lost(), || true);
+    assert_eq!(next, NextStep::Attempt);
+    assert_eq!(call.excluded(), [id("i-1")]);
+}
+
+#[test]
+fn refused_request_goes_elsewhere_whatever_its_kind() {
+    let mut once = route("once", "/");
+    once.kind = RequestKind::NonIdempotent;
+    let mut call = Call::new(at(0), &once, None);
+    let refused = not_run(false, NotRunReason::QueueFull);
+    let next = call.attempt_ended(&id("i-1"), &refused, || panic!("it is no repeat"));
+    assert_eq!(next, NextStep::Attempt);
+}
+
+#[test]
+fn a_request_reaches_no_more_servers_than_its_route_allows() {
+    let mut call = Call::new(at(0), &route("two", "/"), None);
+    let refused = not_run(true, NotRunReason::ServerRefused);
+    assert_eq!(
+        call.attempt_ended(&id("i-1"), &refused, || true),
+        NextStep::Attempt
+    );
+    let next = call.attempt_ended(&id("i-2"), &refused, || true);
+    assert!(matches!(
+        next,
+        NextStep::Finish(FinalAnswer::Refused { .. })
+    ));
+}
+
+#[test]
+fn without_budget_there_is_no_repeat() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    let next = call.attempt_ended(&id("i-1"), &lost(), || false);
+    assert_eq!(next, NextStep::Finish(FinalAnswer::Unknown));
+}
+
+#[test]
+fn not_run_is_never_said_of_a_request_that_may_have_run() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    call.attempt_ended(&id("i-1"), &lost(), || true);
+    let refused = not_run(false, NotRunReason::QueueFull);
+    call.attempt_ended(&id("i-2"), &refused, || true);
+    assert_eq!(call.give_up(), FinalAnswer::Unknown);
+    assert_eq!(call.timed_out(false), FinalAnswer::TimedOut);
+}
+
+#[test]
+fn answer_is_due_at_the_earlier_of_timeout_and_deadline() {
+    let call = Call::new(at(100), &route("any", "/"), Some(ms(5000)));
+    assert_eq!(call.ends(), at(900));
+    let call = Call::new(at(100), &route("any", "/"), Some(ms(300)));
+    assert_eq!(call.ends(), at(400));
+}
+
+#[test]
+fn overload_further_down_is_not_asked_for_at_every_server() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    let refused = not_run(false, NotRunReason::DownstreamOverloaded);
+    let next = call.attempt_ended(&id("i-1"), &refused, || true);
+    let NextStep::Finish(FinalAnswer::Refused { reason, .. }) = next else {
+        panic!("{next:?}");
+    };
+    let wanted = RefusalReason::AllRefused(NotRunReason::DownstreamOverloaded);
+    assert_eq!(reason, wanted);
+}
+
+fn pool() -> ServerPool {
+    let mut pool = ServerPool::new("a");
+    let servers = [
+        server("i-a", "a", 1),
+        server("i-b", "b", 2),
+        server("i-c", "c", 3),
+    ];
+    pool.set_servers(at(0), servers);
+    pool
+}
+
+fn chosen(pool: &ServerPool, now: u64) -> String {
+    let server = pool.choose(at(now), "feeds", &[], &mut random());
+    server.expect("there are servers").id.as_str().to_owned()
+}
+
+#[test]
+fn own_zone_is_preferred_until_it_is_busy() {
+    let mut pool = pool();
+    assert_eq!(chosen(&pool, 0), "i-a");
+    for _ in 0..8 {
+        pool.sent(&id("i-a"));
+    }
+    assert_ne!(chosen(&pool, 0), "i-a");
+}
+
+#[test]
+fn draining_server_gets_nothing() {
+    let mut pool = ServerPool::new("a");
+    let mut draining = server("i-a", "a", 1);
+    draining.state = lifthollow_state::mesh::ServerState::Draining;
+    pool.set_servers(at(0), [draining]);
+    assert!(pool.choose(at(0), "feeds", &[], &mut random()).is_none());
+}
+
+#[test]
+fn server_set_aside_comes_back_only_by_a_probe() {
+    let mut pool = pool();
+    assert!(pool.set_aside(&id("i-a")));
+    assert!(!pool.set_aside(&id("i-a")), "it is probed already");
+    assert_ne!(chosen(&pool, 60_000), "i-a");
+    let first = pool.probe_delay(&id("i-a")).expect("it is to be probed");
+    pool.probed(&id("i-a"), false);
+    assert!(pool.probe_delay(&id("i-a")).expect("still") > first);
+    pool.probed(&id("i-a"), true);
+    assert_eq!(pool.probe_delay(&id("i-a")), None);
+    assert_eq!(chosen(&pool, 60_000), "i-a");
+}
+
+#[test]
+fn server_set_aside_is_used_if_no_other_is_left() {
+    let mut pool = ServerPool::new("a");
+    pool.set_servers(at(0), [server("i-a", "a", 1)]);
+    pool.set_aside(&id("i-a"));
+    assert_eq!(chosen(&pool, 0), "i-a");
+}
+
+#[test]
+fn withdrawn_server_gets_nothing_until_it_announces_something_else() {
+    let mut pool = ServerPool::new("a");
+    pool.set_servers(at(0), [server("i-a", "a", 1)]);
+    pool.withdraw(&id("i-a"));
+    assert!(pool.choose(at(0), "feeds", &[], &mut random()).is_none());
+    pool.set_servers(at(1), [server("i-a", "a", 1)]);
+    assert!(pool.choose(at(1), "feeds", &[], &mut random()).is_none());
+    let mut changed = server("i-a", "a", 1);
+    changed.slots = 11;
+    pool.set_servers(at(2), [changed]);
+    assert!(pool.choose(at(2), "feeds", &[], &mut random()).is_some());
+}
+
+#[test]
+fn silence_is_counted_only_while_nothing_is_answered() {
+    let mut pool = pool();
+    assert!(!pool.is_silent(at(100), &id("i-a"), at(1)));
+    assert!(pool.is_silent(at(5000), &id("i-a"), at(1)));
+    pool.heard(at(4900), &id("i-a"), None, Some(ms(30)));
+    assert!(!pool.is_silent(at(5000), &id("i-a"), at(1)));
+}
+
+fn reported(level: u16) -> ReportedLoad {
+    ReportedLoad {
+        occupancy: Occupancy::default(),
+        level: AdmissionLevel(level),
+        is_nested: false,
+    }
+}
+
+#[test]
+fn level_of_a_service_is_that_of_the_servers_heard_of_lately() {
+    let mut pool = pool();
+    let level = |pool: &ServerPool, now| pool.admission_level(at(now), "feeds", false).0;
+    assert_eq!(level(&pool, 1000), 0);
+    pool.reported(at(1000), &id("i-a"), reported(100));
+    assert_eq!(
+        level(&pool, 1100),
+        100,
+        "servers never heard of don't count"
+    );
+    pool.reported(at(1050), &id("i-b"), reported(40));
+    assert_eq!(level(&pool, 1100), 40);
+    assert!(level(&pool, 3000) < 5, "an old level opens by itself");
+}
+
+fn bound() -> FleetRetryBound {
+    FleetRetryBound {
+        ratio: 0.2,
+        fixed: 60.0,
+        window: Duration::from_secs(10),
+    }
+}
+
+#[test]
+fn all_nodes_together_stay_within_the_bound_in_every_window() {
+    const NODES: usize = 12;
+    let mut budgets: Vec<RetryBudgets> = (0..NODES).map(|_| RetryBudgets::new(bound())).collect();
+    for budget in &mut budgets {
+        budget.set_nodes(NODES);
+    }
+    let mut repeats_at = Vec::new();
+    let mut requests = 0;
+    for millisecond in 0..30_000_u64 {
+        let node = millisecond as usize % NODES;
+        if millisecond % 10 == 0 {
+            budgets[node].deposit(at(millisecond), "feeds");
+            requests += 1;
+        }
+        if budgets[node].withdraw(at(millisecond), "feeds") {
+            repeats_at.push(millisecond);
+        }
+    }
+    assert_eq!(requests, 3000);
+    let in_window = |from: u64| {
+        repeats_at
+            .iter()
+            .filter(move |at| (from..from + 10_000).contains(*at))
+    };
+    let worst = (0..20_000)
+        .step_by(100)
+        .map(|from| in_window(from).count())
+        .max();
+    let worst = worst.expect("there are windows");
+    assert!(worst > 0, "nothing was allowed");
+    assert!(
+        worst as f64 <= 0.2 * 1000.0 + 60.0,
+        "{worst} repeats in a window"
+    );
+}
--- /dev/null
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -0,0 +1,203 @@
+//! Routes, splits by weight, and what a node was told from outside.
+
+mod mesh_support;
+
+use lifthollow_coordination::mesh::route_table::RouteTable;
+use lifthollow_coordination::mesh::snapshot_store::{Applied, Change, SnapshotStore};
+use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
+use lifthollow_state::mesh::{ConfigurationError, KnownServer, ServerState, Snapshot};
+use mesh_support::{at, configuration, id, part, random, route, server};
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("whole", "/"),
+        route("shop", "/a/"),
+        route("deep", "/a/b/"),
+    ];
+    let table = RouteTable::new(&configuration(1, routes));
+    let found = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(found("shop.example", "/a/b/c").as_deref(), Some("deep"));
+    assert_eq!(found("shop.example", "/a/bc").as_deref(), Some("shop"));
+    assert_eq!(found("SHOP.example:8080", "/a/b/").as_deref(), Some("deep"));
+    assert_eq!(found("shop.example", "/x").as_deref(), Some("whole"));
+    assert_eq!(found("other.example", "/a/b/c"), None);
+}
+
+#[test]
+fn prefix_without_its_slash_does_not_match() {
+    let table = RouteTable::new(&configuration(1, vec![route("shop", "/a/")]));
+    assert!(table.find("shop.example", "/a").is_none());
+    assert!(table.find("shop.example", "").is_none());
+}
+
+#[test]
+fn every_run_of_requests_is_split_by_weight() {
+    let mut split_route = route("split", "/");
+    split_route.destinations = vec![part("feeds", 90), part("media", 10)];
+    let mut split = WeightedSplit::default();
+    let mut random = random();
+    let chosen: Vec<bool> = (0..1000)
+        .map(|_| split.choose(&split_route, &mut random) == "media")
+        .collect();
+    for window in chosen.windows(300) {
+        let media = window.iter().filter(|media| **media).count();
+        assert!((29..=31).contains(&media), "{media} of 300");
+    }
+}
+
+#[test]
+fn destination_without_weight_gets_nothing() {
+    let mut split_route = route("split", "/");
+    split_route.destinations = vec![part("feeds", 0), part("media", 5)];
+    let mut split = WeightedSplit::default();
+    let mut random = random();
+    assert!((0..50).all(|_| split.choose(&split_route, &mut random) == "media"));
+}
+
+#[test]
+fn nodes_start_their_splits_at_different_points() {
+    let mut split_route = route("split", "/");
+    split_route.destinations = vec![part("feeds", 50), part("media", 50)];
+    let mut random = random();
+    let first =
+        (0..400).filter(|_| WeightedSplit::default().choose(&split_route, &mut random) == "media");
+    let first = first.count();
+    assert!(
+        (150..=250).contains(&first),
+        "{first} of 400 begin with media"
+    );
+}
+
+#[test]
+fn older_configuration_never_replaces_a_newer_one() {
+    let mut store = SnapshotStore::default();
+    let newer = configuration(7, vec![route("r", "/")]);
+    let older = configuration(6, vec![route("old", "/")]);
+    let applied = store.apply(at(0), 10, Change::Configuration(newer));
+    assert_eq!(applied, Applied::Configuration);
+    let applied = store.apply(at(1), 11, Change::Configuration(older.clone()));
+    assert_eq!(applied, Applied::Nothing);
+    let snapshot = Snapshot {
+        revision: 12,
+        configuration: Some(older),
+        ..Snapshot::default()
+    };
+    store.replace(at(2), snapshot);
+    let version = store
+        .snapshot()
+        .configuration
+        .as_ref()
+        .map(|known| known.version);
+    assert_eq!(version, Some(7));
+}
+
+#[test]
+fn older_snapshot_is_left_out_as_a_whole() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 20, Change::Server(server("i-1", "a", 1)));
+    store.advance(20);
+    assert!(
+        store
+            .replace(
+                at(1),
+                Snapshot {
+                    revision: 19,
+                    ..Snapshot::default()
+                }
+            )
+            .is_empty()
+    );
+    assert_eq!(store.snapshot().servers.len(), 1);
+}
+
+#[test]
+fn unusable_configuration_changes_nothing_and_names_every_place() {
+    let mut store = SnapshotStore::default();
+    store.apply(
+        at(0),
+        1,
+        Change::Configuration(configuration(1, vec![route("r", "/")])),
+    );
+    let mut bare = route("bare", "a");
+    bare.destinations = vec![part("unheard-of", 1)];
+    let mut idle = route("idle", "/b/");
+    idle.destinations = vec![part("feeds", 0)];
+    idle.max_attempts = 0;
+    let broken = configuration(2, vec![bare, idle]);
+    let Applied::Refused(findings) = store.apply(at(1), 2, Change::Configuration(broken)) else {
+        panic!("it was not refused");
+    };
+    let named = |wanted: fn(&ConfigurationError) -> bool| findings.iter().any(wanted);
+    assert!(named(|finding| matches!(
+        finding,
+        ConfigurationError::BarePrefix { .. }
+    )));
+    assert!(named(|finding| matches!(
+        finding,
+        ConfigurationError::UnknownService { .. }
+    )));
+    assert!(named(|finding| matches!(
+        finding,
+        ConfigurationError::NoDestination { .. }
+    )));
+    assert!(named(|finding| matches!(
+        finding,
+        ConfigurationError::NoAttempts { .. }
+    )));
+    let version = store
+        .snapshot()
+        .configuration
+        .as_ref()
+        .map(|known| known.version);
+    assert_eq!(version, Some(1));
+}
+
+#[test]
+fn late_news_of_a_server_does_not_bring_it_back() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
+    let mut draining = server("i-1", "a", 1);
+    draining.state = ServerState::Draining;
+    store.apply(at(1), 8, Change::Server(draining));
+    let applied = store.apply(at(2), 6, Change::Server(server("i-1", "a", 1)));
+    assert_eq!(applied, Applied::Nothing);
+    assert!(!store.snapshot().servers[&id("i-1")].instance.is_ready());
+}
+
+#[test]
+fn server_that_vanished_without_a_word_is_remembered_for_a_moment() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
+    store.apply(at(1000), 6, Change::ServerGone(id("i-1")));
+    assert!(store.snapshot().servers.is_empty());
+    assert_eq!(store.recently_vanished(at(1500)).len(), 1);
+    assert!(store.recently_vanished(at(2500)).is_empty());
+}
+
+#[test]
+fn server_that_announced_its_end_is_not_remembered() {
+    let mut store = SnapshotStore::default();
+    let mut draining = server("i-1", "a", 1);
+    draining.state = ServerState::Draining;
+    store.apply(at(0), 5, Change::Server(draining));
+    store.apply(at(1000), 6, Change::ServerGone(id("i-1")));
+    assert!(store.recently_vanished(at(1100)).is_empty());
+}
+
+#[test]
+fn snapshot_survives_its_encoding() {
+    let mut store = SnapshotStore::default();
+    store.apply(
+        at(0),
+        1,
+        Change::Configuration(configuration(3, vec![route("r", "/a/")])),
+    );
+    store.apply(at(0), 2, Change::Server(server("i-1", "a", 1)));
+    store.advance(2);
+    let bytes = minicbor::to_vec(&**store.snapshot()).expect("encoded");
+    let decoded: Snapshot = minicbor::decode(&bytes).expect("decoded");
+    assert_eq!(decoded, **store.snapshot());
+    let known: &KnownServer = &decoded.servers[&id("i-1")];
+    assert_eq!(known.revision, 2);
+}
--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -154,31 +154,33 @@
     let mut asked_to_close = pin!(closing.wait_for(|closing| *closing));
     let mut is_asked_to_close = false;
     let mut is_closing = false;
-    poll_fn(|context| loop {
-        ahead.poll(context, |bytes| {
-            for request in scanner.scan(bytes) {
-                pipeline.found(request, active.get() > 0, |request| {
-                    let may_start = !is_asked_to_close && handler.may_answer_early(request);
-                    may_start.then(|| start_early(&handler, &in_progress, request.clone()))
-                });
+    poll_fn(|context| {
+        loop {
+            ahead.poll(context, |bytes| {
+                for request in scanner.scan(bytes) {
+                    pipeline.found(request, active.get() > 0, |request| {
+                        let may_start = !is_asked_to_close && handler.may_answer_early(request);
+                        may_start.then(|| start_early(&handler, &in_progress, request.clone()))
+                    });
+                }
+            });
+            if ahead.is_closed() && active.get() > 0 {
+                return Poll::Ready(());
+            }
+            if !is_asked_to_close {
+                is_asked_to_close = asked_to_close.as_mut().poll(context).is_ready();
+            }
+            // What has been started is answered before the connection closes.
+            if is_asked_to_close && !is_closing && !pipeline.is_waiting() {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            if connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(());
+            }
+            if !ahead.has_room_again() {
+                return Poll::Pending;
             }
-        });
-        if ahead.is_closed() && active.get() > 0 {
-            return Poll::Ready(());
-        }
-        if !is_asked_to_close {
-            is_asked_to_close = asked_to_close.as_mut().poll(context).is_ready();
-        }
-        // What has been started is answered before the connection closes.
-        if is_asked_to_close && !is_closing && !pipeline.is_waiting() {
-            is_closing = true;
-            connection.as_mut().graceful_shutdown();
-        }
-        if connection.as_mut().poll(context).is_ready() {
-            return Poll::Ready(());
-        }
-        if !ahead.has_room_again() {
-            return Poll::Pending;
         }
     })
     .await;
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -10,8 +10,8 @@
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
 use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
-use lifthollow_state::{ServiceName, Timestamp};
 use lifthollow_state::mesh::InstanceId;
+use lifthollow_state::{ServiceName, Timestamp};
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
@@ -27,6 +27,8 @@
 /// Answers up to this size are taken in whole before any of it is passed on, so
 /// that one which breaks off can still be asked for elsewhere.
 const MAX_HELD_ANSWER: usize = 256 * 1024;
+/// How much longer than the caller's node this one waits for its server.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(50);
 /// What a request without a deadline gets.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -156,7 +158,8 @@
     if let Some(reason) = refusal(node, &attempt) {
         return AttemptOutcome::not_run(reason);
     }
-    let ends = node.clock.instant(attempt.ends).into();
+    // The caller's node gives up first, and knows best what to tell.
+    let ends = node.clock.instant(attempt.ends + GIVE_UP_MARGIN).into();
     match timeout_at(ends, run(node, attempt, permit)).await {
         Ok(outcome) => outcome,
         Err(_) => AttemptOutcome::unknown(UnknownReason::Silent),
@@ -352,6 +355,9 @@
 impl Handler for Inbound {
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
+        if let Some(sender) = peer_headers::sender(request.headers()) {
+            snapshots::note_revision(node, request.headers(), sender);
+        }
         match request.uri().path() {
             peer_headers::SNAPSHOT_PATH => return snapshots::answer(node),
             peer_headers::PROBE_PATH => return probe::answer(node),
@@ -408,6 +414,6 @@
         peer_headers::outcome_value(&outcome.end),
     );
     headers.insert(peer_headers::LOAD, peer_headers::load_value(&load));
-    headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
+    snapshots::name_revision(node, headers);
     response
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -57,23 +57,73 @@
     pub fn new() -> Result<Self> {
         let registry = Registry::new();
         let metrics = Metrics {
-            requests: counters(&registry, "lifthollow_requests_total", "Requests of local callers, by what the caller was told.", "outcome")?,
-            request_duration: histogram(&registry, "lifthollow_request_duration_seconds", "Time from a request's arrival to its answer.")?,
-            attempts: counters(&registry, "lifthollow_attempts_total", "Attempts for the server beside this node, by how they ended.", "outcome")?,
-            server_duration: histogram(&registry, "lifthollow_server_duration_seconds", "Time that the server beside this node took to answer.")?,
+            requests: counters(
+                &registry,
+                "lifthollow_requests_total",
+                "Requests of local callers, by what the caller was told.",
+                "outcome",
+            )?,
+            request_duration: histogram(
+                &registry,
+                "lifthollow_request_duration_seconds",
+                "Time from a request's arrival to its answer.",
+            )?,
+            attempts: counters(
+                &registry,
+                "lifthollow_attempts_total",
+                "Attempts for the server beside this node, by how they ended.",
+                "outcome",
+            )?,
+            server_duration: histogram(
+                &registry,
+                "lifthollow_server_duration_seconds",
+                "Time that the server beside this node took to answer.",
+            )?,
             repeats: IntCounter::new("lifthollow_repeats_total", "Attempts that were repeats.")?,
-            configuration_version: IntGauge::new("lifthollow_configuration_version", "Version of the configuration in force.")?,
-            snapshot_revision: IntGauge::new("lifthollow_snapshot_revision", "Revision of the snapshot in force.")?,
-            changes: counters(&registry, "lifthollow_changes_total", "Changes of the snapshot, by where they came from.", "source")?,
-            load: gauges(&registry, "lifthollow_load", "Load at the server beside this node.", "what")?,
-            connections: gauges(&registry, "lifthollow_connections_opened", "Connections opened.", "to")?,
-            log_lines_left_out: IntCounter::new("lifthollow_log_lines_left_out_total", "Log lines left out to bound their number.")?,
+            configuration_version: IntGauge::new(
+                "lifthollow_configuration_version",
+                "Version of the configuration in force.",
+            )?,
+            snapshot_revision: IntGauge::new(
+                "lifthollow_snapshot_revision",
+                "Revision of the snapshot in force.",
+            )?,
+            changes: counters(
+                &registry,
+                "lifthollow_changes_total",
+                "Changes of the snapshot, by where they came from.",
+                "source",
+            )?,
+            load: gauges(
+                &registry,
+                "lifthollow_load",
+                "Load at the server beside this node.",
+                "what",
+            )?,
+            connections: gauges(
+                &registry,
+                "lifthollow_connections_opened",
+                "Connections opened.",
+                "to",
+            )?,
+            log_lines_left_out: IntCounter::new(
+                "lifthollow_log_lines_left_out_total",
+                "Log lines left out to bound their number.",
+            )?,
             registry,
         };
-        metrics.registry.register(Box::new(metrics.repeats.clone()))?;
-        metrics.registry.register(Box::new(metrics.configuration_version.clone()))?;
-        metrics.registry.register(Box::new(metrics.snapshot_revision.clone()))?;
-        metrics.registry.register(Box::new(metrics.log_lines_left_out.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.repeats.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.configuration_version.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.snapshot_revision.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.log_lines_left_out.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::header::HeaderValue;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
@@ -14,8 +15,8 @@
 use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::{ServiceName, Timestamp};
 use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
+use lifthollow_state::{ServiceName, Timestamp};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::Logger;
@@ -85,6 +86,8 @@
     pub line_limit: LineLimit,
     /// A planned stop has begun.
     pub leaving: Cell<bool>,
+    /// Where this node takes messages of other nodes, as a header value.
+    pub own_address: HeaderValue,
     /// The highest revision heard of from another node, and which.
     pub newer_at: Cell<Option<(u64, SocketAddrV4)>>,
 }
@@ -107,7 +110,9 @@
             waiters: HashMap::new(),
             random: SmallRng::from_rng(&mut rand::rng()),
         };
+        let own_address = HeaderValue::try_from(settings.inbound.to_string());
         Rc::new(Node {
+            own_address: own_address.expect("an address is plain text"),
             settings,
             names,
             clock: Clock::start(),
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -479,10 +479,7 @@
     node: &Rc<Node>,
     server: &ServerInstance,
     mut attempt: Attempt,
-) -> (
-    AttemptOutcome,
-    Option<ReportedLoad>,
-) {
+) -> (AttemptOutcome, Option<ReportedLoad>) {
     let address = node.node_beside(server);
     let now = node.now();
     let headers = attempt.request.headers_mut();
@@ -490,7 +487,7 @@
     headers.insert(&node.names.deadline_ms, milliseconds_value(left));
     headers.insert(peer_headers::TREE, peer_headers::tree_value(&attempt.tree));
     headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
-    headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
+    snapshots::name_revision(node, headers);
     let sent = node.peer_connections.send(address, attempt.request).await;
     let (response, lease) = match sent {
         Ok(answered) => answered,
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -1,5 +1,6 @@
 //! Headers that nodes exchange with each other.
 
+use std::net::SocketAddrV4;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
 /// Revision of the sender's snapshot.
 pub const REVISION: HeaderName = HeaderName::from_static("lifthollow-revision");
+/// Where the sender takes messages of other nodes.
+pub const NODE: HeaderName = HeaderName::from_static("lifthollow-node");
 /// How the attempt ended.
 pub const OUTCOME: HeaderName = HeaderName::from_static("lifthollow-outcome");
 /// Running, waiting and allowed requests at the server.
@@ -93,7 +96,10 @@
         } => {
             let offered = u8::from(*offered);
             let retry_after = retry_after.unwrap_or_default().as_millis();
-            format!("{NOT_RUN} {} {offered} {retry_after}", not_run_word(*reason))
+            format!(
+                "{NOT_RUN} {} {offered} {retry_after}",
+                not_run_word(*reason)
+            )
         }
     };
     HeaderValue::try_from(text).expect("the words are plain text")
@@ -187,6 +193,11 @@
     }
 }
 
+/// Where the sender of a message takes messages itself.
+pub fn sender(headers: &HeaderMap) -> Option<SocketAddrV4> {
+    headers.get(NODE)?.to_str().ok()?.parse().ok()
+}
+
 /// Reads a header that holds a whole number.
 pub fn number<N: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<N> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -12,7 +12,7 @@
 use crate::http::ProxyBody;
 use crate::http::body;
 use crate::node::Node;
-use crate::peer_headers;
+use crate::{peer_headers, snapshots};
 
 /// How long a node may take to answer a probe.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
@@ -39,6 +39,7 @@
     *request.uri_mut() = hyper::Uri::from_static(peer_headers::PROBE_PATH);
     let host = HeaderValue::try_from(address.to_string()).expect("an address is plain text");
     request.headers_mut().insert(HOST, host);
+    snapshots::name_revision(node, request.headers_mut());
     let exchange = async {
         let (response, lease) = node.peer_connections.send(address, request).await.ok()?;
         let status = response.status();
@@ -68,10 +69,7 @@
         };
         sleep(delay).await;
         let is_alive = is_alive(&node, &server).await;
-        node.state
-            .borrow_mut()
-            .servers
-            .probed(&server.id, is_alive);
+        node.state.borrow_mut().servers.probed(&server.id, is_alive);
         if is_alive {
             info!(node.log, "server trusted again"; "server" => server.id.as_str(),
                 "service" => &server.service);
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -53,12 +53,32 @@
     let callers = InProgress::default();
     let peers = InProgress::default();
     let others = InProgress::default();
-    spawn_local(server::run(outbound, Rc::new(Outbound(node.clone())), callers.clone(), closing.clone()));
-    spawn_local(server::run(inbound, Rc::new(Inbound(node.clone())), peers.clone(), closing.clone()));
-    spawn_local(server::run(readiness, Rc::new(Readiness(node.clone())), others.clone(), closing.clone()));
+    spawn_local(server::run(
+        outbound,
+        Rc::new(Outbound(node.clone())),
+        callers.clone(),
+        closing.clone(),
+    ));
+    spawn_local(server::run(
+        inbound,
+        Rc::new(Inbound(node.clone())),
+        peers.clone(),
+        closing.clone(),
+    ));
+    spawn_local(server::run(
+        readiness,
+        Rc::new(Readiness(node.clone())),
+        others.clone(),
+        closing.clone(),
+    ));
     if let Some(address) = settings.metrics {
         let listener = listen("metrics", address)?;
-        spawn_local(server::run(listener, node.metrics.clone(), others, closing.clone()));
+        spawn_local(server::run(
+            listener,
+            node.metrics.clone(),
+            others,
+            closing.clone(),
+        ));
     }
     spawn_local(source);
     spawn_local(housekeeping(node.clone()));
@@ -81,7 +101,12 @@
 
 /// New attempts for the server are refused at once; callers are served until
 /// they have gone elsewhere and nothing is in progress.
-async fn stop(node: &Rc<Node>, callers: &InProgress, peers: &InProgress, close: watch::Sender<bool>) {
+async fn stop(
+    node: &Rc<Node>,
+    callers: &InProgress,
+    peers: &InProgress,
+    close: watch::Sender<bool>,
+) {
     let begun = Instant::now();
     node.leaving.set(true);
     info!(node.log, "stopping"; "requests" => callers.requests(), "attempts" => peers.requests());
@@ -120,7 +145,10 @@
 fn note_gauges(node: &Rc<Node>) {
     let load = node.state.borrow().admission.occupancy();
     let gauge = |what: &str, value: u32| {
-        node.metrics.load.with_label_values(&[what]).set(i64::from(value));
+        node.metrics
+            .load
+            .with_label_values(&[what])
+            .set(i64::from(value));
     };
     gauge("running", load.running);
     gauge("waiting", load.waiting);
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -103,6 +103,12 @@
     Response::new(ProxyBody::Whole(bytes.into()))
 }
 
+/// Tells another node which revision this one has, and where to ask for it.
+pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
+    headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
+    headers.insert(peer_headers::NODE, node.own_address.clone());
+}
+
 /// Takes note of the revision that another node names.
 pub fn note_revision(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
     let Some(theirs) = peer_headers::number::<u64>(headers, &peer_headers::REVISION) else {
@@ -116,7 +122,10 @@
 }
 
 async fn catch_up(node: Rc<Node>, theirs: u64, from: SocketAddrV4) {
-    tokio::time::sleep(FETCH_DELAY).await;
+    // Without a snapshot there is nothing to wait for: callers are turned away.
+    if node.revision() > 0 {
+        tokio::time::sleep(FETCH_DELAY).await;
+    }
     if node.revision() < theirs {
         match fetch(&node, from).await {
             Ok(snapshot) => replace(&node, &from.to_string(), snapshot),
--- a/crates/state/src/mesh/configuration.rs
+++ b/crates/state/src/mesh/configuration.rs
@@ -116,7 +116,10 @@
         let prefix = &route.path_prefix;
         if !prefix.starts_with('/') || !prefix.ends_with('/') {
             let prefix = prefix.clone();
-            findings.push(ConfigurationError::BarePrefix { route: name(), prefix });
+            findings.push(ConfigurationError::BarePrefix {
+                route: name(),
+                prefix,
+            });
         }
         if route.host.is_empty() {
             findings.push(ConfigurationError::NoHost { route: name() });
@@ -130,7 +133,10 @@
         for part in &route.destinations {
             if !self.services.contains_key(&part.service) {
                 let service = part.service.clone();
-                findings.push(ConfigurationError::UnknownService { route: name(), service });
+                findings.push(ConfigurationError::UnknownService {
+                    route: name(),
+                    service,
+                });
             }
         }
     }
