Avoid servers that lose answers, count inherited repeats, use a server until its node's stop is known

A server's share of lost answers now counts against it; budgets are no longer divided by a guessed depth, but charged for calls of repeated runs; attempts are taken until the platform must have noticed a stop.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -5,6 +5,8 @@
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{InstanceId, Route};
 
+use crate::mesh::server_selection::Wanted;
+
 /// A caller that is refused is asked to come back after this time if nobody
 /// named another.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -148,6 +150,14 @@
         &self.excluded
     }
 
+    /// What its next attempt needs of a server.
+    pub fn wanted(&self) -> Wanted<'_> {
+        Wanted {
+            excluded: &self.excluded,
+            may_repeat: self.idempotent,
+        }
+    }
+
     /// Whether a server may have it already.
     pub fn is_repeat(&self) -> bool {
         self.offered > 0
--- a/crates/coordination/src/mesh/retry_budget.rs
+++ b/crates/coordination/src/mesh/retry_budget.rs
@@ -3,16 +3,19 @@
 //! The bound of the fleet is a share of the requests of a window plus a fixed
 //! number. Nodes don't ask each other for leave: each keeps its part, which is
 //! the share of its own first attempts and an equal part of the fixed number.
-//! A repeat makes the nested calls of its run repeats too, so the bound is
-//! divided by the depth that a tree of calls may have.
+//! A repeat makes the nested calls of its run repeats too. Those can't be held
+//! back, so they are taken out of the budget of the service that they go to, and
+//! a part of the bound is kept free for them.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 
-/// Levels of a tree of calls that may each add repeats.
-const LEVELS: f64 = 4.0;
+/// The part of the bound that nodes spend on repeats of their own.
+const OWN_SHARE: f64 = 0.5;
+/// The most that may be owed for calls of repeated runs.
+const MAX_DEBT: f64 = 20.0;
 /// Part of the fixed number that may be spent at once; the rest covers windows
 /// that overlap two refills.
 const BURST_SHARE: f64 = 0.5;
@@ -65,7 +68,7 @@
 
     /// A first attempt was sent to `service`.
     pub fn deposit(&mut self, now: Timestamp, service: &str) {
-        let deposit = self.bound.ratio / LEVELS;
+        let deposit = self.bound.ratio * OWN_SHARE;
         let ceiling = self.ceiling();
         let balance = self.refilled(now, service);
         balance.tokens = (balance.tokens + deposit).min(ceiling);
@@ -81,8 +84,14 @@
         true
     }
 
+    /// A call of a repeated run was sent to `service`.
+    pub fn inherited(&mut self, now: Timestamp, service: &str) {
+        let balance = self.refilled(now, service);
+        balance.tokens = (balance.tokens - 1.0).max(-MAX_DEBT);
+    }
+
     fn burst(&self) -> f64 {
-        self.bound.fixed * BURST_SHARE / LEVELS / self.nodes as f64
+        self.bound.fixed * BURST_SHARE * OWN_SHARE / self.nodes as f64
     }
 
     fn ceiling(&self) -> f64 {
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -26,6 +26,15 @@
 const JITTER: f64 = 0.05;
 /// A load report loses half its weight in this time.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Weight of one answer in the share of answers that a server loses.
+const LOSS_GAIN: f64 = 0.1;
+/// Without news, half of the losses of a server are forgotten in this time.
+const LOSS_HALF_LIFE: Duration = Duration::from_millis(1500);
+/// Utilization that a server is charged with if it loses all answers: requests go
+/// to others as long as they have room.
+const LOSS_PENALTY: f64 = 3.0;
+/// The same for requests that can't be asked for again.
+const LOSS_PENALTY_ONCE: f64 = 10.0;
 /// An admission level is believed this long, and halved again and again after.
 const LEVEL_VALIDITY: Duration = Duration::from_millis(250);
 /// How long it then takes to be halved.
@@ -42,6 +51,15 @@
 /// A server is not called silent before this time.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
+/// What an attempt needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Servers that must not get it.
+    pub excluded: &'a [InstanceId],
+    /// Whether it can be asked for again if the answer is lost.
+    pub may_repeat: bool,
+}
+
 /// What a server's node tells of its load with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -82,6 +100,28 @@
     heard: Timestamp,
     standing: Standing,
     latency: LatencyEstimate,
+    losses: LossEstimate,
+}
+
+/// The share of a server's answers that were lost or spoilt lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct LossEstimate {
+    share: f64,
+    updated: Timestamp,
+}
+
+impl LossEstimate {
+    fn observe(&mut self, now: Timestamp, is_lost: bool) {
+        let sample = f64::from(u8::from(is_lost));
+        let share = self.at(now);
+        self.share = share + (sample - share) * LOSS_GAIN;
+        self.updated = now;
+    }
+
+    fn at(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_since(self.updated).as_secs_f64();
+        self.share * 0.5_f64.powf(age / LOSS_HALF_LIFE.as_secs_f64())
+    }
 }
 
 /// The servers of all services.
@@ -135,24 +175,27 @@
         self.by_service.get(service).map_or(0, Vec::len)
     }
 
-    /// The server that should get the next attempt for `service`, none of
-    /// `excluded`. A server that is set aside is taken only if no other is left.
+    /// The server that should get the next attempt for `service`. A server that is set aside is taken only if no other is left.
     pub fn choose(
         &self,
         now: Timestamp,
         service: &str,
-        excluded: &[InstanceId],
+        wanted: Wanted<'_>,
         random: &mut impl Rng,
     ) -> Option<ServerInstance> {
         let candidates = self.by_service.get(service)?;
-        let allowed = candidates.iter().filter(|id| !excluded.contains(id));
+        let allowed = candidates.iter().filter(|id| !wanted.excluded.contains(id));
         let best = allowed
             .filter_map(|id| self.records.get(id))
             .filter(|record| record.standing != Standing::Withdrawn)
             .map(|record| {
                 let set_aside = record.standing != Standing::Good;
                 let jitter = random.random::<f64>() * JITTER;
-                (set_aside, self.cost(now, record) + jitter, record)
+                (
+                    set_aside,
+                    self.cost(now, record, wanted.may_repeat) + jitter,
+                    record,
+                )
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
         Some(best.2.instance.clone())
@@ -184,6 +227,7 @@
             return;
         };
         record.heard = now;
+        record.losses.observe(now, false);
         record.trust_again();
         if let Some(load) = load {
             record.note_report(now, load);
@@ -200,6 +244,13 @@
         }
     }
 
+    /// An answer of the server was lost or spoilt.
+    pub fn lost(&mut self, now: Timestamp, id: &InstanceId) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.losses.observe(now, true);
+        }
+    }
+
     /// The server or its node could not be reached, or stayed silent. True if it
     /// was in good standing: it is to be probed from now on.
     pub fn set_aside(&mut self, id: &InstanceId) -> bool {
@@ -309,8 +360,13 @@
         last.map_or(AdmissionLevel::OPEN, |(level, age)| faded(*level, *age))
     }
 
-    fn cost(&self, now: Timestamp, record: &ServerRecord) -> f64 {
-        let mut cost = record.utilization(now);
+    fn cost(&self, now: Timestamp, record: &ServerRecord, may_repeat: bool) -> f64 {
+        let penalty = if may_repeat {
+            LOSS_PENALTY
+        } else {
+            LOSS_PENALTY_ONCE
+        };
+        let mut cost = record.utilization(now) + record.losses.at(now) * penalty;
         if now < record.warm_until {
             cost += WARM_UP_PENALTY;
         }
@@ -335,6 +391,7 @@
             heard: Timestamp::ZERO,
             standing: Standing::Good,
             latency: LatencyEstimate::default(),
+            losses: LossEstimate::default(),
         }
     }
 
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -9,7 +9,7 @@
     AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
 };
 use lifthollow_coordination::mesh::retry_budget::{FleetRetryBound, RetryBudgets};
-use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
+use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool, Wanted};
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::mesh::RequestKind;
 use mesh_support::{at, id, ms, random, route, server};
@@ -104,6 +104,11 @@
     assert_eq!(reason, wanted);
 }
 
+const ANY: Wanted<'static> = Wanted {
+    excluded: &[],
+    may_repeat: true,
+};
+
 fn pool() -> ServerPool {
     let mut pool = ServerPool::new("a");
     let servers = [
@@ -116,7 +121,7 @@
 }
 
 fn chosen(pool: &ServerPool, now: u64) -> String {
-    let server = pool.choose(at(now), "feeds", &[], &mut random());
+    let server = pool.choose(at(now), "feeds", ANY, &mut random());
     server.expect("there are servers").id.as_str().to_owned()
 }
 
@@ -136,7 +141,7 @@
     let mut draining = server("i-a", "a", 1);
     draining.state = lifthollow_state::mesh::ServerState::Draining;
     pool.set_servers(at(0), [draining]);
-    assert!(pool.choose(at(0), "feeds", &[], &mut random()).is_none());
+    assert!(pool.choose(at(0), "feeds", ANY, &mut random()).is_none());
 }
 
 #[test]
@@ -166,13 +171,13 @@
     let mut pool = ServerPool::new("a");
     pool.set_servers(at(0), [server("i-a", "a", 1)]);
     pool.withdraw(&id("i-a"));
-    assert!(pool.choose(at(0), "feeds", &[], &mut random()).is_none());
+    assert!(pool.choose(at(0), "feeds", ANY, &mut random()).is_none());
     pool.set_servers(at(1), [server("i-a", "a", 1)]);
-    assert!(pool.choose(at(1), "feeds", &[], &mut random()).is_none());
+    assert!(pool.choose(at(1), "feeds", ANY, &mut random()).is_none());
     let mut changed = server("i-a", "a", 1);
     changed.slots = 11;
     pool.set_servers(at(2), [changed]);
-    assert!(pool.choose(at(2), "feeds", &[], &mut random()).is_some());
+    assert!(pool.choose(at(2), "feeds", ANY, &mut random()).is_some());
 }
 
 #[test]
@@ -184,6 +189,36 @@
     assert!(!pool.is_silent(at(5000), &id("i-a"), at(1)));
 }
 
+#[test]
+fn server_that_loses_answers_is_passed_by_while_others_have_room() {
+    let mut pool = pool();
+    for number in 0..10 {
+        pool.lost(at(number), &id("i-a"));
+    }
+    assert_ne!(chosen(&pool, 10), "i-a");
+    for other in ["i-b", "i-c"] {
+        for _ in 0..30 {
+            pool.sent(&id(other));
+        }
+    }
+    assert_eq!(chosen(&pool, 10), "i-a", "it is better than a full one");
+}
+
+#[test]
+fn few_losses_count_only_for_requests_that_can_not_be_repeated() {
+    let mut pool = pool();
+    pool.lost(at(0), &id("i-a"));
+    pool.heard(at(0), &id("i-a"), None, None);
+    assert_eq!(chosen(&pool, 0), "i-a");
+    let once = Wanted {
+        may_repeat: false,
+        ..ANY
+    };
+    let server = pool.choose(at(0), "feeds", once, &mut random());
+    assert_ne!(server.expect("there are others").id, id("i-a"));
+    assert_eq!(chosen(&pool, 10_000), "i-a", "they are forgotten");
+}
+
 fn reported(level: u16) -> ReportedLoad {
     ReportedLoad {
         occupancy: Occupancy::default(),
@@ -216,6 +251,17 @@
     }
 }
 
+#[test]
+fn calls_of_repeated_runs_are_taken_out_of_the_budget() {
+    let mut budgets = RetryBudgets::new(bound());
+    assert!(budgets.withdraw(at(0), "feeds"));
+    for _ in 0..20 {
+        budgets.inherited(at(0), "feeds");
+    }
+    assert!(!budgets.withdraw(at(1000), "feeds"));
+    assert!(budgets.withdraw(at(1000), "media"), "of that service only");
+}
+
 #[test]
 fn all_nodes_together_stay_within_the_bound_in_every_window() {
     const NODES: usize = 12;
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -169,7 +169,7 @@
 /// Whether the attempt can't be for the server beside this node, or comes too
 /// late for it.
 fn refusal(node: &Rc<Node>, attempt: &Attempt) -> Option<NotRunReason> {
-    if node.leaving.get() {
+    if !node.takes_attempts() {
         return Some(NotRunReason::NodeLeaving);
     }
     let known = node.own_server(&attempt.server)?;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -64,6 +64,17 @@
     pub random: SmallRng,
 }
 
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// There is none.
+    Serving,
+    /// The platform is told, and everything is served as before.
+    Announced,
+    /// Nothing new is sent to the server beside this node.
+    Draining,
+}
+
 /// One process.
 pub struct Node {
     /// What it was told at its start.
@@ -84,8 +95,8 @@
     pub log: Logger,
     /// Bound on lines about requests.
     pub line_limit: LineLimit,
-    /// A planned stop has begun.
-    pub leaving: Cell<bool>,
+    /// How far a planned stop has come.
+    pub phase: Cell<Phase>,
     /// Where this node takes messages of other nodes, as a header value.
     pub own_address: HeaderValue,
     /// The highest revision heard of from another node, and which.
@@ -122,7 +133,7 @@
             metrics,
             log,
             line_limit: LineLimit::default(),
-            leaving: Cell::new(false),
+            phase: Cell::new(Phase::Serving),
             newer_at: Cell::new(None),
         })
     }
@@ -134,7 +145,12 @@
 
     /// Whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.state.borrow().routes.is_some()
+        self.phase.get() == Phase::Serving && self.state.borrow().routes.is_some()
+    }
+
+    /// Whether new attempts for the server beside this node are taken.
+    pub fn takes_attempts(&self) -> bool {
+        self.phase.get() != Phase::Draining
     }
 
     /// Revision of the snapshot.
--- a/crates/proxy/src/outbound.rs
+++ b/crates/proxy/src/outbound.rs
@@ -354,8 +354,11 @@
     let body = request.body.take().ok_or_else(|| call.give_up())?;
     let silence = {
         let mut state = node.state.borrow_mut();
-        if !call.is_repeat() {
-            state.budgets.deposit(sent, &request.route.service);
+        let service = &request.route.service;
+        match (call.is_repeat(), request.tree.is_repeat) {
+            (false, false) => state.budgets.deposit(sent, service),
+            (false, true) => state.budgets.inherited(sent, service),
+            (true, _) => {}
         }
         state.servers.sent(&server.id);
         state.servers.silence(&server.id)
@@ -405,7 +408,7 @@
     let service = &request.route.service;
     state
         .servers
-        .choose(node.now(), service, call.excluded(), &mut state.random)
+        .choose(node.now(), service, call.wanted(), &mut state.random)
 }
 
 fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
@@ -550,10 +553,14 @@
     }
 }
 
-/// Sets a server aside that could not be reached.
+/// Takes note of a server that lost an answer, or could not be reached.
 fn note_failure(node: &Rc<Node>, server: &ServerInstance, end: &AttemptEnd) {
     let reason = match end {
-        AttemptEnd::Answered | AttemptEnd::Unknown { .. } => return,
+        AttemptEnd::Answered => return,
+        AttemptEnd::Unknown { .. } => {
+            let now = node.now();
+            return node.state.borrow_mut().servers.lost(now, &server.id);
+        }
         AttemptEnd::NotRun { reason, .. } => *reason,
     };
     match reason {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -22,17 +22,20 @@
 /// The answer to a probe.
 pub fn answer(node: &Rc<Node>) -> Response<ProxyBody> {
     let mut response = Response::new(ProxyBody::empty());
-    let is_trusted = !node.leaving.get() && !node.is_own_server_silent();
-    if !is_trusted {
+    if !is_own_server_available(node) {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     response
 }
 
+fn is_own_server_available(node: &Rc<Node>) -> bool {
+    node.takes_attempts() && !node.is_own_server_silent()
+}
+
 /// Whether the node beside `server` answers, and finds its server alive.
 pub async fn is_alive(node: &Rc<Node>, server: &ServerInstance) -> bool {
     if node.is_beside(server) {
-        return !node.is_own_server_silent();
+        return is_own_server_available(node);
     }
     let address = node.node_beside(server);
     let mut request = Request::new(ProxyBody::empty());
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -18,7 +18,7 @@
 use crate::http::server::{self, ConnectionLimits, Handler, InProgress};
 use crate::http::socket;
 use crate::inbound::Inbound;
-use crate::node::Node;
+use crate::node::{Node, Phase};
 use crate::outbound::Outbound;
 
 /// Time between housekeeping.
@@ -26,6 +26,8 @@
 /// After a planned stop began, callers are still served this long: until then
 /// the platform has noticed that the node isn't ready.
 const STILL_SERVING: Duration = Duration::from_millis(2600);
+/// After a planned stop began, attempts for the server are still taken this long.
+const STILL_TAKING_ATTEMPTS: Duration = Duration::from_millis(1800);
 /// Kept back of the time that a planned stop may take.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Time between looks at what is still in progress while stopping.
@@ -99,8 +101,9 @@
     socket::listen(address).with_context(|| format!("listening at {address} for {what}"))
 }
 
-/// New attempts for the server are refused at once; callers are served until
-/// they have gone elsewhere and nothing is in progress.
+/// Until the platform has noticed, everything is served as before, so that the
+/// server beside this node isn't idle; then attempts for it are refused, and what
+/// is in progress is finished.
 async fn stop(
     node: &Rc<Node>,
     callers: &InProgress,
@@ -108,8 +111,10 @@
     close: watch::Sender<bool>,
 ) {
     let begun = Instant::now();
-    node.leaving.set(true);
+    node.phase.set(Phase::Announced);
     info!(node.log, "stopping"; "requests" => callers.requests(), "attempts" => peers.requests());
+    sleep_until(begun + STILL_TAKING_ATTEMPTS).await;
+    node.phase.set(Phase::Draining);
     sleep_until(begun + STILL_SERVING).await;
     let _ = close.send(true);
     let last = begun + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
