--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -148,7 +148,6 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER))
-        .pipeline_flush(true)
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
     let mut asked_to_close = pin!(closing.wait_for(|closing| *closing));
