Split the outbound port by concern; log attempts, refusals and routes not found

One clock and one JSON logger serve both programs now (transport). New lines, each with the request's id: 'request not routed', 'attempt not answered' and, at the server's node, 'server did not answer' with its load; 'request not served' names the admission level, its age, and the servers known and set aside.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 pub mod retry_budget;
 pub mod route_table;
 pub mod server_admission;
+mod server_record;
 pub mod server_selection;
 pub mod snapshot_store;
 pub mod weighted_split;
--- /dev/null
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -0,0 +1,121 @@
+//! What a node knows of one server.
+
+use std::time::Duration;
+
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::ServerInstance;
+
+use crate::latency::LatencyEstimate;
+use crate::mesh::admission_queue::Occupancy;
+use crate::mesh::server_selection::ReportedLoad;
+
+/// A load report loses half its weight in this time.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Weight of one answer in the share of answers that a server loses.
+const LOSS_GAIN: f64 = 0.1;
+/// Without news, half of the losses of a server are forgotten in this time.
+const LOSS_HALF_LIFE: Duration = Duration::from_millis(1500);
+
+/// Whether a server may get attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Standing {
+    /// It may.
+    Good,
+    /// Only if there is no other; probes that failed so far are counted.
+    Suspect {
+        /// How many.
+        failed_probes: u32,
+    },
+    /// Never: its node says that it leaves, or that another has its address.
+    Withdrawn,
+}
+
+/// What this node knows of one server.
+#[derive(Clone, Debug)]
+pub(super) struct ServerRecord {
+    pub(super) instance: ServerInstance,
+    pub(super) warm_until: Timestamp,
+    pub(super) in_flight: u32,
+    pub(super) report: Occupancy,
+    pub(super) own_at_report: u32,
+    pub(super) reported: Timestamp,
+    /// Admission levels of callers' requests and of nested calls, with the times
+    /// at which they were reported.
+    pub(super) levels: [(AdmissionLevel, Timestamp); 2],
+    pub(super) heard: Timestamp,
+    pub(super) standing: Standing,
+    pub(super) latency: LatencyEstimate,
+    pub(super) losses: LossEstimate,
+}
+
+/// The share of a server's answers that were lost or spoilt lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LossEstimate {
+    share: f64,
+    updated: Timestamp,
+}
+
+impl LossEstimate {
+    pub(super) fn observe(&mut self, now: Timestamp, is_lost: bool) {
+        let sample = f64::from(u8::from(is_lost));
+        let share = self.at(now);
+        self.share = share + (sample - share) * LOSS_GAIN;
+        self.updated = now;
+    }
+
+    pub(super) fn at(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_since(self.updated).as_secs_f64();
+        self.share * 0.5_f64.powf(age / LOSS_HALF_LIFE.as_secs_f64())
+    }
+}
+
+impl ServerRecord {
+    pub(super) fn new(now: Timestamp, instance: ServerInstance) -> Self {
+        ServerRecord {
+            warm_until: now + instance.warm_up,
+            instance,
+            in_flight: 0,
+            report: Occupancy::default(),
+            own_at_report: 0,
+            reported: Timestamp::ZERO,
+            levels: [(AdmissionLevel::OPEN, Timestamp::ZERO); 2],
+            heard: Timestamp::ZERO,
+            standing: Standing::Good,
+            latency: LatencyEstimate::default(),
+            losses: LossEstimate::default(),
+        }
+    }
+
+    pub(super) fn note_report(&mut self, now: Timestamp, load: ReportedLoad) {
+        self.report = load.occupancy;
+        self.levels[usize::from(load.is_nested)] = (load.level, now);
+        self.reported = now;
+        self.own_at_report = self.in_flight;
+    }
+
+    /// A new announcement: what the node said of the former is void.
+    pub(super) fn replace_instance(&mut self, instance: ServerInstance) {
+        self.instance = instance;
+        if self.standing == Standing::Withdrawn {
+            self.standing = Standing::Good;
+        }
+    }
+
+    pub(super) fn trust_again(&mut self) {
+        if self.standing != Standing::Withdrawn {
+            self.standing = Standing::Good;
+        }
+    }
+
+    /// Own requests, which are known, and those of others as last reported.
+    pub(super) fn utilization(&self, now: Timestamp) -> f64 {
+        let limit = self.report.limit.max(self.instance.slots).max(1);
+        let reported = self.report.running + self.report.waiting;
+        let others = reported.saturating_sub(self.own_at_report);
+        let age = now.saturating_since(self.reported).as_secs_f64();
+        let half_lives = age / REPORT_HALF_LIFE.as_secs_f64();
+        let others = f64::from(others) * 0.5_f64.powf(half_lives);
+        (f64::from(self.in_flight) + others) / f64::from(limit)
+    }
+}
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -14,8 +14,8 @@
 use lifthollow_state::mesh::{InstanceId, ServerInstance};
 use rand::{Rng, RngExt};
 
-use crate::latency::LatencyEstimate;
 use crate::mesh::admission_queue::Occupancy;
+use crate::mesh::server_record::{ServerRecord, Standing};
 
 /// How much busier a server of the own zone may be and still be preferred.
 const OWN_ZONE_PREFERENCE: f64 = 0.30;
@@ -24,12 +24,6 @@
 /// Random part of the comparison, so that nodes that know the same don't all
 /// choose the same server.
 const JITTER: f64 = 0.05;
-/// A load report loses half its weight in this time.
-const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-/// Weight of one answer in the share of answers that a server loses.
-const LOSS_GAIN: f64 = 0.1;
-/// Without news, half of the losses of a server are forgotten in this time.
-const LOSS_HALF_LIFE: Duration = Duration::from_millis(1500);
 /// Utilization that a server is charged with if it loses all answers: requests go
 /// to others as long as they have room.
 const LOSS_PENALTY: f64 = 3.0;
@@ -51,6 +45,19 @@
 /// A server is not called silent before this time.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
+/// What this node knows of a service's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownLoad {
+    /// The lowest level that some server lets through.
+    pub level: AdmissionLevel,
+    /// The age of the newest report.
+    pub age: Duration,
+    /// Servers that take new work.
+    pub servers: usize,
+    /// Those of them that are set aside.
+    pub set_aside: usize,
+}
+
 /// What an attempt needs of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -71,59 +78,6 @@
     pub is_nested: bool,
 }
 
-/// Whether a server may get attempts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    /// It may.
-    Good,
-    /// Only if there is no other; probes that failed so far are counted.
-    Suspect {
-        /// How many.
-        failed_probes: u32,
-    },
-    /// Never: its node says that it leaves, or that another has its address.
-    Withdrawn,
-}
-
-/// What this node knows of one server.
-#[derive(Clone, Debug)]
-struct ServerRecord {
-    instance: ServerInstance,
-    warm_until: Timestamp,
-    in_flight: u32,
-    report: Occupancy,
-    own_at_report: u32,
-    reported: Timestamp,
-    /// Admission levels of callers' requests and of nested calls, with the times
-    /// at which they were reported.
-    levels: [(AdmissionLevel, Timestamp); 2],
-    heard: Timestamp,
-    standing: Standing,
-    latency: LatencyEstimate,
-    losses: LossEstimate,
-}
-
-/// The share of a server's answers that were lost or spoilt lately.
-#[derive(Clone, Copy, Debug, Default)]
-struct LossEstimate {
-    share: f64,
-    updated: Timestamp,
-}
-
-impl LossEstimate {
-    fn observe(&mut self, now: Timestamp, is_lost: bool) {
-        let sample = f64::from(u8::from(is_lost));
-        let share = self.at(now);
-        self.share = share + (sample - share) * LOSS_GAIN;
-        self.updated = now;
-    }
-
-    fn at(&self, now: Timestamp) -> f64 {
-        let age = now.saturating_since(self.updated).as_secs_f64();
-        self.share * 0.5_f64.powf(age / LOSS_HALF_LIFE.as_secs_f64())
-    }
-}
-
 /// The servers of all services.
 #[derive(Clone, Debug, Default)]
 pub struct ServerPool {
@@ -360,6 +314,23 @@
         last.map_or(AdmissionLevel::OPEN, |(level, age)| faded(*level, *age))
     }
 
+    /// What is known of a service's load, for logs.
+    pub fn known_load(&self, now: Timestamp, service: &str, is_nested: bool) -> KnownLoad {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        let records: Vec<&ServerRecord> = ids.filter_map(|id| self.records.get(id)).collect();
+        let reports = records
+            .iter()
+            .map(|record| record.levels[usize::from(is_nested)].1);
+        let last = reports.max().unwrap_or_default();
+        let is_set_aside = |record: &&&ServerRecord| record.standing != Standing::Good;
+        KnownLoad {
+            level: self.admission_level(now, service, is_nested),
+            age: now.saturating_since(last),
+            servers: records.len(),
+            set_aside: records.iter().filter(is_set_aside).count(),
+        }
+    }
+
     fn cost(&self, now: Timestamp, record: &ServerRecord, may_repeat: bool) -> f64 {
         let penalty = if may_repeat {
             LOSS_PENALTY
@@ -378,56 +349,6 @@
     }
 }
 
-impl ServerRecord {
-    fn new(now: Timestamp, instance: ServerInstance) -> Self {
-        ServerRecord {
-            warm_until: now + instance.warm_up,
-            instance,
-            in_flight: 0,
-            report: Occupancy::default(),
-            own_at_report: 0,
-            reported: Timestamp::ZERO,
-            levels: [(AdmissionLevel::OPEN, Timestamp::ZERO); 2],
-            heard: Timestamp::ZERO,
-            standing: Standing::Good,
-            latency: LatencyEstimate::default(),
-            losses: LossEstimate::default(),
-        }
-    }
-
-    fn note_report(&mut self, now: Timestamp, load: ReportedLoad) {
-        self.report = load.occupancy;
-        self.levels[usize::from(load.is_nested)] = (load.level, now);
-        self.reported = now;
-        self.own_at_report = self.in_flight;
-    }
-
-    /// A new announcement: what the node said of the former is void.
-    fn replace_instance(&mut self, instance: ServerInstance) {
-        self.instance = instance;
-        if self.standing == Standing::Withdrawn {
-            self.standing = Standing::Good;
-        }
-    }
-
-    fn trust_again(&mut self) {
-        if self.standing != Standing::Withdrawn {
-            self.standing = Standing::Good;
-        }
-    }
-
-    /// Own requests, which are known, and those of others as last reported.
-    fn utilization(&self, now: Timestamp) -> f64 {
-        let limit = self.report.limit.max(self.instance.slots).max(1);
-        let reported = self.report.running + self.report.waiting;
-        let others = reported.saturating_sub(self.own_at_report);
-        let age = now.saturating_since(self.reported).as_secs_f64();
-        let half_lives = age / REPORT_HALF_LIFE.as_secs_f64();
-        let others = f64::from(others) * 0.5_f64.powf(half_lives);
-        (f64::from(self.in_flight) + others) / f64::from(limit)
-    }
-}
-
 /// What is left of a level that was reported `age` ago.
 fn faded(level: AdmissionLevel, age: Duration) -> AdmissionLevel {
     let stale = age.saturating_sub(LEVEL_VALIDITY).as_secs_f64();
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -15,11 +15,11 @@
 use lifthollow_state::Timestamp;
 use lifthollow_transport::datagram::DatagramSender;
 
-use crate::clock::Clock;
 use crate::control::router::{Router, Subject};
 use crate::control::{AttemptEffect, ControlInput, SharedState, snapshot};
 use crate::operators::{Metrics, RefusalLog, state_of_load, state_of_servers};
 use crate::platform::PlatformRequest;
+use lifthollow_transport::clock::Clock;
 
 /// How often the node's status is posted for operators.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,7 +20,6 @@
 use lifthollow_transport::http::{BackendPool, CallerServer};
 use lifthollow_transport::mux::{BufferedBytes, MuxServer, PeerPool};
 
-use crate::clock::Clock;
 use crate::control::{ControlHandle, ControlInput, ControlParts, ControlThread, SharedState};
 use crate::datagrams::receive_datagrams;
 use crate::node_sockets::NodeSockets;
@@ -29,6 +28,7 @@
 use crate::settings::Settings;
 use crate::traffic::attempt::serve_attempts;
 use crate::traffic::{Traffic, TrafficParts};
+use lifthollow_transport::clock::Clock;
 
 /// How long a leaving node waits for other nodes to close their connections
 /// after the last call has ended.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,11 +7,9 @@
 //! - [`platform`], [`machines`]: what the platform's service says;
 //! - [`operators`]: metrics, status and recent refusals.
 
-pub mod clock;
 pub mod control;
 pub mod daemon;
 mod datagrams;
-pub mod logging;
 pub mod machines;
 mod node_sockets;
 pub mod operators;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,8 +6,8 @@
 use slog::{Logger, error};
 
 use lifthollow_daemon::daemon::Daemon;
-use lifthollow_daemon::logging;
 use lifthollow_daemon::settings::{self, Flags, Settings};
+use lifthollow_transport::logging;
 use lifthollow_transport::signals::StopSignals;
 
 fn main() -> ExitCode {
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -16,10 +16,10 @@
 use lifthollow_state::{IdempotencyKey, ServiceName};
 use lifthollow_transport::mux::BufferedBytes;
 
-use crate::clock::Clock;
 use crate::control::{ControlHandle, SharedState};
 use crate::operators::claims::claim_status;
 use crate::operators::{Metrics, RefusalLog};
+use lifthollow_transport::clock::Clock;
 
 /// How often the server looks whether it shall stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -30,10 +30,10 @@
 use lifthollow_transport::http::BackendPool;
 use lifthollow_transport::mux::PeerPool;
 
-use crate::clock::Clock;
 use crate::control::{ControlHandle, SharedState};
 use crate::operators::Metrics;
 use in_progress::InProgress;
+use lifthollow_transport::clock::Clock;
 use parents::Parents;
 
 /// What all calls and attempts of a node share.
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -10,8 +10,10 @@
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
 use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
+use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::mesh::InstanceId;
 use lifthollow_state::{ServiceName, Timestamp};
+use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
@@ -137,7 +139,9 @@
 
 /// Runs an attempt on the server beside this node.
 pub async fn execute(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
+    let logged = LoggedAttempt::of(node, &attempt);
     let outcome = admit_and_run(node, attempt).await;
+    logged.log(node, &outcome.end);
     let word = match &outcome.end {
         AttemptEnd::Answered => "answered",
         AttemptEnd::NotRun { reason, .. } => peer_headers::not_run_word(*reason),
@@ -147,6 +151,46 @@
     outcome
 }
 
+/// What is said of an attempt that the server did not answer.
+struct LoggedAttempt {
+    request_id: String,
+    server: InstanceId,
+    tree: TreePlace,
+    arrived: Timestamp,
+}
+
+impl LoggedAttempt {
+    fn of(node: &Rc<Node>, attempt: &Attempt) -> Self {
+        let id = attempt.request.headers().get(&node.names.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        LoggedAttempt {
+            request_id: id.to_owned(),
+            server: attempt.server.clone(),
+            tree: attempt.tree,
+            arrived: node.now(),
+        }
+    }
+
+    fn log(&self, node: &Rc<Node>, end: &AttemptEnd) {
+        let (outcome, why) = match end {
+            AttemptEnd::Answered => return,
+            AttemptEnd::NotRun { reason, .. } => ("not-run", peer_headers::not_run_word(*reason)),
+            AttemptEnd::Unknown { reason } => ("unknown", peer_headers::unknown_word(*reason)),
+        };
+        if !node.may_log() {
+            return;
+        }
+        let load = node.own_load(self.tree.is_nested);
+        let took = node.now().saturating_since(self.arrived).as_millis() as u64;
+        info!(node.log, "server did not answer"; "request" => &self.request_id,
+            "server" => self.server.as_str(), "outcome" => outcome, "why" => why,
+            "priority" => AdmissionLevel::of(self.tree.priority).0, "nested" => self.tree.is_nested,
+            "running" => load.occupancy.running, "waiting" => load.occupancy.waiting,
+            "limit" => load.occupancy.limit, "admission_level" => load.level.0,
+            "revision" => node.revision(), "took_ms" => took);
+    }
+}
+
 async fn admit_and_run(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
     if let Some(reason) = refusal(node, &attempt) {
         return AttemptOutcome::not_run(reason);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,7 +16,6 @@
 //! What callers and servers call their headers is told by [`WireNames`], so that
 //! a platform is met by an adapter without decisions of its own.
 
-pub mod clock;
 pub mod http;
 pub mod inbound;
 pub mod logging;
--- a/crates/proxy/src/logging.rs
+++ b/crates/proxy/src/logging.rs
@@ -1,33 +1,15 @@
-//! Decisions as JSON lines on standard output, bounded in number.
+//! Bounds the number of lines about requests.
 
 use std::cell::RefCell;
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
-use slog::{Drain, Level, Logger, o};
-use slog_async::OverflowStrategy;
 
-/// Records that may wait for the writer before further ones are dropped and
-/// counted.
-const MAX_WAITING_RECORDS: usize = 1024;
 /// Lines about requests that may be written at once.
 const BURST: f64 = 100.0;
 /// Lines about requests that may be written in a second on the long run.
 const PER_SECOND: f64 = 20.0;
 
-/// A logger that writes JSON lines of at least `level`. Everything logged is
-/// written when the guard is dropped.
-pub fn json_lines(level: Level) -> (Logger, slog_async::AsyncGuard) {
-    let json = slog_json::Json::default(std::io::stdout());
-    let drain = std::sync::Mutex::new(json).map(slog::Fuse);
-    let (drain, guard) = slog_async::Async::new(drain)
-        .chan_size(MAX_WAITING_RECORDS)
-        .overflow_strategy(OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    let drain = drain.filter_level(level).fuse();
-    (Logger::root(drain, o!()), guard)
-}
-
 /// Bounds the lines about requests; what is left out is counted.
 #[derive(Debug, Default)]
 pub struct LineLimit(RefCell<LimitState>);
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -22,13 +22,13 @@
 use slog::Logger;
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
 use crate::http::pool::Pool;
 use crate::http::server::ConnectionLimits;
 use crate::logging::LineLimit;
 use crate::metrics::Metrics;
 use crate::settings::ProxySettings;
 use crate::wire_names::WireNames;
+use lifthollow_transport::clock::Clock;
 
 /// How long a connection to another node may take.
 const PEER_CONNECT_LIMIT: Duration = Duration::from_millis(250);
@@ -158,6 +158,12 @@
         self.state.borrow().snapshots.snapshot().revision
     }
 
+    /// Version of the configuration in force; none before the first.
+    pub fn configuration_version(&self) -> Option<u64> {
+        let state = self.state.borrow();
+        state.routes.as_ref().map(|routes| routes.version())
+    }
+
     /// Whether a line about a request may be written now.
     pub fn may_log(&self) -> bool {
         self.line_limit.allows(self.now())
--- /dev/null
+++ b/crates/proxy/src/outbound/answer.rs
@@ -0,0 +1,123 @@
+//! What a caller is told when no server's answer is passed on, and the log of it.
+
+use std::rc::Rc;
+
+use hyper::header::{HOST, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
+use lifthollow_coordination::mesh::call::{AttemptEnd, FinalAnswer, RefusalReason};
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::mesh::ServerInstance;
+use slog::info;
+
+use crate::http::ProxyBody;
+use crate::node::Node;
+use crate::outbound::request::RoutedRequest;
+use crate::peer_headers;
+
+/// Logs and gives the final answer.
+pub(super) fn finish(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    answer: FinalAnswer,
+) -> (&'static str, Response<ProxyBody>) {
+    let (outcome, why) = answer_words(&answer);
+    if node.may_log() {
+        let now = node.now();
+        let held = now.saturating_since(request.arrived).as_millis() as u64;
+        let service = &request.route.service;
+        let is_nested = request.tree.is_nested;
+        let known = node
+            .state
+            .borrow()
+            .servers
+            .known_load(now, service, is_nested);
+        info!(node.log, "request not served"; "request" => request_id(node, &request.head),
+            "outcome" => outcome, "why" => why, "route" => &request.route.route.name,
+            "service" => service, "nested" => is_nested,
+            "priority" => AdmissionLevel::of(request.tree.priority).0,
+            "admission_level" => known.level.0, "level_age_ms" => known.age.as_millis() as u64,
+            "servers" => known.servers, "set_aside" => known.set_aside,
+            "configuration" => request.route.version, "revision" => node.revision(), "held_ms" => held);
+    }
+    (outcome, final_response(node, answer))
+}
+
+fn answer_words(answer: &FinalAnswer) -> (&'static str, &'static str) {
+    match answer {
+        FinalAnswer::Unknown => ("unknown", "answer-lost"),
+        FinalAnswer::TimedOut => ("timed-out", "out-of-time"),
+        FinalAnswer::Refused { reason, .. } => {
+            let why = match reason {
+                RefusalReason::NotConfigured => "not-configured",
+                RefusalReason::NoServer => "no-server",
+                RefusalReason::Overloaded => "overloaded",
+                RefusalReason::OutOfTime => "out-of-time",
+                RefusalReason::AllRefused(reason) => peer_headers::not_run_word(*reason),
+            };
+            ("refused", why)
+        }
+    }
+}
+
+pub(super) fn final_response(node: &Rc<Node>, answer: FinalAnswer) -> Response<ProxyBody> {
+    match answer {
+        FinalAnswer::Unknown => status(StatusCode::BAD_GATEWAY),
+        FinalAnswer::TimedOut => status(StatusCode::GATEWAY_TIMEOUT),
+        FinalAnswer::Refused { retry_after, .. } => {
+            let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            let seconds = HeaderValue::try_from(seconds).expect("digits and a point");
+            response
+                .headers_mut()
+                .insert(&node.names.retry_after, seconds);
+            response
+        }
+    }
+}
+
+pub(super) fn status(status: StatusCode) -> Response<ProxyBody> {
+    let mut response = Response::new(ProxyBody::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn request_id<'h>(node: &Node, head: &'h Parts) -> &'h str {
+    let id = head.headers.get(&node.names.request_id);
+    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
+
+/// Logs a request that was answered before it had a route.
+pub(super) fn log_unrouted(node: &Rc<Node>, head: &Parts, why: &str) {
+    if !node.may_log() {
+        return;
+    }
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let version = node.configuration_version();
+    info!(node.log, "request not routed"; "request" => request_id(node, head), "why" => why,
+        "host" => host.unwrap_or_default(), "path" => head.uri.path(),
+        "configuration" => version, "revision" => node.revision());
+}
+
+/// Logs an attempt that brought no answer.
+pub(super) fn log_attempt(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    server: &ServerInstance,
+    end: &AttemptEnd,
+) {
+    if !node.may_log() {
+        return;
+    }
+    let (outcome, why) = match end {
+        AttemptEnd::Answered => return,
+        AttemptEnd::NotRun { reason, .. } => ("not-run", peer_headers::not_run_word(*reason)),
+        AttemptEnd::Unknown { reason } => ("unknown", peer_headers::unknown_word(*reason)),
+    };
+    let now = node.now();
+    let held = now.saturating_since(request.arrived).as_millis() as u64;
+    info!(node.log, "attempt not answered"; "request" => request_id(node, &request.head),
+        "server" => server.id.as_str(), "service" => &server.service, "outcome" => outcome,
+        "why" => why, "configuration" => request.route.version, "revision" => node.revision(),
+        "held_ms" => held);
+}
--- /dev/null
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -0,0 +1,235 @@
+//! The attempts of one request.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use hyper::Response;
+use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::ServerInstance;
+use slog::info;
+use tokio::time::sleep_until;
+
+use crate::http::ProxyBody;
+use crate::inbound::{Attempt, AttemptOutcome};
+use crate::node::Node;
+use crate::outbound::answer::{finish, log_attempt};
+use crate::outbound::request::RoutedRequest;
+use crate::outbound::send::{outgoing_request, send};
+use crate::peer_headers::TreePlace;
+use crate::{peer_headers, probe};
+
+/// The part of the target latency that a request may spend in queues.
+const QUEUE_SHARE: f64 = 0.2;
+/// The part of the time it has left that a nested call may spend in queues.
+const NESTED_QUEUE_SHARE: f64 = 0.5;
+/// Time in queues for routes without a target latency.
+const DEFAULT_QUEUE_TIME: Duration = Duration::from_millis(200);
+
+/// An attempt on its way, with the server it went to.
+type Sending<'a> = Pin<Box<dyn Future<Output = (ServerInstance, AttemptOutcome)> + 'a>>;
+
+/// Sends attempts until one is answered or none is left. An attempt whose server
+/// falls silent is not given up: if its node doesn't answer either, another runs
+/// beside it.
+pub(super) async fn attempts(
+    node: &Rc<Node>,
+    request: &mut RoutedRequest,
+    mut call: Call,
+) -> (&'static str, Response<ProxyBody>) {
+    let ends = node.clock.instant(call.ends()).into();
+    let mut sending: FuturesUnordered<Sending> = FuturesUnordered::new();
+    let mut watched = match start(node, request, &mut call, &mut sending) {
+        Ok(watched) => watched,
+        Err(answer) => return finish(node, request, answer),
+    };
+    loop {
+        let next = tokio::select! {
+            biased;
+            Some((server, outcome)) = sending.next() => {
+                if let Some(response) = outcome.response {
+                    return ("answered", response);
+                }
+                note_failure(node, &server, &outcome.end);
+                log_attempt(node, request, &server, &outcome.end);
+                let next = call.attempt_ended(&server.id, &outcome.end, || pay_for_repeat(node, request));
+                match next {
+                    _ if !sending.is_empty() => continue,
+                    next => next,
+                }
+            }
+            _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
+            silent = watched.is_silent(node) => {
+                let may_hedge = silent && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
+                if !may_hedge || !pay_for_repeat(node, request) {
+                    continue;
+                }
+                call.hedge(&watched.server.id);
+                NextStep::Attempt
+            }
+        };
+        let answer = match next {
+            NextStep::Finish(answer) => answer,
+            NextStep::Attempt if request.body.is_spent() => call.give_up(),
+            NextStep::Attempt => match start(node, request, &mut call, &mut sending) {
+                Ok(started) => {
+                    watched = started;
+                    continue;
+                }
+                Err(_) if !sending.is_empty() => continue,
+                Err(answer) => answer,
+            },
+        };
+        return finish(node, request, answer);
+    }
+}
+
+/// Watches whether a server that has an attempt falls silent.
+struct Watched {
+    server: ServerInstance,
+    sent: Timestamp,
+    check: Timestamp,
+    silence: Duration,
+}
+
+impl Watched {
+    /// Resolves when it is time to look: true if the server has answered nothing
+    /// since the attempt was sent and its node doesn't answer a probe.
+    async fn is_silent(&mut self, node: &Rc<Node>) -> bool {
+        sleep_until(node.clock.instant(self.check).into()).await;
+        let now = node.now();
+        let is_quiet = {
+            let state = node.state.borrow();
+            state.servers.is_silent(now, &self.server.id, self.sent)
+        };
+        let is_silent = is_quiet && !probe::is_alive(node, &self.server).await;
+        self.check = node.now() + self.silence;
+        if is_silent {
+            probe::set_aside(node, &self.server, "silent");
+        }
+        is_silent
+    }
+}
+
+/// Starts an attempt at the server that suits best.
+fn start<'a>(
+    node: &'a Rc<Node>,
+    request: &mut RoutedRequest,
+    call: &mut Call,
+    sending: &mut FuturesUnordered<Sending<'a>>,
+) -> Result<Watched, FinalAnswer> {
+    let sent = node.now();
+    if sent >= call.ends() {
+        return Err(call.timed_out(false));
+    }
+    let server = choose_server(node, request, call).ok_or_else(|| call.give_up())?;
+    let body = request.body.take().ok_or_else(|| call.give_up())?;
+    let silence = {
+        let mut state = node.state.borrow_mut();
+        let service = &request.route.service;
+        match (call.is_repeat(), request.tree.is_repeat) {
+            (false, false) => state.budgets.deposit(sent, service),
+            (false, true) => state.budgets.inherited(sent, service),
+            (true, _) => {}
+        }
+        state.servers.sent(&server.id);
+        state.servers.silence(&server.id)
+    };
+    let in_flight = InFlight {
+        node,
+        server: server.clone(),
+    };
+    let attempt = Attempt {
+        request: outgoing_request(node, request, &server, body),
+        server: server.id.clone(),
+        ends: call.ends(),
+        tree: TreePlace {
+            is_repeat: request.tree.is_repeat || call.is_repeat(),
+            ..request.tree
+        },
+        patience: queue_patience(request, sent, call.ends()),
+    };
+    sending.push(Box::pin(async move {
+        let outcome = send(node, &in_flight.server, attempt).await;
+        (in_flight.server.clone(), outcome)
+    }));
+    Ok(Watched {
+        server,
+        sent,
+        check: sent + silence,
+        silence,
+    })
+}
+
+/// Counts an attempt as in flight while it lives.
+struct InFlight<'a> {
+    node: &'a Rc<Node>,
+    server: ServerInstance,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        state.servers.ended(&self.server.id);
+    }
+}
+
+fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<ServerInstance> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let service = &request.route.service;
+    state
+        .servers
+        .choose(node.now(), service, call.wanted(), &mut state.random)
+}
+
+fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let paid = state.budgets.withdraw(now, &request.route.service);
+    if paid {
+        node.metrics.repeats.inc();
+    }
+    paid
+}
+
+fn queue_patience(request: &RoutedRequest, now: Timestamp, ends: Timestamp) -> Duration {
+    if request.tree.is_nested {
+        return ends.saturating_since(now).mul_f64(NESTED_QUEUE_SHARE);
+    }
+    let target = request.route.route.target_latency;
+    let whole = target.map_or(DEFAULT_QUEUE_TIME, |target| target.mul_f64(QUEUE_SHARE));
+    whole.saturating_sub(now.saturating_since(request.arrived))
+}
+
+/// Takes note of a server that lost an answer, or could not be reached.
+fn note_failure(node: &Rc<Node>, server: &ServerInstance, end: &AttemptEnd) {
+    let reason = match end {
+        AttemptEnd::Answered => return,
+        AttemptEnd::Unknown { .. } => {
+            let now = node.now();
+            return node.state.borrow_mut().servers.lost(now, &server.id);
+        }
+        AttemptEnd::NotRun { reason, .. } => *reason,
+    };
+    match reason {
+        NotRunReason::QueueFull
+        | NotRunReason::QueueTimeout
+        | NotRunReason::DownstreamOverloaded
+        | NotRunReason::ServerRefused => {}
+        NotRunReason::ServerDraining | NotRunReason::WrongInstance => {
+            node.state.borrow_mut().servers.withdraw(&server.id);
+            info!(node.log, "server withdrawn"; "server" => server.id.as_str(),
+                "service" => &server.service, "why" => peer_headers::not_run_word(reason),
+                "revision" => node.revision());
+        }
+        NotRunReason::NodeUnreachable
+        | NotRunReason::NodeLeaving
+        | NotRunReason::ServerUnreachable => {
+            probe::set_aside(node, server, peer_headers::not_run_word(reason));
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/outbound/mod.rs
@@ -0,0 +1,131 @@
+//! Requests of local callers: routed, attempted, answered.
+//!
+//! - [`request`]: what a request is, where it goes, where it stands in its tree;
+//! - [`attempts`]: attempts one after the other, or beside a silent server;
+//! - [`send`]: one attempt, to the server beside this node or to another node;
+//! - [`answer`]: what the caller is told when no server's answer is passed on.
+
+mod answer;
+mod attempts;
+mod request;
+mod send;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use lifthollow_coordination::mesh::call::{Call, FinalAnswer, RefusalReason};
+use lifthollow_state::Timestamp;
+use rand::RngExt;
+
+use crate::http::ProxyBody;
+use crate::http::headers::remove_single_connection;
+use crate::http::server::{ConnectionLimits, Handler};
+use crate::node::Node;
+use crate::peer_headers;
+use answer::{final_response, finish, log_unrouted, status};
+use attempts::attempts;
+use request::{HeldBody, RoutedRequest, find_route, host, read_body, tree_place};
+
+/// When callers may come back before there is a configuration.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Callers refused for overload are asked to come back after this time, at the
+/// earliest; at the latest after twice as long.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// The port for local callers.
+pub struct Outbound(pub Rc<Node>);
+
+impl Handler for Outbound {
+    async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
+        let node = &self.0;
+        let arrived = node.now();
+        let (outcome, response) = serve(node, arrived, request).await;
+        let took = node.now().saturating_since(arrived);
+        node.metrics.requests.with_label_values(&[outcome]).inc();
+        node.metrics.request_duration.observe(took.as_secs_f64());
+        response
+    }
+
+    fn may_answer_early(&self, request: &Request<()>) -> bool {
+        let state = self.0.state.borrow();
+        let route = state.routes.as_ref().and_then(|routes| {
+            let host = host(request.headers(), request.uri());
+            routes.find(host, request.uri().path())
+        });
+        route.is_some_and(|route| route.is_idempotent())
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        self.0.connection_limits()
+    }
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    arrived: Timestamp,
+    request: Request<Option<Incoming>>,
+) -> (&'static str, Response<ProxyBody>) {
+    let (mut head, incoming) = request.into_parts();
+    remove_single_connection(&mut head.headers);
+    peer_headers::strip(&mut head.headers);
+    let route = match find_route(node, &head) {
+        Ok(route) => Rc::new(route),
+        Err(StatusCode::NOT_FOUND) => {
+            log_unrouted(node, &head, "no-route");
+            return ("no-route", status(StatusCode::NOT_FOUND));
+        }
+        Err(_) => {
+            log_unrouted(node, &head, "not-configured");
+            let refusal = FinalAnswer::Refused {
+                retry_after: UNCONFIGURED_RETRY_AFTER,
+                reason: RefusalReason::NotConfigured,
+            };
+            return ("not-configured", final_response(node, refusal));
+        }
+    };
+    let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
+    let call = Call::new(arrived, &route.route, patience);
+    let tree = tree_place(node, &head, &route, &call);
+    let body = match incoming {
+        None => HeldBody::Whole(bytes::Bytes::new()),
+        Some(incoming) => match read_body(node, &call, incoming).await {
+            Ok(body) => body,
+            Err(refused) => {
+                log_unrouted(node, &head, "bad-request");
+                return ("bad-request", status(refused));
+            }
+        },
+    };
+    let mut request = RoutedRequest {
+        head,
+        body,
+        route,
+        tree,
+        arrived,
+    };
+    if let Some(refusal) = refuse_overload(node, &request) {
+        return finish(node, &request, refusal);
+    }
+    attempts(node, &mut request, call).await
+}
+
+/// A new request that would be refused further down is refused before any work
+/// is done for it.
+fn refuse_overload(node: &Rc<Node>, request: &RoutedRequest) -> Option<FinalAnswer> {
+    if request.tree.is_nested {
+        return None;
+    }
+    let mut state = node.state.borrow_mut();
+    let service = &request.route.service;
+    let level = state.servers.admission_level(node.now(), service, false);
+    if level.admits(request.tree.priority) {
+        return None;
+    }
+    let retry_after = OVERLOAD_RETRY_AFTER.mul_f64(1.0 + state.random.random::<f64>());
+    Some(FinalAnswer::Refused {
+        retry_after,
+        reason: RefusalReason::Overloaded,
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/outbound/request.rs
@@ -0,0 +1,146 @@
+//! A request of a caller: its route, its body, its place in the tree of calls.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, StatusCode, Uri};
+use lifthollow_coordination::mesh::call::Call;
+use lifthollow_coordination::mesh::request_tree::priority_of_request;
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::Route;
+use tokio::time::timeout_at;
+
+use crate::http::ProxyBody;
+use crate::http::body::{self, ReadBody};
+use crate::node::Node;
+use crate::peer_headers::{self, TreePlace};
+
+/// Bodies up to this size are taken in whole, so that they can be sent again.
+const MAX_HELD_REQUEST: usize = 256 * 1024;
+/// Size of a body unless the configuration says otherwise, bytes.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
+/// A request whose route is known.
+pub(super) struct RoutedRequest {
+    pub(super) head: Parts,
+    pub(super) body: HeldBody,
+    pub(super) route: Rc<RouteInForce>,
+    pub(super) tree: TreePlace,
+    pub(super) arrived: Timestamp,
+}
+
+pub(super) struct RouteInForce {
+    pub(super) route: Arc<Route>,
+    pub(super) version: u64,
+    pub(super) service: String,
+}
+
+/// A request's body; one that is too large to be held can be sent once.
+pub(super) enum HeldBody {
+    Whole(Bytes),
+    Once(Option<ProxyBody>),
+}
+
+impl HeldBody {
+    pub(super) fn take(&mut self) -> Option<ProxyBody> {
+        match self {
+            HeldBody::Whole(bytes) => Some(ProxyBody::Whole(bytes.clone())),
+            HeldBody::Once(body) => body.take(),
+        }
+    }
+
+    pub(super) fn is_spent(&self) -> bool {
+        matches!(self, HeldBody::Once(None))
+    }
+}
+
+/// Where the request stands: its own tree's root, or a call of a run on the
+/// server beside this node.
+pub(super) fn tree_place(
+    node: &Rc<Node>,
+    head: &Parts,
+    route: &RouteInForce,
+    call: &Call,
+) -> TreePlace {
+    let id = head.headers.get(&node.names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let told = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
+    let deadline = told.map_or(call.ends(), |told| node.now() + told);
+    let mut state = node.state.borrow_mut();
+    match state.admission.parent_of(id, deadline) {
+        Some(parent) => {
+            state.admission.called(parent.run, &route.service);
+            TreePlace {
+                priority: parent.priority,
+                is_nested: true,
+                is_repeat: parent.is_repeat,
+            }
+        }
+        None => TreePlace {
+            priority: priority_of_request(route.route.priority, id),
+            is_nested: false,
+            is_repeat: false,
+        },
+    }
+}
+
+pub(super) fn find_route(node: &Rc<Node>, head: &Parts) -> Result<RouteInForce, StatusCode> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let routes = state
+        .routes
+        .as_ref()
+        .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let route = routes
+        .find(host(&head.headers, &head.uri), head.uri.path())
+        .ok_or(StatusCode::NOT_FOUND)?;
+    let service = state.split.choose(route, &mut state.random).to_owned();
+    Ok(RouteInForce {
+        route: route.clone(),
+        version: routes.version(),
+        service,
+    })
+}
+
+pub(super) fn host<'r>(headers: &'r HeaderMap, uri: &'r Uri) -> &'r str {
+    let named = headers.get(HOST).and_then(|host| host.to_str().ok());
+    named.or(uri.host()).unwrap_or_default()
+}
+
+pub(super) async fn read_body(
+    node: &Rc<Node>,
+    call: &Call,
+    incoming: Incoming,
+) -> Result<HeldBody, StatusCode> {
+    let limit = max_body_bytes(node);
+    let length = hyper::body::Body::size_hint(&incoming).lower();
+    if length > limit {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let ends = node.clock.instant(call.ends()).into();
+    let read = timeout_at(ends, body::read(incoming, MAX_HELD_REQUEST))
+        .await
+        .map_err(|_| StatusCode::REQUEST_TIMEOUT)?
+        .map_err(|_| StatusCode::BAD_REQUEST)?;
+    Ok(match read {
+        ReadBody::Whole(bytes) => HeldBody::Whole(bytes),
+        ReadBody::Larger { arrived, rest } => HeldBody::Once(Some(ProxyBody::Passing {
+            arrived,
+            rest,
+            guard: Box::new(()),
+        })),
+    })
+}
+
+fn max_body_bytes(node: &Rc<Node>) -> u64 {
+    let state = node.state.borrow();
+    let snapshot = state.snapshots.snapshot();
+    let configuration = snapshot.configuration.as_ref();
+    configuration
+        .and_then(|known| known.limits.max_body_bytes)
+        .unwrap_or(MAX_BODY_BYTES)
+}
--- /dev/null
+++ b/crates/proxy/src/outbound/send.rs
@@ -0,0 +1,150 @@
+//! One attempt: to the server beside this node, or to the node beside another.
+
+use std::rc::Rc;
+
+use hyper::header::HeaderValue;
+use hyper::{Request, Response};
+use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_coordination::mesh::server_selection::ReportedLoad;
+use lifthollow_state::mesh::ServerInstance;
+
+use crate::http::ProxyBody;
+use crate::http::body::{self, ReadBody};
+use crate::http::headers::remove_single_connection;
+use crate::http::pool::SendError;
+use crate::inbound::{self, Attempt, AttemptOutcome, milliseconds_value};
+use crate::node::Node;
+use crate::outbound::request::RoutedRequest;
+use crate::{peer_headers, snapshots};
+
+/// Answers of other nodes up to this size are taken in whole.
+const MAX_HELD_ANSWER: usize = 256 * 1024;
+
+/// The request as it goes to a server.
+pub(super) fn outgoing_request(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    server: &ServerInstance,
+    body: ProxyBody,
+) -> Request<ProxyBody> {
+    let mut outgoing = Request::new(body);
+    *outgoing.method_mut() = request.head.method.clone();
+    *outgoing.uri_mut() = request.head.uri.clone();
+    let headers = outgoing.headers_mut();
+    *headers = request.head.headers.clone();
+    let names = &node.names;
+    let caller = HeaderValue::from_str(&node.settings.service);
+    headers.insert(
+        &names.caller_service,
+        caller.unwrap_or(HeaderValue::from_static("")),
+    );
+    let instance = HeaderValue::from_str(server.id.as_str());
+    headers.insert(
+        &names.expected_instance,
+        instance.unwrap_or(HeaderValue::from_static("")),
+    );
+    outgoing
+}
+
+/// Sends an attempt and takes note of what its answer tells of the server.
+pub(super) async fn send(
+    node: &Rc<Node>,
+    server: &ServerInstance,
+    attempt: Attempt,
+) -> AttemptOutcome {
+    let started = node.now();
+    let is_beside = node.is_beside(server);
+    let is_nested = attempt.tree.is_nested;
+    let (outcome, load) = if is_beside {
+        let outcome = inbound::execute(node, attempt).await;
+        (outcome, Some(node.own_load(is_nested)))
+    } else {
+        send_to_node(node, server, attempt).await
+    };
+    if outcome.end == AttemptEnd::Answered {
+        let now = node.now();
+        let latency = now.saturating_since(started);
+        let mut state = node.state.borrow_mut();
+        state.servers.heard(now, &server.id, load, Some(latency));
+    } else if let Some(load) = load {
+        let now = node.now();
+        let mut state = node.state.borrow_mut();
+        state.servers.reported(now, &server.id, load);
+    }
+    outcome
+}
+
+async fn send_to_node(
+    node: &Rc<Node>,
+    server: &ServerInstance,
+    mut attempt: Attempt,
+) -> (AttemptOutcome, Option<ReportedLoad>) {
+    let address = node.node_beside(server);
+    let now = node.now();
+    let headers = attempt.request.headers_mut();
+    let left = attempt.ends.saturating_since(now);
+    headers.insert(&node.names.deadline_ms, milliseconds_value(left));
+    headers.insert(peer_headers::TREE, peer_headers::tree_value(&attempt.tree));
+    headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
+    snapshots::name_revision(node, headers);
+    let sent = node.peer_connections.send(address, attempt.request).await;
+    let (response, lease) = match sent {
+        Ok(answered) => answered,
+        Err(SendError::NotSent(_)) => {
+            let end = AttemptEnd::NotRun {
+                offered: false,
+                reason: NotRunReason::NodeUnreachable,
+                retry_after: None,
+            };
+            return (
+                AttemptOutcome {
+                    end,
+                    response: None,
+                },
+                None,
+            );
+        }
+        Err(SendError::Lost(_)) => return (lost(), None),
+    };
+    let (mut head, incoming) = response.into_parts();
+    snapshots::note_revision(node, &head.headers, address);
+    let load = peer_headers::load(&head.headers);
+    let end = peer_headers::outcome(&head.headers);
+    let body = match body::read(incoming, MAX_HELD_ANSWER).await {
+        Err(_) => return (lost(), load),
+        Ok(ReadBody::Whole(bytes)) => {
+            lease.keep();
+            ProxyBody::Whole(bytes)
+        }
+        Ok(ReadBody::Larger { arrived, rest }) => ProxyBody::Passing {
+            arrived,
+            rest,
+            guard: Box::new(lease),
+        },
+    };
+    if end != AttemptEnd::Answered {
+        return (
+            AttemptOutcome {
+                end,
+                response: None,
+            },
+            load,
+        );
+    }
+    remove_single_connection(&mut head.headers);
+    peer_headers::strip(&mut head.headers);
+    let outcome = AttemptOutcome {
+        end,
+        response: Some(Response::from_parts(head, body)),
+    };
+    (outcome, load)
+}
+
+fn lost() -> AttemptOutcome {
+    AttemptOutcome {
+        end: AttemptEnd::Unknown {
+            reason: UnknownReason::AnswerLost,
+        },
+        response: None,
+    }
+}
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -80,12 +80,7 @@
         }
     }
     if applied.contains(&Applied::Configuration) {
-        let version = node
-            .state
-            .borrow()
-            .routes
-            .as_ref()
-            .map(|routes| routes.version());
+        let version = node.configuration_version();
         info!(node.log, "configuration in force"; "from" => from, "revision" => revision, "version" => version);
     }
     if applied.contains(&Applied::Servers) {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,9 +6,13 @@
 //! - [`mux`]: calls between nodes over long-lived TCP connections;
 //! - [`http`]: callers on one side, back ends on the other;
 //! - [`datagram`]: messages between control threads over UDP;
-//! - [`signals`]: the planned stop.
+//! - [`signals`]: the planned stop;
+//! - [`clock`]: the monotonic clock as timestamps;
+//! - [`logging`]: JSON lines on standard output.
 
+pub mod clock;
 pub mod datagram;
 pub mod http;
+pub mod logging;
 pub mod mux;
 pub mod signals;
