Use servers whose entries ran out if their service has no other

The grace of 1.3 s for servers that vanished without a word is 20 s now; as before it counts only while a service has no other server.

--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -13,10 +13,10 @@
     Configuration, ConfigurationError, InstanceId, KnownServer, ServerInstance, Snapshot,
 };
 
-/// A server that has vanished without a word is used a little longer if nothing
-/// else is left: its entry may have run out while the source was down, and come
-/// back with its next announcement.
-const VANISHED_GRACE: Duration = Duration::from_millis(1300);
+/// A server that vanished without announcing its end is remembered this long. Its
+/// entry may have run out because it, or the source, was cut off; if its service
+/// has no other server, it is better asked than nobody.
+const VANISHED_GRACE: Duration = Duration::from_secs(20);
 
 /// One change that the source tells of.
 #[derive(Clone, Debug, PartialEq)]
