--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -44,13 +44,6 @@
     pub limit: u32,
 }
 
-impl Occupancy {
-    /// Requests here for each one that may run; 1 is full.
-    pub fn utilization(&self) -> f64 {
-        f64::from(self.running + self.waiting) / f64::from(self.limit.max(1))
-    }
-}
-
 /// Requests for one server.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -124,11 +124,6 @@
             .retain(|id, record| present.contains(id) || record.in_flight > 0);
     }
 
-    /// How many servers of `service` may get attempts.
-    pub fn count(&self, service: &str) -> usize {
-        self.by_service.get(service).map_or(0, Vec::len)
-    }
-
     /// The server that should get the next attempt for `service`. A server that is set aside is taken only if no other is left.
     pub fn choose(
         &self,
@@ -248,14 +243,6 @@
         }
     }
 
-    /// Servers that are set aside.
-    pub fn set_aside_count(&self) -> usize {
-        let records = self.records.values();
-        records
-            .filter(|record| record.standing != Standing::Good)
-            .count()
-    }
-
     /// Whether a server that was sent an attempt at `sent` has been silent for
     /// so long that it should be tried elsewhere: it has answered nothing since,
     /// although that is longer than an answer takes.
@@ -275,16 +262,6 @@
         (expected * 2).max(MIN_SILENCE)
     }
 
-    /// The estimated utilization of the least utilized server of `service`; none
-    /// without servers.
-    pub fn lowest_utilization(&self, now: Timestamp, service: &str) -> Option<f64> {
-        let ids = self.by_service.get(service)?;
-        let records = ids.iter().filter_map(|id| self.records.get(id));
-        records
-            .map(|record| record.utilization(now))
-            .min_by(f64::total_cmp)
-    }
-
     /// The lowest level that some server of `service` lets through, of those
     /// that reported a moment ago. Without such, what was reported last counts,
     /// less and less.
--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -55,11 +55,6 @@
         &self.snapshot
     }
 
-    /// Whether there is a configuration.
-    pub fn is_configured(&self) -> bool {
-        self.snapshot.configuration.is_some()
-    }
-
     /// Takes in one change that was made at `revision`.
     pub fn apply(&mut self, now: Timestamp, revision: u64, change: Change) -> Applied {
         match change {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -261,7 +261,8 @@
         let own = servers.iter().find(|server| self.is_beside(server));
         if let Some(own) = own {
             let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
-            let started = state.admission.set_limit(self.now(), used.max(1));
+            let limit = used.min(max_connections(state, &own.service)).max(1);
+            let started = state.admission.set_limit(self.now(), limit);
             self.start_waiting(state, started);
         }
     }
@@ -278,3 +279,13 @@
         }
     }
 }
+
+/// The most connections that a server of `service` takes; each run needs one.
+fn max_connections(state: &TrafficState, service: &str) -> u32 {
+    let snapshot = state.snapshots.snapshot();
+    let configuration = snapshot.configuration.as_ref();
+    let settings = configuration.and_then(|known| known.services.get(service));
+    settings
+        .and_then(|settings| settings.max_connections)
+        .unwrap_or(u32::MAX)
+}
