--- /dev/null
+++ b/crates/proxy/src/inbound/admission.rs
@@ -0,0 +1,143 @@
+//! Places in the queue and slots at the server, freed when they are dropped.
+
+use std::rc::Rc;
+
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::mesh::admission_queue::Ticket;
+use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason};
+use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
+use lifthollow_state::{ServiceName, Timestamp};
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use crate::inbound::{Attempt, AttemptOutcome};
+use crate::node::Node;
+
+/// One request at the server. Dropping it frees its slot.
+pub(super) struct Permit {
+    node: Rc<Node>,
+    arriving: ArrivingAttempt,
+    pub(super) run: InboundId,
+    pub(super) started: Timestamp,
+    pub(super) answered: bool,
+}
+
+impl Permit {
+    fn new(node: &Rc<Node>, arriving: ArrivingAttempt) -> Self {
+        let run = node.state.borrow_mut().admission.started(&arriving);
+        Permit {
+            node: node.clone(),
+            arriving,
+            run,
+            started: node.now(),
+            answered: false,
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let ran_for = self.answered.then(|| now.saturating_since(self.started));
+        let mut state = self.node.state.borrow_mut();
+        let started = state
+            .admission
+            .finish(now, &self.arriving, self.run, ran_for);
+        self.node.start_waiting(&mut state, started);
+    }
+}
+
+/// A place in the queue. Dropping it leaves the queue.
+struct Place<'a> {
+    node: &'a Rc<Node>,
+    arriving: &'a ArrivingAttempt,
+    ticket: Ticket,
+    started: oneshot::Receiver<()>,
+    in_vain: bool,
+    left: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if self.left {
+            return;
+        }
+        let mut state = self.node.state.borrow_mut();
+        state.waiters.remove(&self.ticket);
+        let was_waiting = state
+            .admission
+            .withdraw(self.arriving, self.ticket, self.in_vain);
+        if !was_waiting {
+            let started = state.admission.give_back(self.node.now());
+            self.node.start_waiting(&mut state, started);
+        }
+    }
+}
+
+/// Waits until the attempt may run, as long as it can.
+pub(super) async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
+    let now = node.now();
+    let id = attempt.request.headers().get(&node.names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let arriving = ArrivingAttempt {
+        request_id: id.to_owned(),
+        priority: attempt.tree.priority,
+        is_nested: attempt.tree.is_nested,
+        is_repeat: attempt.tree.is_repeat,
+        deadline: attempt.ends,
+        patience: attempt.patience.min(attempt.ends.saturating_since(now)),
+    };
+    let verdict = {
+        let mut state = node.state.borrow_mut();
+        let state = &mut *state;
+        let servers = &state.servers;
+        let level_of = |service: &ServiceName| servers.admission_level(now, service.as_str(), true);
+        state.admission.arrive(now, &arriving, level_of)
+    };
+    match verdict {
+        Verdict::Run => Ok(Permit::new(node, arriving)),
+        Verdict::Wait(ticket) => wait(node, arriving, ticket, now).await,
+        Verdict::Refuse {
+            reason,
+            retry_after,
+        } => Err(AttemptOutcome {
+            end: AttemptEnd::NotRun {
+                offered: false,
+                reason,
+                retry_after,
+            },
+            response: None,
+        }),
+    }
+}
+
+async fn wait(
+    node: &Rc<Node>,
+    arriving: ArrivingAttempt,
+    ticket: Ticket,
+    now: Timestamp,
+) -> Result<Permit, AttemptOutcome> {
+    let (start, started) = oneshot::channel();
+    node.state.borrow_mut().waiters.insert(ticket, start);
+    let mut place = Place {
+        node,
+        arriving: &arriving,
+        ticket,
+        started,
+        in_vain: false,
+        left: false,
+    };
+    let until = node.clock.instant(now + arriving.patience).into();
+    match timeout_at(until, &mut place.started).await {
+        Ok(Ok(())) => {
+            place.left = true;
+            drop(place);
+            Ok(Permit::new(node, arriving))
+        }
+        _ => {
+            place.in_vain = true;
+            drop(place);
+            Err(AttemptOutcome::not_run(NotRunReason::QueueTimeout))
+        }
+    }
+}
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -1,20 +1,18 @@
 //! Attempts for the server beside this node.
 
+mod admission;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use lifthollow_coordination::inbound::InboundId;
-use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
-use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
 use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::InstanceId;
-use lifthollow_state::{ServiceName, Timestamp};
 use slog::info;
-use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 use crate::http::body::{self, ReadBody};
@@ -22,6 +20,7 @@
 use crate::http::pool::{Lease, SendError};
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::http::{ProxyBody, headers};
+use crate::inbound::admission::{Permit, admit};
 use crate::node::Node;
 use crate::peer_headers::TreePlace;
 use crate::{peer_headers, probe, snapshots};
@@ -76,67 +75,6 @@
     }
 }
 
-/// One request at the server. Dropping it frees its slot.
-struct Permit {
-    node: Rc<Node>,
-    arriving: ArrivingAttempt,
-    run: InboundId,
-    started: Timestamp,
-    answered: bool,
-}
-
-impl Permit {
-    fn new(node: &Rc<Node>, arriving: ArrivingAttempt) -> Self {
-        let run = node.state.borrow_mut().admission.started(&arriving);
-        Permit {
-            node: node.clone(),
-            arriving,
-            run,
-            started: node.now(),
-            answered: false,
-        }
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let now = self.node.now();
-        let ran_for = self.answered.then(|| now.saturating_since(self.started));
-        let mut state = self.node.state.borrow_mut();
-        let started = state
-            .admission
-            .finish(now, &self.arriving, self.run, ran_for);
-        self.node.start_waiting(&mut state, started);
-    }
-}
-
-/// A place in the queue. Dropping it leaves the queue.
-struct Place<'a> {
-    node: &'a Rc<Node>,
-    arriving: &'a ArrivingAttempt,
-    ticket: Ticket,
-    started: oneshot::Receiver<()>,
-    in_vain: bool,
-    left: bool,
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        if self.left {
-            return;
-        }
-        let mut state = self.node.state.borrow_mut();
-        state.waiters.remove(&self.ticket);
-        let was_waiting = state
-            .admission
-            .withdraw(self.arriving, self.ticket, self.in_vain);
-        if !was_waiting {
-            let started = state.admission.give_back(self.node.now());
-            self.node.start_waiting(&mut state, started);
-        }
-    }
-}
-
 /// Runs an attempt on the server beside this node.
 pub async fn execute(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
     let logged = LoggedAttempt::of(node, &attempt);
@@ -223,73 +161,6 @@
     (!known.is_ready()).then_some(NotRunReason::ServerDraining)
 }
 
-async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
-    let now = node.now();
-    let id = attempt.request.headers().get(&node.names.request_id);
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-    let arriving = ArrivingAttempt {
-        request_id: id.to_owned(),
-        priority: attempt.tree.priority,
-        is_nested: attempt.tree.is_nested,
-        is_repeat: attempt.tree.is_repeat,
-        deadline: attempt.ends,
-        patience: attempt.patience.min(attempt.ends.saturating_since(now)),
-    };
-    let verdict = {
-        let mut state = node.state.borrow_mut();
-        let state = &mut *state;
-        let servers = &state.servers;
-        let level_of = |service: &ServiceName| servers.admission_level(now, service.as_str(), true);
-        state.admission.arrive(now, &arriving, level_of)
-    };
-    match verdict {
-        Verdict::Run => Ok(Permit::new(node, arriving)),
-        Verdict::Wait(ticket) => wait(node, arriving, ticket, now).await,
-        Verdict::Refuse {
-            reason,
-            retry_after,
-        } => Err(AttemptOutcome {
-            end: AttemptEnd::NotRun {
-                offered: false,
-                reason,
-                retry_after,
-            },
-            response: None,
-        }),
-    }
-}
-
-async fn wait(
-    node: &Rc<Node>,
-    arriving: ArrivingAttempt,
-    ticket: Ticket,
-    now: Timestamp,
-) -> Result<Permit, AttemptOutcome> {
-    let (start, started) = oneshot::channel();
-    node.state.borrow_mut().waiters.insert(ticket, start);
-    let mut place = Place {
-        node,
-        arriving: &arriving,
-        ticket,
-        started,
-        in_vain: false,
-        left: false,
-    };
-    let until = node.clock.instant(now + arriving.patience).into();
-    match timeout_at(until, &mut place.started).await {
-        Ok(Ok(())) => {
-            place.left = true;
-            drop(place);
-            Ok(Permit::new(node, arriving))
-        }
-        _ => {
-            place.in_vain = true;
-            drop(place);
-            Err(AttemptOutcome::not_run(NotRunReason::QueueTimeout))
-        }
-    }
-}
-
 async fn run(node: &Rc<Node>, mut attempt: Attempt, mut permit: Permit) -> AttemptOutcome {
     let names = &node.names;
     let left = attempt.ends.saturating_since(node.now());
