Say once how an attempt failed, what a request is named, and what no answer is

The words for an attempt's end stood three times, reading a request's identity four times, and an outcome without an answer was built by hand beside its constructors.

--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -77,8 +77,7 @@
 /// Waits until the attempt may run, as long as it can.
 pub(super) async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
     let now = node.now();
-    let id = attempt.request.headers().get(&node.names.request_id);
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let id = node.names.request_id_of(attempt.request.headers());
     let arriving = ArrivingAttempt {
         request_id: id.to_owned(),
         priority: attempt.tree.priority,
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -56,7 +56,8 @@
 }
 
 impl AttemptOutcome {
-    fn not_run(reason: NotRunReason) -> Self {
+    /// The server was not asked.
+    pub fn not_run(reason: NotRunReason) -> Self {
         AttemptOutcome {
             end: AttemptEnd::NotRun {
                 offered: false,
@@ -67,7 +68,8 @@
         }
     }
 
-    fn unknown(reason: UnknownReason) -> Self {
+    /// It may have run.
+    pub fn unknown(reason: UnknownReason) -> Self {
         AttemptOutcome {
             end: AttemptEnd::Unknown { reason },
             response: None,
@@ -80,11 +82,8 @@
     let logged = LoggedAttempt::of(node, &attempt);
     let outcome = admit_and_run(node, attempt).await;
     logged.log(node, &outcome.end);
-    let word = match &outcome.end {
-        AttemptEnd::Answered => "answered",
-        AttemptEnd::NotRun { reason, .. } => peer_headers::not_run_word(*reason),
-        AttemptEnd::Unknown { reason } => peer_headers::unknown_word(*reason),
-    };
+    let failure = peer_headers::failure_words(&outcome.end);
+    let word = failure.map_or(peer_headers::ANSWERED, |(_, why)| why);
     node.metrics.attempts.with_label_values(&[word]).inc();
     outcome
 }
@@ -99,8 +98,7 @@
 
 impl LoggedAttempt {
     fn of(node: &Rc<Node>, attempt: &Attempt) -> Self {
-        let id = attempt.request.headers().get(&node.names.request_id);
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = node.names.request_id_of(attempt.request.headers());
         LoggedAttempt {
             request_id: id.to_owned(),
             server: attempt.server.clone(),
@@ -110,10 +108,8 @@
     }
 
     fn log(&self, node: &Rc<Node>, end: &AttemptEnd) {
-        let (outcome, why) = match end {
-            AttemptEnd::Answered => return,
-            AttemptEnd::NotRun { reason, .. } => ("not-run", peer_headers::not_run_word(*reason)),
-            AttemptEnd::Unknown { reason } => ("unknown", peer_headers::unknown_word(*reason)),
+        let Some((outcome, why)) = peer_headers::failure_words(end) else {
+            return;
         };
         if !node.may_log() {
             return;
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -32,7 +32,7 @@
             .borrow()
             .servers
             .known_load(now, service, is_nested);
-        info!(node.log, "request not served"; "request" => request_id(node, &request.head),
+        info!(node.log, "request not served"; "request" => node.names.request_id_of(&request.head.headers),
             "outcome" => outcome, "why" => why, "route" => &request.route.route.name,
             "service" => service, "nested" => is_nested,
             "priority" => AdmissionLevel::of(request.tree.priority).0,
@@ -82,11 +82,6 @@
     response
 }
 
-fn request_id<'h>(node: &Node, head: &'h Parts) -> &'h str {
-    let id = head.headers.get(&node.names.request_id);
-    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
-}
-
 /// Logs a request that was answered before it had a route.
 pub(super) fn log_unrouted(node: &Rc<Node>, head: &Parts, why: &str) {
     if !node.may_log() {
@@ -94,7 +89,7 @@
     }
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let version = node.configuration_version();
-    info!(node.log, "request not routed"; "request" => request_id(node, head), "why" => why,
+    info!(node.log, "request not routed"; "request" => node.names.request_id_of(&head.headers), "why" => why,
         "host" => host.unwrap_or_default(), "path" => head.uri.path(),
         "configuration" => version, "revision" => node.revision());
 }
@@ -109,14 +104,12 @@
     if !node.may_log() {
         return;
     }
-    let (outcome, why) = match end {
-        AttemptEnd::Answered => return,
-        AttemptEnd::NotRun { reason, .. } => ("not-run", peer_headers::not_run_word(*reason)),
-        AttemptEnd::Unknown { reason } => ("unknown", peer_headers::unknown_word(*reason)),
+    let Some((outcome, why)) = peer_headers::failure_words(end) else {
+        return;
     };
     let now = node.now();
     let held = now.saturating_since(request.arrived).as_millis() as u64;
-    info!(node.log, "attempt not answered"; "request" => request_id(node, &request.head),
+    info!(node.log, "attempt not answered"; "request" => node.names.request_id_of(&request.head.headers),
         "server" => server.id.as_str(), "service" => &server.service, "outcome" => outcome,
         "why" => why, "configuration" => request.route.version, "revision" => node.revision(),
         "held_ms" => held);
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -66,8 +66,7 @@
     route: &RouteInForce,
     call: &Call,
 ) -> TreePlace {
-    let id = head.headers.get(&node.names.request_id);
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let id = node.names.request_id_of(&head.headers);
     let told = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let deadline = told.map_or(call.ends(), |told| node.now() + told);
     let mut state = node.state.borrow_mut();
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -91,27 +91,19 @@
     let (response, lease) = match sent {
         Ok(answered) => answered,
         Err(SendError::NotSent(_)) => {
-            let end = AttemptEnd::NotRun {
-                offered: false,
-                reason: NotRunReason::NodeUnreachable,
-                retry_after: None,
-            };
-            return (
-                AttemptOutcome {
-                    end,
-                    response: None,
-                },
-                None,
-            );
+            let outcome = AttemptOutcome::not_run(NotRunReason::NodeUnreachable);
+            return (outcome, None);
+        }
+        Err(SendError::Lost(_)) => {
+            return (AttemptOutcome::unknown(UnknownReason::AnswerLost), None);
         }
-        Err(SendError::Lost(_)) => return (lost(), None),
     };
     let (mut head, incoming) = response.into_parts();
     snapshots::note_revision(node, &head.headers, address);
     let load = peer_headers::load(&head.headers);
     let end = peer_headers::outcome(&head.headers);
     let body = match body::read(incoming, MAX_HELD_ANSWER).await {
-        Err(_) => return (lost(), load),
+        Err(_) => return (AttemptOutcome::unknown(UnknownReason::AnswerLost), load),
         Ok(ReadBody::Whole(bytes)) => {
             lease.keep();
             ProxyBody::Whole(bytes)
@@ -139,12 +131,3 @@
     };
     (outcome, load)
 }
-
-fn lost() -> AttemptOutcome {
-    AttemptOutcome {
-        end: AttemptEnd::Unknown {
-            reason: UnknownReason::AnswerLost,
-        },
-        response: None,
-    }
-}
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -42,7 +42,8 @@
     pub is_repeat: bool,
 }
 
-const ANSWERED: &str = "answered";
+/// The word for an attempt that the server answered.
+pub const ANSWERED: &str = "answered";
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
 
@@ -74,6 +75,16 @@
     word(&UNKNOWN_REASONS, reason)
 }
 
+/// The words for how an attempt ended, in logs and metrics; none if the server
+/// answered it.
+pub fn failure_words(end: &AttemptEnd) -> Option<(&'static str, &'static str)> {
+    match end {
+        AttemptEnd::Answered => None,
+        AttemptEnd::NotRun { reason, .. } => Some((NOT_RUN, not_run_word(*reason))),
+        AttemptEnd::Unknown { reason } => Some((UNKNOWN, unknown_word(*reason))),
+    }
+}
+
 fn word<R: Copy + PartialEq>(words: &[(&'static str, R)], reason: R) -> &'static str {
     let found = words.iter().find(|(_, known)| *known == reason);
     found.map_or("other", |(word, _)| word)
--- a/crates/proxy/src/wire_names.rs
+++ b/crates/proxy/src/wire_names.rs
@@ -1,5 +1,6 @@
 //! What callers, servers and the platform call what is spoken with them.
 
+use hyper::HeaderMap;
 use hyper::header::HeaderName;
 
 /// Names of headers and paths. Values have the same form everywhere: times are
@@ -23,3 +24,11 @@
     /// Where the platform asks whether the node is ready.
     pub readiness_path: String,
 }
+
+impl WireNames {
+    /// The identity that a request names; empty if it names none.
+    pub fn request_id_of<'h>(&self, headers: &'h HeaderMap) -> &'h str {
+        let id = headers.get(&self.request_id);
+        id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+}
