Count an attempt beside a silent server as a repeat, and pay only for repeats that are sent

Cause: a hedge started beside a silent server was paid for from the retry budget, but Call::is_repeat looked at ended attempts only. So the hedge was deposited as a first attempt and its nested calls were not charged as repeats. And when one of two attempts failed while the other was on its way, a repeat was paid for that was never sent.

Change: Call knows that it was hedged; attempt_ended takes whether another attempt is on its way and answers Wait without asking the budget.

Tests: attempt_beside_a_silent_server_is_a_repeat failed with the old condition; no_repeat_is_paid_for_while_another_attempt_is_on_its_way states the new step (the old signature could not express it). Existing tests pass the new argument; what they assert is unchanged.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -105,6 +105,8 @@
 pub enum NextStep {
     /// Send another attempt to a server that is not excluded.
     Attempt,
+    /// Wait for another attempt that is still on its way.
+    Wait,
     /// Tell the caller.
     Finish(FinalAnswer),
 }
@@ -117,6 +119,7 @@
     offered: u32,
     refused: usize,
     may_have_run: bool,
+    is_hedged: bool,
     ends: Timestamp,
     excluded: Vec<InstanceId>,
     last_refusal: Option<(NotRunReason, Option<Duration>)>,
@@ -134,6 +137,7 @@
             offered: 0,
             refused: 0,
             may_have_run: false,
+            is_hedged: false,
             ends: held.map_or(Timestamp::from_micros(u64::MAX), |held| now + held),
             excluded: Vec::new(),
             last_refusal: None,
@@ -160,7 +164,7 @@
 
     /// Whether a server may have it already.
     pub fn is_repeat(&self) -> bool {
-        self.offered > 0
+        self.offered > 0 || self.is_hedged
     }
 
     /// Whether another attempt may run beside one whose server has fallen silent.
@@ -170,15 +174,18 @@
 
     /// Another attempt starts beside the one at `server`.
     pub fn hedge(&mut self, server: &InstanceId) {
+        self.is_hedged = true;
         self.excluded.push(server.clone());
     }
 
     /// Takes in how the attempt at `server` ended, if it was not answered.
-    /// `may_repeat` pays for a repeat, and is asked only if one is due.
+    /// `is_other_in_progress` says that another attempt of the request is still
+    /// on its way. `may_repeat` pays for a repeat, and is asked only if one is due.
     pub fn attempt_ended(
         &mut self,
         server: &InstanceId,
         end: &AttemptEnd,
+        is_other_in_progress: bool,
         may_repeat: impl FnOnce() -> bool,
     ) -> NextStep {
         if !self.excluded.contains(server) {
@@ -200,6 +207,9 @@
                 self.may_have_run = true;
             }
         }
+        if is_other_in_progress {
+            return NextStep::Wait;
+        }
         if self.may_continue() && (self.offered == 0 || may_repeat()) {
             return NextStep::Attempt;
         }
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -28,16 +28,19 @@
     }
 }
 
+/// No other attempt of the request is on its way.
+const ALONE: bool = false;
+
 #[test]
 fn request_that_may_have_run_is_sent_again_only_if_it_may_be_repeated() {
     let mut once = route("once", "/");
     once.kind = RequestKind::NonIdempotent;
     let mut call = Call::new(at(0), &once, None);
-    let next = call.attempt_ended(&id("i-1"), &lost(), || true);
+    let next = call.attempt_ended(&id("i-1"), &lost(), ALONE, || true);
     assert_eq!(next, NextStep::Finish(FinalAnswer::Unknown));
 
     let mut call = Call::new(at(0), &route("any", "/"), None);
-    let next = call.attempt_ended(&id("i-1"), &lost(), || true);
+    let next = call.attempt_ended(&id("i-1"), &lost(), ALONE, || true);
     assert_eq!(next, NextStep::Attempt);
     assert_eq!(call.excluded(), [id("i-1")]);
 }
@@ -48,7 +51,7 @@
     once.kind = RequestKind::NonIdempotent;
     let mut call = Call::new(at(0), &once, None);
     let refused = not_run(false, NotRunReason::QueueFull);
-    let next = call.attempt_ended(&id("i-1"), &refused, || panic!("it is no repeat"));
+    let next = call.attempt_ended(&id("i-1"), &refused, ALONE, || panic!("it is no repeat"));
     assert_eq!(next, NextStep::Attempt);
 }
 
@@ -57,10 +60,10 @@
     let mut call = Call::new(at(0), &route("two", "/"), None);
     let refused = not_run(true, NotRunReason::ServerRefused);
     assert_eq!(
-        call.attempt_ended(&id("i-1"), &refused, || true),
+        call.attempt_ended(&id("i-1"), &refused, ALONE, || true),
         NextStep::Attempt
     );
-    let next = call.attempt_ended(&id("i-2"), &refused, || true);
+    let next = call.attempt_ended(&id("i-2"), &refused, ALONE, || true);
     assert!(matches!(
         next,
         NextStep::Finish(FinalAnswer::Refused { .. })
@@ -70,16 +73,16 @@
 #[test]
 fn without_budget_there_is_no_repeat() {
     let mut call = Call::new(at(0), &route("any", "/"), None);
-    let next = call.attempt_ended(&id("i-1"), &lost(), || false);
+    let next = call.attempt_ended(&id("i-1"), &lost(), ALONE, || false);
     assert_eq!(next, NextStep::Finish(FinalAnswer::Unknown));
 }
 
 #[test]
 fn not_run_is_never_said_of_a_request_that_may_have_run() {
     let mut call = Call::new(at(0), &route("any", "/"), None);
-    call.attempt_ended(&id("i-1"), &lost(), || true);
+    call.attempt_ended(&id("i-1"), &lost(), ALONE, || true);
     let refused = not_run(false, NotRunReason::QueueFull);
-    call.attempt_ended(&id("i-2"), &refused, || true);
+    call.attempt_ended(&id("i-2"), &refused, ALONE, || true);
     assert_eq!(call.give_up(), FinalAnswer::Unknown);
     assert_eq!(call.timed_out(false), FinalAnswer::TimedOut);
 }
@@ -96,7 +99,7 @@
 fn overload_further_down_is_not_asked_for_at_every_server() {
     let mut call = Call::new(at(0), &route("any", "/"), None);
     let refused = not_run(false, NotRunReason::DownstreamOverloaded);
-    let next = call.attempt_ended(&id("i-1"), &refused, || true);
+    let next = call.attempt_ended(&id("i-1"), &refused, ALONE, || true);
     let NextStep::Finish(FinalAnswer::Refused { reason, .. }) = next else {
         panic!("{next:?}");
     };
@@ -104,6 +107,22 @@
     assert_eq!(reason, wanted);
 }
 
+#[test]
+fn attempt_beside_a_silent_server_is_a_repeat() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    assert!(!call.is_repeat());
+    call.hedge(&id("i-1"));
+    assert!(call.is_repeat());
+}
+
+#[test]
+fn no_repeat_is_paid_for_while_another_attempt_is_on_its_way() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    call.hedge(&id("i-1"));
+    let next = call.attempt_ended(&id("i-2"), &lost(), true, || panic!("it would not be sent"));
+    assert_eq!(next, NextStep::Wait);
+}
+
 const ANY: Wanted<'static> = Wanted {
     excluded: &[],
     may_repeat: true,
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -55,11 +55,8 @@
                 }
                 note_failure(node, &server, &outcome.end);
                 log_attempt(node, request, &server, &outcome.end);
-                let next = call.attempt_ended(&server.id, &outcome.end, || pay_for_repeat(node, request));
-                match next {
-                    _ if !sending.is_empty() => continue,
-                    next => next,
-                }
+                let is_other_in_progress = !sending.is_empty();
+                call.attempt_ended(&server.id, &outcome.end, is_other_in_progress, || pay_for_repeat(node, request))
             }
             _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
             silent = watched.is_silent(node) => {
@@ -72,6 +69,7 @@
             }
         };
         let answer = match next {
+            NextStep::Wait => continue,
             NextStep::Finish(answer) => answer,
             NextStep::Attempt if request.body.is_spent() => call.give_up(),
             NextStep::Attempt => match start(node, request, &mut call, &mut sending) {
