--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -44,6 +44,8 @@
     NodeLeaving,
     /// The server is about to end.
     ServerDraining,
+    /// The server fails much of what it is given, and another has room.
+    ServerFailing,
     /// Another server stands at the address.
     WrongInstance,
     /// No connection to the server.
@@ -120,6 +122,7 @@
     refused: usize,
     may_have_run: bool,
     is_hedged: bool,
+    was_turned_away: bool,
     ends: Timestamp,
     excluded: Vec<InstanceId>,
     last_refusal: Option<(NotRunReason, Option<Duration>)>,
@@ -138,6 +141,7 @@
             refused: 0,
             may_have_run: false,
             is_hedged: false,
+            was_turned_away: false,
             ends: held.map_or(Timestamp::from_micros(u64::MAX), |held| now + held),
             excluded: Vec::new(),
             last_refusal: None,
@@ -167,6 +171,11 @@
         self.offered > 0 || self.is_hedged
     }
 
+    /// Whether a server that fails much may still turn it away.
+    pub fn may_be_turned_away(&self) -> bool {
+        !self.was_turned_away
+    }
+
     /// Whether another attempt may run beside one whose server has fallen silent.
     pub fn may_hedge(&self) -> bool {
         self.idempotent && self.offered + 1 < self.max_attempts
@@ -200,6 +209,7 @@
             } => {
                 self.offered += u32::from(*offered);
                 self.refused += 1;
+                self.was_turned_away |= *reason == NotRunReason::ServerFailing;
                 self.last_refusal = Some((*reason, *retry_after));
             }
             AttemptEnd::Unknown { .. } => {
--- /dev/null
+++ b/crates/coordination/src/mesh/loss_estimate.rs
@@ -0,0 +1,41 @@
+//! A running estimate of the share of answers that a server loses.
+
+use std::time::Duration;
+
+use lifthollow_state::Timestamp;
+
+/// Weight of one answer in the share.
+const GAIN: f64 = 0.1;
+/// Without news, half of the losses are forgotten in this time.
+const HALF_LIFE: Duration = Duration::from_millis(1500);
+
+/// The share of answers that were lost, spoilt or failures lately, 0 to 1.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LossEstimate {
+    share: f64,
+    updated: Timestamp,
+}
+
+impl LossEstimate {
+    /// Takes in one answer, or the lack of one.
+    pub fn observe(&mut self, now: Timestamp, is_lost: bool) {
+        let sample = f64::from(u8::from(is_lost));
+        let share = self.at(now);
+        self.set(now, share + (sample - share) * GAIN);
+    }
+
+    /// Takes over what another node has found.
+    pub fn set(&mut self, now: Timestamp, share: f64) {
+        self.share = share.clamp(0.0, 1.0);
+        self.updated = now;
+    }
+
+    /// The share now: that of the last news, less and less.
+    pub fn at(&self, now: Timestamp) -> f64 {
+        if self.share == 0.0 {
+            return 0.0;
+        }
+        let age = now.saturating_since(self.updated).as_secs_f64();
+        self.share * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+}
--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -10,16 +10,19 @@
 //! 6. [`server_admission`]: at the server's node, whether it runs, waits
 //!    ([`admission_queue`]) or is refused.
 //!
-//! [`request_tree`] tells which request a nested call is made for.
+//! [`server_health`] and [`loss_estimate`] tell which servers fail what they are
+//! given. [`request_tree`] tells which request a nested call is made for.
 //!
 //! [`snapshot_store`] keeps what the node was told from outside, forward only.
 
 pub mod admission_queue;
 pub mod call;
+pub mod loss_estimate;
 pub mod request_tree;
 pub mod retry_budget;
 pub mod route_table;
 pub mod server_admission;
+pub mod server_health;
 mod server_record;
 pub mod server_selection;
 pub mod snapshot_store;
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -1,7 +1,7 @@
 //! Admission of attempts to the server beside a node: the decisions composed.
 //!
-//! An attempt passes, in this order: whether the server answers at all, what the
-//! services needed further down admit, a free slot, the queue. Each step can
+//! An attempt passes, in this order: whether the server answers at all, whether
+//! it fails much while another has room ([`ServerHealth`]), what the services needed further down admit, a free slot, the queue. Each step can
 //! refuse it, at once. What is turned away moves the admission level that
 //! callers' nodes are told ([`AdmissionThreshold`]).
 
@@ -15,6 +15,7 @@
 use crate::mesh::admission_queue::{Admission, AdmissionQueue, Occupancy, Rank, Ticket};
 use crate::mesh::call::NotRunReason;
 use crate::mesh::request_tree::{Parent, RunningRequests};
+use crate::mesh::server_health::{RunEnd, ServerHealth};
 use crate::pressure::{CallGraph, CallSource, downstream_level};
 
 /// The levels that rank counts down from.
@@ -42,6 +43,10 @@
     pub deadline: Timestamp,
     /// How long it can wait.
     pub patience: Duration,
+    /// The zone that the request started in.
+    pub zone: String,
+    /// Whether another server has room for it.
+    pub may_go_elsewhere: bool,
 }
 
 /// What becomes of an attempt.
@@ -72,6 +77,7 @@
     threshold: AdmissionThreshold,
     graph: CallGraph,
     running: RunningRequests,
+    health: ServerHealth,
     next_run: u64,
 }
 
@@ -84,6 +90,7 @@
             threshold: AdmissionThreshold::with_target_queue(TARGET_QUEUE),
             graph: CallGraph::default(),
             running: RunningRequests::default(),
+            health: ServerHealth::default(),
             next_run: 0,
         }
     }
@@ -130,6 +137,9 @@
         if !self.queue.may_try(now) {
             return refusal(NotRunReason::ServerUnreachable, None);
         }
+        if attempt.may_go_elsewhere && self.health.turns_away(now, &attempt.zone) {
+            return refusal(NotRunReason::ServerFailing, None);
+        }
         if !attempt.is_nested && !self.needed_level(level_of).admits(attempt.priority) {
             return refusal(NotRunReason::DownstreamOverloaded, None);
         }
@@ -155,11 +165,13 @@
     }
 
     /// An attempt goes to the server.
-    pub fn started(&mut self, attempt: &ArrivingAttempt) -> InboundId {
+    pub fn started(&mut self, now: Timestamp, attempt: &ArrivingAttempt) -> InboundId {
         let run = InboundId(self.next_run);
         self.next_run += 1;
         let source = self.source(attempt.is_nested);
         self.graph.arrived(run, source, attempt.priority.class);
+        self.health
+            .started(now, run, &attempt.zone, attempt.is_nested);
         let as_parent = Parent {
             run,
             priority: attempt.priority,
@@ -183,8 +195,10 @@
         now: Timestamp,
         attempt: &ArrivingAttempt,
         run: InboundId,
+        end: RunEnd,
         ran_for: Option<Duration>,
     ) -> Vec<Ticket> {
+        self.health.ended(now, run, end);
         self.graph.dropped(run);
         self.running.ended(&attempt.request_id, run);
         self.observe(now);
@@ -205,6 +219,27 @@
     /// A run called another service.
     pub fn called(&mut self, run: InboundId, service: &str) {
         self.graph.called(run, &ServiceName::new(service));
+        self.health.call_started(run);
+    }
+
+    /// A call that a run made has ended.
+    pub fn call_ended(&mut self, run: InboundId, has_failed: bool) {
+        self.health.call_ended(run, has_failed);
+    }
+
+    /// How long a run may take before it is overdue; none if that is not known.
+    pub fn overdue_after(&self, is_nested: bool) -> Option<Duration> {
+        self.health.overdue_after(is_nested)
+    }
+
+    /// A run has no answer although it is overdue.
+    pub fn overdue(&mut self, now: Timestamp, run: InboundId) {
+        self.health.overdue(now, run);
+    }
+
+    /// The share of requests from callers in `zone` that the server fails, 0 to 1.
+    pub fn failure_share(&self, now: Timestamp, zone: &str) -> f64 {
+        self.health.failure_share(now, zone)
     }
 
     /// Accounts for the time that has passed.
--- a/crates/coordination/src/mesh/server_record.rs
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -8,15 +8,11 @@
 
 use crate::latency::LatencyEstimate;
 use crate::mesh::admission_queue::Occupancy;
+use crate::mesh::loss_estimate::LossEstimate;
 use crate::mesh::server_selection::ReportedLoad;
 
 /// A load report loses half its weight in this time.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-/// Weight of one answer in the share of answers that a server loses.
-const LOSS_GAIN: f64 = 0.1;
-/// Without news, half of the losses of a server are forgotten in this time.
-const LOSS_HALF_LIFE: Duration = Duration::from_millis(1500);
-
 /// Whether a server may get attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Standing {
@@ -45,29 +41,12 @@
     pub(super) levels: [(AdmissionLevel, Timestamp); 2],
     pub(super) heard: Timestamp,
     pub(super) standing: Standing,
-    pub(super) latency: LatencyEstimate,
+    /// How long callers' requests and nested calls take.
+    pub(super) latencies: [LatencyEstimate; 2],
+    /// Answers that this node missed.
     pub(super) losses: LossEstimate,
-}
-
-/// The share of a server's answers that were lost or spoilt lately.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct LossEstimate {
-    share: f64,
-    updated: Timestamp,
-}
-
-impl LossEstimate {
-    pub(super) fn observe(&mut self, now: Timestamp, is_lost: bool) {
-        let sample = f64::from(u8::from(is_lost));
-        let share = self.at(now);
-        self.share = share + (sample - share) * LOSS_GAIN;
-        self.updated = now;
-    }
-
-    pub(super) fn at(&self, now: Timestamp) -> f64 {
-        let age = now.saturating_since(self.updated).as_secs_f64();
-        self.share * 0.5_f64.powf(age / LOSS_HALF_LIFE.as_secs_f64())
-    }
+    /// Failures that the server's node has seen.
+    pub(super) reported_losses: LossEstimate,
 }
 
 impl ServerRecord {
@@ -82,8 +61,9 @@
             levels: [(AdmissionLevel::OPEN, Timestamp::ZERO); 2],
             heard: Timestamp::ZERO,
             standing: Standing::Good,
-            latency: LatencyEstimate::default(),
+            latencies: [LatencyEstimate::default(); 2],
             losses: LossEstimate::default(),
+            reported_losses: LossEstimate::default(),
         }
     }
 
@@ -92,6 +72,12 @@
         self.levels[usize::from(load.is_nested)] = (load.level, now);
         self.reported = now;
         self.own_at_report = self.in_flight;
+        self.reported_losses.set(now, load.failure_share);
+    }
+
+    /// The share of answers that are missed or failures, as far as is known.
+    pub(super) fn losses(&self, now: Timestamp) -> f64 {
+        self.losses.at(now).max(self.reported_losses.at(now))
     }
 
     /// A new announcement: what the node said of the former is void.
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -14,6 +14,7 @@
 use lifthollow_state::mesh::{InstanceId, ServerInstance};
 use rand::{Rng, RngExt};
 
+use crate::latency::LatencyEstimate;
 use crate::mesh::admission_queue::Occupancy;
 use crate::mesh::server_record::{ServerRecord, Standing};
 
@@ -29,6 +30,8 @@
 const LOSS_PENALTY: f64 = 3.0;
 /// The same for requests that can't be asked for again.
 const LOSS_PENALTY_ONCE: f64 = 10.0;
+/// From this share of lost answers on, a server is not sound.
+const LOSSY_SHARE: f64 = 0.05;
 /// An admission level is believed this long, and halved again and again after.
 const LEVEL_VALIDITY: Duration = Duration::from_millis(250);
 /// How long it then takes to be halved.
@@ -68,7 +71,7 @@
 }
 
 /// What a server's node tells of its load with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
     /// Requests there.
     pub occupancy: Occupancy,
@@ -76,6 +79,17 @@
     pub level: AdmissionLevel,
     /// Whether the level is that of nested calls.
     pub is_nested: bool,
+    /// The share of requests from the asking node's zone that the server fails.
+    pub failure_share: f64,
+}
+
+/// The server that an attempt should go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The server.
+    pub server: ServerInstance,
+    /// Whether another has room and answers what it is given.
+    pub has_alternative: bool,
 }
 
 /// The servers of all services.
@@ -131,12 +145,14 @@
         service: &str,
         wanted: Wanted<'_>,
         random: &mut impl Rng,
-    ) -> Option<ServerInstance> {
+    ) -> Option<Choice> {
         let candidates = self.by_service.get(service)?;
         let allowed = candidates.iter().filter(|id| !wanted.excluded.contains(id));
-        let best = allowed
-            .filter_map(|id| self.records.get(id))
-            .filter(|record| record.standing != Standing::Withdrawn)
+        let usable = || {
+            let records = allowed.clone().filter_map(|id| self.records.get(id));
+            records.filter(|record| record.standing != Standing::Withdrawn)
+        };
+        let best = usable()
             .map(|record| {
                 let set_aside = record.standing != Standing::Good;
                 let jitter = random.random::<f64>() * JITTER;
@@ -147,7 +163,21 @@
                 )
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
-        Some(best.2.instance.clone())
+        let server = best.2.instance.clone();
+        let has_alternative = usable()
+            .filter(|record| record.instance.id != server.id)
+            .any(|record| is_sound(now, record));
+        Some(Choice {
+            server,
+            has_alternative,
+        })
+    }
+
+    /// Whether a server loses so many answers that one which is late is worth
+    /// asking for elsewhere.
+    pub fn loses_answers(&self, now: Timestamp, id: &InstanceId) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.losses(now) >= LOSSY_SHARE)
     }
 
     /// An attempt was sent.
@@ -164,13 +194,14 @@
         }
     }
 
-    /// The server's node answered; `latency` is that of a run.
+    /// The server's node answered. `latency` is that of a run, and whether it was
+    /// a nested call's.
     pub fn heard(
         &mut self,
         now: Timestamp,
         id: &InstanceId,
         load: Option<ReportedLoad>,
-        latency: Option<Duration>,
+        latency: Option<(Duration, bool)>,
     ) {
         let Some(record) = self.records.get_mut(id) else {
             return;
@@ -181,8 +212,8 @@
         if let Some(load) = load {
             record.note_report(now, load);
         }
-        if let Some(latency) = latency {
-            record.latency.observe(now, latency);
+        if let Some((latency, is_nested)) = latency {
+            record.latencies[usize::from(is_nested)].observe(now, latency);
         }
     }
 
@@ -246,19 +277,28 @@
     /// Whether a server that was sent an attempt at `sent` has been silent for
     /// so long that it should be tried elsewhere: it has answered nothing since,
     /// although that is longer than an answer takes.
-    pub fn is_silent(&self, now: Timestamp, id: &InstanceId, sent: Timestamp) -> bool {
+    pub fn is_silent(
+        &self,
+        now: Timestamp,
+        id: &InstanceId,
+        sent: Timestamp,
+        is_nested: bool,
+    ) -> bool {
         let Some(record) = self.records.get(id) else {
             return true;
         };
-        record.heard < sent && now.saturating_since(sent) >= self.silence(id)
+        record.heard < sent && now.saturating_since(sent) >= self.silence(id, is_nested)
     }
 
-    /// How long a server may stay silent before it is tried elsewhere.
-    pub fn silence(&self, id: &InstanceId) -> Duration {
-        let expected = match self.records.get(id) {
-            Some(record) if record.latency.is_known() => record.latency.high(),
-            _ => ASSUMED_LATENCY,
-        };
+    /// How long a server may stay silent before a request or a nested call is
+    /// tried elsewhere.
+    pub fn silence(&self, id: &InstanceId, is_nested: bool) -> Duration {
+        let latency = self
+            .records
+            .get(id)
+            .map(|record| record.latencies[usize::from(is_nested)]);
+        let known = latency.filter(LatencyEstimate::is_known);
+        let expected = known.map_or(ASSUMED_LATENCY, |latency| latency.high());
         (expected * 2).max(MIN_SILENCE)
     }
 
@@ -314,7 +354,7 @@
         } else {
             LOSS_PENALTY_ONCE
         };
-        let mut cost = record.utilization(now) + record.losses.at(now) * penalty;
+        let mut cost = record.utilization(now) + record.losses(now) * penalty;
         if now < record.warm_until {
             cost += WARM_UP_PENALTY;
         }
@@ -326,6 +366,13 @@
     }
 }
 
+/// Whether a server has room and answers what it is given.
+fn is_sound(now: Timestamp, record: &ServerRecord) -> bool {
+    record.standing == Standing::Good
+        && record.losses(now) < LOSSY_SHARE
+        && record.utilization(now) < 1.0
+}
+
 /// What is left of a level that was reported `age` ago.
 fn faded(level: AdmissionLevel, age: Duration) -> AdmissionLevel {
     let stale = age.saturating_sub(LEVEL_VALIDITY).as_secs_f64();
--- a/crates/coordination/tests/mesh_admission.rs
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -6,6 +6,7 @@
 use lifthollow_coordination::mesh::call::NotRunReason;
 use lifthollow_coordination::mesh::request_tree::{Parent, RunningRequests, priority_of_request};
 use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, ServerAdmission, Verdict};
+use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::{Priority, PriorityClass, ServiceName, Timestamp};
 use mesh_support::{at, ms};
@@ -24,6 +25,8 @@
         is_repeat: false,
         deadline: at(100_000),
         patience: ms(500),
+        zone: "a".to_owned(),
+        may_go_elsewhere: false,
     }
 }
 
@@ -139,7 +142,7 @@
         retry_after: None,
     };
     assert_eq!(verdict, unreachable);
-    let trial = admission.started(&sheddable("trial", 0));
+    let trial = admission.started(at(1300), &sheddable("trial", 0));
     admission.answered(at(1200), trial, true);
     assert!(!admission.is_silent(at(1300)));
 }
@@ -153,7 +156,13 @@
             let user = (round * 37 + copy * 61) % 128;
             admission.arrive(now, &nested(&format!("{round}-{copy}"), user as u8), open);
         }
-        admission.finish(now, &sheddable("", 0), InboundId(u64::MAX), Some(ms(20)));
+        admission.finish(
+            now,
+            &sheddable("", 0),
+            InboundId(u64::MAX),
+            RunEnd::Served,
+            Some(ms(20)),
+        );
     }
 }
 
@@ -177,10 +186,10 @@
     for number in 0..30 {
         let request = sheddable(&number.to_string(), 0);
         assert_eq!(admission.arrive(at(number), &request, open), Verdict::Run);
-        let run = admission.started(&request);
+        let run = admission.started(at(number), &request);
         admission.called(run, "media");
         admission.answered(at(number), run, true);
-        admission.finish(at(number), &request, run, Some(ms(1)));
+        admission.finish(at(number), &request, run, RunEnd::Served, Some(ms(1)));
     }
     let closed_to_most = |service: &ServiceName| match service.as_str() {
         "media" => AdmissionLevel(100),
@@ -242,3 +251,25 @@
     assert_eq!(priority_of_request(0, "aa").class, PriorityClass::Critical);
     assert_eq!(root.class, PriorityClass::Sheddable);
 }
+
+#[test]
+fn failing_server_turns_away_only_what_can_go_elsewhere() {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    for number in 0..10 {
+        let request = sheddable(&number.to_string(), 0);
+        assert_eq!(admission.arrive(at(number), &request, open), Verdict::Run);
+        let run = admission.started(at(number), &request);
+        admission.finish(at(number), &request, run, RunEnd::Failed, None);
+    }
+    let elsewhere = ArrivingAttempt {
+        may_go_elsewhere: true,
+        ..sheddable("elsewhere", 0)
+    };
+    let refused = Verdict::Refuse {
+        reason: NotRunReason::ServerFailing,
+        retry_after: None,
+    };
+    assert_eq!(admission.arrive(at(20), &elsewhere, open), refused);
+    let here = sheddable("here", 0);
+    assert_eq!(admission.arrive(at(20), &here, open), Verdict::Run);
+}
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -141,7 +141,12 @@
 
 fn chosen(pool: &ServerPool, now: u64) -> String {
     let server = pool.choose(at(now), "feeds", ANY, &mut random());
-    server.expect("there are servers").id.as_str().to_owned()
+    server
+        .expect("there are servers")
+        .server
+        .id
+        .as_str()
+        .to_owned()
 }
 
 #[test]
@@ -202,10 +207,10 @@
 #[test]
 fn silence_is_counted_only_while_nothing_is_answered() {
     let mut pool = pool();
-    assert!(!pool.is_silent(at(100), &id("i-a"), at(1)));
-    assert!(pool.is_silent(at(5000), &id("i-a"), at(1)));
-    pool.heard(at(4900), &id("i-a"), None, Some(ms(30)));
-    assert!(!pool.is_silent(at(5000), &id("i-a"), at(1)));
+    assert!(!pool.is_silent(at(100), &id("i-a"), at(1), false));
+    assert!(pool.is_silent(at(5000), &id("i-a"), at(1), false));
+    pool.heard(at(4900), &id("i-a"), None, Some((ms(30), false)));
+    assert!(!pool.is_silent(at(5000), &id("i-a"), at(1), false));
 }
 
 #[test]
@@ -234,7 +239,7 @@
         ..ANY
     };
     let server = pool.choose(at(0), "feeds", once, &mut random());
-    assert_ne!(server.expect("there are others").id, id("i-a"));
+    assert_ne!(server.expect("there are others").server.id, id("i-a"));
     assert_eq!(chosen(&pool, 10_000), "i-a", "they are forgotten");
 }
 
@@ -243,6 +248,7 @@
         occupancy: Occupancy::default(),
         level: AdmissionLevel(level),
         is_nested: false,
+        failure_share: 0.0,
     }
 }
 
@@ -262,6 +268,44 @@
     assert!(level(&pool, 3000) < 5, "an old level opens by itself");
 }
 
+#[test]
+fn failures_that_a_servers_node_reports_count_like_own_losses() {
+    let mut pool = pool();
+    let failing = ReportedLoad {
+        failure_share: 0.4,
+        ..reported(0)
+    };
+    pool.heard(at(10), &id("i-a"), Some(failing), None);
+    assert!(pool.loses_answers(at(10), &id("i-a")));
+    assert_ne!(chosen(&pool, 10), "i-a");
+    assert_eq!(chosen(&pool, 20_000), "i-a", "they are forgotten");
+}
+
+#[test]
+fn another_server_is_named_only_if_it_has_room_and_answers() {
+    let mut pool = pool();
+    let has_alternative = |pool: &ServerPool| {
+        let choice = pool.choose(at(0), "feeds", ANY, &mut random());
+        choice.expect("there are servers").has_alternative
+    };
+    assert!(has_alternative(&pool));
+    pool.set_aside(&id("i-b"));
+    for _ in 0..10 {
+        pool.lost(at(0), &id("i-c"));
+    }
+    assert!(!has_alternative(&pool));
+}
+
+#[test]
+fn request_is_turned_away_by_a_failing_server_once() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    assert!(call.may_be_turned_away());
+    let refused = not_run(false, NotRunReason::ServerFailing);
+    let next = call.attempt_ended(&id("i-1"), &refused, ALONE, || panic!("it is no repeat"));
+    assert_eq!(next, NextStep::Attempt);
+    assert!(!call.may_be_turned_away());
+}
+
 fn bound() -> FleetRetryBound {
     FleetRetryBound {
         ratio: 0.2,
--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -23,6 +23,15 @@
 /// It is given up this much before the other side would close it.
 const KEEP_MARGIN: Duration = Duration::from_millis(1500);
 
+/// A connection that was in use so long ago is not taken to be forgotten.
+const RECENT_USE: Duration = Duration::from_millis(100);
+/// A reset that comes within this time means that the connection was forgotten.
+const FORGOTTEN_WITHIN: Duration = Duration::from_millis(20);
+/// Connections are then kept for this part of the time that one had rested.
+const REST_LIMIT_FACTOR: f64 = 0.6;
+/// How long that holds.
+const REST_LIMIT_VALIDITY: Duration = Duration::from_secs(10);
+
 /// Why there is no answer.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -41,9 +50,26 @@
 
 struct IdleConnection {
     connection: Connection,
+    since: Instant,
     until: Instant,
 }
 
+/// Which kept connections a request may be sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any. If the other side has forgotten it, the request can be sent again.
+    Any,
+    /// One that was in use a moment ago, so that the other side hardly has
+    /// forgotten it.
+    Recent,
+}
+
+/// After so much rest the other side was found to have forgotten a connection.
+struct RestLimit {
+    limit: Duration,
+    learned: Instant,
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -54,6 +80,7 @@
 #[derive(Clone)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddrV4, Vec<IdleConnection>>>>,
+    rest_limits: Rc<RefCell<HashMap<SocketAddrV4, RestLimit>>>,
     opened: Rc<Cell<u64>>,
     connect_limit: Duration,
 }
@@ -72,6 +99,7 @@
     pub fn new(connect_limit: Duration) -> Self {
         Pool {
             idle: Rc::default(),
+            rest_limits: Rc::default(),
             opened: Rc::default(),
             connect_limit,
         }
@@ -85,35 +113,46 @@
     /// Closes unused connections whose time is over.
     pub fn close_expired(&self) {
         let now = Instant::now();
+        self.rest_limits
+            .borrow_mut()
+            .retain(|_, limit| now - limit.learned < REST_LIMIT_VALIDITY);
         self.idle.borrow_mut().retain(|_, connections| {
             connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
             !connections.is_empty()
         });
     }
 
-    /// Sends `request` to `address` and waits for the head of its answer.
+    /// Sends `request` to `address`, on a kept connection if `reuse` allows one,
+    /// and waits for the head of its answer.
     pub async fn send(
         &self,
         address: SocketAddrV4,
         mut request: Request<ProxyBody>,
+        reuse: Reuse,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         loop {
-            let (mut connection, is_kept) = match self.take_idle(address).await {
-                Some(connection) => (connection, true),
-                None => (self.open(address).await?, false),
+            let (mut connection, rested) = match self.take_idle(address, reuse).await {
+                Some((connection, rested)) => (connection, Some(rested)),
+                None => (self.open(address).await?, None),
             };
+            let sent = Instant::now();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let lease = self.lease(address, connection, &response);
                     return Ok((response, lease));
                 }
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) if is_kept => request = unsent,
+                    Some(unsent) if rested.is_some() => request = unsent,
                     Some(_) => {
                         let error = io::Error::other(error.into_error());
                         return Err(SendError::NotSent(error));
                     }
-                    None => return Err(SendError::Lost(error.into_error())),
+                    None => {
+                        if sent.elapsed() <= FORGOTTEN_WITHIN {
+                            self.note_forgotten(address, rested);
+                        }
+                        return Err(SendError::Lost(error.into_error()));
+                    }
                 },
             }
         }
@@ -135,19 +174,56 @@
         }
     }
 
-    async fn take_idle(&self, address: SocketAddrV4) -> Option<Connection> {
+    /// The connection that was used last, with the time since. Those that have
+    /// rested for too long are closed.
+    async fn take_idle(
+        &self,
+        address: SocketAddrV4,
+        reuse: Reuse,
+    ) -> Option<(Connection, Duration)> {
         loop {
-            let candidate = self.idle.borrow_mut().get_mut(&address)?.pop()?;
-            if candidate.until <= Instant::now() {
+            let candidate = self.pop_idle(address, reuse)?;
+            let now = Instant::now();
+            let rested = now - candidate.since;
+            if candidate.until <= now || rested >= self.rest_limit(address) {
                 continue;
             }
             let mut connection = candidate.connection;
             if connection.sender.ready().await.is_ok() {
-                return Some(connection);
+                return Some((connection, rested));
             }
         }
     }
 
+    fn pop_idle(&self, address: SocketAddrV4, reuse: Reuse) -> Option<IdleConnection> {
+        let mut all = self.idle.borrow_mut();
+        let connections = all.get_mut(&address)?;
+        let is_recent = connections.last()?.since.elapsed() < RECENT_USE;
+        if reuse == Reuse::Recent && !is_recent {
+            return None;
+        }
+        connections.pop()
+    }
+
+    fn rest_limit(&self, address: SocketAddrV4) -> Duration {
+        let limits = self.rest_limits.borrow();
+        limits
+            .get(&address)
+            .map_or(Duration::MAX, |known| known.limit)
+    }
+
+    /// A connection that had rested was reset as soon as it was used again.
+    fn note_forgotten(&self, address: SocketAddrV4, rested: Option<Duration>) {
+        let Some(rested) = rested.filter(|rested| *rested >= RECENT_USE) else {
+            return;
+        };
+        let shorter = rested.mul_f64(REST_LIMIT_FACTOR).max(RECENT_USE);
+        let limit = shorter.min(self.rest_limit(address));
+        let learned = Instant::now();
+        let known = RestLimit { limit, learned };
+        self.rest_limits.borrow_mut().insert(address, known);
+    }
+
     async fn open(&self, address: SocketAddrV4) -> Result<Connection, SendError> {
         let stream = socket::connect(address, self.connect_limit)
             .await
@@ -171,9 +247,11 @@
         if self.connection.sender.is_closed() || self.keep.is_zero() {
             return;
         }
+        let now = Instant::now();
         let idle = IdleConnection {
             connection: self.connection,
-            until: Instant::now() + self.keep,
+            since: now,
+            until: now + self.keep,
         };
         let mut all = self.pool.idle.borrow_mut();
         all.entry(self.address).or_default().push(idle);
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -6,6 +6,7 @@
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason};
 use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
+use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_state::{ServiceName, Timestamp};
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -20,17 +21,24 @@
     pub(super) run: InboundId,
     pub(super) started: Timestamp,
     pub(super) answered: bool,
+    /// How the run has ended so far.
+    pub(super) end: RunEnd,
 }
 
 impl Permit {
     fn new(node: &Rc<Node>, arriving: ArrivingAttempt) -> Self {
-        let run = node.state.borrow_mut().admission.started(&arriving);
+        let run = node
+            .state
+            .borrow_mut()
+            .admission
+            .started(node.now(), &arriving);
         Permit {
             node: node.clone(),
             arriving,
             run,
             started: node.now(),
             answered: false,
+            end: RunEnd::Abandoned,
         }
     }
 }
@@ -42,7 +50,7 @@
         let mut state = self.node.state.borrow_mut();
         let started = state
             .admission
-            .finish(now, &self.arriving, self.run, ran_for);
+            .finish(now, &self.arriving, self.run, self.end, ran_for);
         self.node.start_waiting(&mut state, started);
     }
 }
@@ -85,6 +93,8 @@
         is_repeat: attempt.tree.is_repeat,
         deadline: attempt.ends,
         patience: attempt.patience.min(attempt.ends.saturating_since(now)),
+        zone: attempt.terms.zone.clone(),
+        may_go_elsewhere: attempt.terms.may_go_elsewhere,
     };
     let verdict = {
         let mut state = node.state.borrow_mut();
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,20 +10,21 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::InstanceId;
 use slog::info;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use crate::http::body::{self, ReadBody};
 use crate::http::headers::remove_single_connection;
-use crate::http::pool::{Lease, SendError};
+use crate::http::pool::{Lease, Reuse, SendError};
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::http::{ProxyBody, headers};
 use crate::inbound::admission::{Permit, admit};
 use crate::node::Node;
-use crate::peer_headers::TreePlace;
+use crate::peer_headers::{Terms, TreePlace};
 use crate::{peer_headers, probe, snapshots};
 
 /// Answers up to this size are taken in whole before any of it is passed on, so
@@ -45,6 +47,8 @@
     pub tree: TreePlace,
     /// How long it may wait before it runs.
     pub patience: Duration,
+    /// What it allows, and where it comes from.
+    pub terms: Terms,
 }
 
 /// How an attempt ended, with the server's answer if there is one.
@@ -93,6 +97,7 @@
     request_id: String,
     server: InstanceId,
     tree: TreePlace,
+    zone: String,
     arrived: Timestamp,
 }
 
@@ -103,6 +108,7 @@
             request_id: id.to_owned(),
             server: attempt.server.clone(),
             tree: attempt.tree,
+            zone: attempt.terms.zone.clone(),
             arrived: node.now(),
         }
     }
@@ -114,13 +120,14 @@
         if !node.may_log() {
             return;
         }
-        let load = node.own_load(self.tree.is_nested);
+        let load = node.own_load(self.tree.is_nested, &self.zone);
         let took = node.now().saturating_since(self.arrived).as_millis() as u64;
         info!(node.log, "server did not answer"; "request" => &self.request_id,
             "server" => self.server.as_str(), "outcome" => outcome, "why" => why,
             "priority" => AdmissionLevel::of(self.tree.priority).0, "nested" => self.tree.is_nested,
             "running" => load.occupancy.running, "waiting" => load.occupancy.waiting,
             "limit" => load.occupancy.limit, "admission_level" => load.level.0,
+            "failure_share" => load.failure_share,
             "revision" => node.revision(), "took_ms" => took);
     }
 }
@@ -164,10 +171,15 @@
     peer_headers::strip(headers);
     headers.insert(&names.deadline_ms, milliseconds_value(left));
     let id = headers.get(&names.request_id).cloned();
-    let sent = node
-        .server_connections
-        .send(node.settings.server_address, attempt.request)
-        .await;
+    let reuse = if attempt.terms.may_repeat {
+        Reuse::Any
+    } else {
+        Reuse::Recent
+    };
+    let connections = &node.server_connections;
+    let sending = connections.send(node.settings.server_address, attempt.request, reuse);
+    let sent = note_overdue(node, &permit, attempt.tree.is_nested, sending).await;
+    permit.end = RunEnd::Failed;
     let (response, lease) = match sent {
         Ok(answered) => answered,
         Err(SendError::NotSent(_)) => {
@@ -195,11 +207,35 @@
         return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
     }
     permit.answered = true;
+    if !is_failure {
+        permit.end = RunEnd::Served;
+    }
     let took = node.now().saturating_since(permit.started);
     node.metrics.server_duration.observe(took.as_secs_f64());
     take_answer(response, lease, permit).await
 }
 
+/// Waits for `sending`, and takes note if the server is longer about it than
+/// about almost all other runs.
+async fn note_overdue<T>(
+    node: &Rc<Node>,
+    permit: &Permit,
+    is_nested: bool,
+    sending: impl Future<Output = T>,
+) -> T {
+    let limit = node.state.borrow().admission.overdue_after(is_nested);
+    let Some(limit) = limit else {
+        return sending.await;
+    };
+    let mut sending = pin!(sending);
+    if let Ok(sent) = timeout(limit, sending.as_mut()).await {
+        return sent;
+    }
+    let now = node.now();
+    node.state.borrow_mut().admission.overdue(now, permit.run);
+    sending.await
+}
+
 fn lost_reason(error: &hyper::Error) -> UnknownReason {
     if error.is_parse() {
         UnknownReason::AnswerInvalid
@@ -234,11 +270,18 @@
     }
 }
 
-async fn take_answer(response: Response<Incoming>, lease: Lease, permit: Permit) -> AttemptOutcome {
+async fn take_answer(
+    response: Response<Incoming>,
+    lease: Lease,
+    mut permit: Permit,
+) -> AttemptOutcome {
     let (mut head, incoming) = response.into_parts();
     remove_single_connection(&mut head.headers);
     let body = match body::read(incoming, MAX_HELD_ANSWER).await {
-        Err(error) => return AttemptOutcome::unknown(lost_reason(&error)),
+        Err(error) => {
+            permit.end = RunEnd::Failed;
+            return AttemptOutcome::unknown(lost_reason(&error));
+        }
         Ok(ReadBody::Whole(whole)) => {
             lease.keep();
             ProxyBody::Whole(whole)
@@ -274,12 +317,12 @@
             peer_headers::PROBE_PATH => return probe::answer(node),
             _ => {}
         }
-        let is_nested = peer_headers::tree(request.headers()).is_nested;
+        let (tree, terms) = peer_headers::tree(request.headers());
         let outcome = match read_attempt(node, request).await {
             Some(attempt) => execute(node, attempt).await,
             None => AttemptOutcome::not_run(NotRunReason::WrongInstance),
         };
-        answer(node, outcome, is_nested)
+        answer(node, outcome, tree.is_nested, &terms.zone)
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
@@ -303,8 +346,10 @@
             guard: Box::new(()),
         },
     };
+    let (tree, terms) = peer_headers::tree(&head.headers);
     Some(Attempt {
-        tree: peer_headers::tree(&head.headers),
+        tree,
+        terms,
         server,
         ends: arrived + left.unwrap_or(DEFAULT_DEADLINE),
         patience: patience.unwrap_or_default(),
@@ -312,13 +357,18 @@
     })
 }
 
-fn answer(node: &Rc<Node>, outcome: AttemptOutcome, is_nested: bool) -> Response<ProxyBody> {
+fn answer(
+    node: &Rc<Node>,
+    outcome: AttemptOutcome,
+    is_nested: bool,
+    zone: &str,
+) -> Response<ProxyBody> {
     let mut response = outcome.response.unwrap_or_else(|| {
         let mut empty = Response::new(ProxyBody::empty());
         *empty.status_mut() = StatusCode::BAD_GATEWAY;
         empty
     });
-    let load = node.own_load(is_nested);
+    let load = node.own_load(is_nested, zone);
     let headers = response.headers_mut();
     headers.insert(
         peer_headers::OUTCOME,
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -192,7 +192,8 @@
     }
 
     /// The load of the server beside this node, as told to callers' nodes.
-    pub fn own_load(&self, is_nested: bool) -> ReportedLoad {
+    /// `zone` is that of the node that is told.
+    pub fn own_load(&self, is_nested: bool, zone: &str) -> ReportedLoad {
         let now = self.now();
         let state = self.state.borrow();
         let level_of =
@@ -201,6 +202,7 @@
             occupancy: state.admission.occupancy(),
             level: state.admission.level(is_nested, level_of),
             is_nested,
+            failure_share: state.admission.failure_share(now, zone),
         }
     }
 
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
+use lifthollow_coordination::mesh::server_selection::Choice;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::ServerInstance;
 use slog::info;
@@ -19,7 +20,7 @@
 use crate::outbound::answer::{finish, log_attempt};
 use crate::outbound::request::RoutedRequest;
 use crate::outbound::send::{outgoing_request, send};
-use crate::peer_headers::TreePlace;
+use crate::peer_headers::{Terms, TreePlace};
 use crate::{peer_headers, probe};
 
 /// The part of the target latency that a request may spend in queues.
@@ -59,8 +60,8 @@
                 call.attempt_ended(&server.id, &outcome.end, is_other_in_progress, || pay_for_repeat(node, request))
             }
             _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
-            silent = watched.is_silent(node) => {
-                let may_hedge = silent && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
+            is_lost = watched.is_lost(node) => {
+                let may_hedge = is_lost && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
                 if !may_hedge || !pay_for_repeat(node, request) {
                     continue;
                 }
@@ -91,18 +92,26 @@
     sent: Timestamp,
     check: Timestamp,
     silence: Duration,
+    is_nested: bool,
 }
 
 impl Watched {
-    /// Resolves when it is time to look: true if the server has answered nothing
-    /// since the attempt was sent and its node doesn't answer a probe.
-    async fn is_silent(&mut self, node: &Rc<Node>) -> bool {
+    /// Resolves when it is time to look: true if the server loses answers, or has
+    /// answered nothing since the attempt was sent and its node doesn't answer a
+    /// probe.
+    async fn is_lost(&mut self, node: &Rc<Node>) -> bool {
         sleep_until(node.clock.instant(self.check).into()).await;
         let now = node.now();
-        let is_quiet = {
+        let (loses_answers, is_quiet) = {
             let state = node.state.borrow();
-            state.servers.is_silent(now, &self.server.id, self.sent)
+            let id = &self.server.id;
+            let is_quiet = state.servers.is_silent(now, id, self.sent, self.is_nested);
+            (state.servers.loses_answers(now, id), is_quiet)
         };
+        if loses_answers {
+            self.check = now + self.silence;
+            return true;
+        }
         let is_silent = is_quiet && !probe::is_alive(node, &self.server).await;
         self.check = node.now() + self.silence;
         if is_silent {
@@ -123,7 +132,8 @@
     if sent >= call.ends() {
         return Err(call.timed_out(false));
     }
-    let server = choose_server(node, request, call).ok_or_else(|| call.give_up())?;
+    let choice = choose_server(node, request, call).ok_or_else(|| call.give_up())?;
+    let server = choice.server;
     let body = request.body.take().ok_or_else(|| call.give_up())?;
     let silence = {
         let mut state = node.state.borrow_mut();
@@ -134,7 +144,7 @@
             (true, _) => {}
         }
         state.servers.sent(&server.id);
-        state.servers.silence(&server.id)
+        state.servers.silence(&server.id, request.tree.is_nested)
     };
     let in_flight = InFlight {
         node,
@@ -149,6 +159,11 @@
             ..request.tree
         },
         patience: queue_patience(request, sent, call.ends()),
+        terms: Terms {
+            zone: node.settings.zone.clone(),
+            may_go_elsewhere: choice.has_alternative && call.may_be_turned_away(),
+            may_repeat: request.route.route.is_idempotent(),
+        },
     };
     sending.push(Box::pin(async move {
         let outcome = send(node, &in_flight.server, attempt).await;
@@ -159,6 +174,7 @@
         sent,
         check: sent + silence,
         silence,
+        is_nested: request.tree.is_nested,
     })
 }
 
@@ -175,7 +191,7 @@
     }
 }
 
-fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<ServerInstance> {
+fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<Choice> {
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     let service = &request.route.service;
@@ -214,7 +230,8 @@
         AttemptEnd::NotRun { reason, .. } => *reason,
     };
     match reason {
-        NotRunReason::QueueFull
+        NotRunReason::ServerFailing
+        | NotRunReason::QueueFull
         | NotRunReason::QueueTimeout
         | NotRunReason::DownstreamOverloaded
         | NotRunReason::ServerRefused => {}
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -87,7 +87,7 @@
     };
     let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let call = Call::new(arrived, &route.route, patience);
-    let tree = tree_place(node, &head, &route, &call);
+    let (tree, mut call_of_run) = tree_place(node, &head, &route, &call);
     let body = match incoming {
         None => HeldBody::Whole(bytes::Bytes::new()),
         Some(incoming) => match read_body(node, &call, incoming).await {
@@ -105,10 +105,14 @@
         tree,
         arrived,
     };
-    if let Some(refusal) = refuse_overload(node, &request) {
-        return finish(node, &request, refusal);
+    let answer = match refuse_overload(node, &request) {
+        Some(refusal) => finish(node, &request, refusal),
+        None => attempts(node, &mut request, call).await,
+    };
+    if let Some(call_of_run) = &mut call_of_run {
+        call_of_run.answered(answer.1.status());
     }
-    attempts(node, &mut request, call).await
+    answer
 }
 
 /// A new request that would be refused further down is refused before any work
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -8,6 +8,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, Uri};
+use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::call::Call;
 use lifthollow_coordination::mesh::request_tree::priority_of_request;
 use lifthollow_state::Timestamp;
@@ -58,6 +59,27 @@
     }
 }
 
+/// A call of a run on the server beside this node, while it is on its way.
+pub(super) struct CallOfRun {
+    node: Rc<Node>,
+    run: InboundId,
+    has_failed: bool,
+}
+
+impl CallOfRun {
+    /// The call was answered with `status`.
+    pub(super) fn answered(&mut self, status: StatusCode) {
+        self.has_failed = status.is_server_error();
+    }
+}
+
+impl Drop for CallOfRun {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        state.admission.call_ended(self.run, self.has_failed);
+    }
+}
+
 /// Where the request stands: its own tree's root, or a call of a run on the
 /// server beside this node.
 pub(super) fn tree_place(
@@ -65,7 +87,7 @@
     head: &Parts,
     route: &RouteInForce,
     call: &Call,
-) -> TreePlace {
+) -> (TreePlace, Option<CallOfRun>) {
     let id = node.names.request_id_of(&head.headers);
     let told = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let deadline = told.map_or(call.ends(), |told| node.now() + told);
@@ -73,17 +95,26 @@
     match state.admission.parent_of(id, deadline) {
         Some(parent) => {
             state.admission.called(parent.run, &route.service);
-            TreePlace {
+            let place = TreePlace {
                 priority: parent.priority,
                 is_nested: true,
                 is_repeat: parent.is_repeat,
-            }
+            };
+            let call = CallOfRun {
+                node: node.clone(),
+                run: parent.run,
+                has_failed: true,
+            };
+            (place, Some(call))
+        }
+        None => {
+            let place = TreePlace {
+                priority: priority_of_request(route.route.priority, id),
+                is_nested: false,
+                is_repeat: false,
+            };
+            (place, None)
         }
-        None => TreePlace {
-            priority: priority_of_request(route.route.priority, id),
-            is_nested: false,
-            is_repeat: false,
-        },
     }
 }
 
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -11,7 +11,7 @@
 use crate::http::ProxyBody;
 use crate::http::body::{self, ReadBody};
 use crate::http::headers::remove_single_connection;
-use crate::http::pool::SendError;
+use crate::http::pool::{Reuse, SendError};
 use crate::inbound::{self, Attempt, AttemptOutcome, milliseconds_value};
 use crate::node::Node;
 use crate::outbound::request::RoutedRequest;
@@ -57,7 +57,8 @@
     let is_nested = attempt.tree.is_nested;
     let (outcome, load) = if is_beside {
         let outcome = inbound::execute(node, attempt).await;
-        (outcome, Some(node.own_load(is_nested)))
+        let load = node.own_load(is_nested, &node.settings.zone);
+        (outcome, Some(load))
     } else {
         send_to_node(node, server, attempt).await
     };
@@ -65,7 +66,8 @@
         let now = node.now();
         let latency = now.saturating_since(started);
         let mut state = node.state.borrow_mut();
-        state.servers.heard(now, &server.id, load, Some(latency));
+        let latency = Some((latency, is_nested));
+        state.servers.heard(now, &server.id, load, latency);
     } else if let Some(load) = load {
         let now = node.now();
         let mut state = node.state.borrow_mut();
@@ -84,10 +86,14 @@
     let headers = attempt.request.headers_mut();
     let left = attempt.ends.saturating_since(now);
     headers.insert(&node.names.deadline_ms, milliseconds_value(left));
-    headers.insert(peer_headers::TREE, peer_headers::tree_value(&attempt.tree));
+    let place = peer_headers::tree_value(&attempt.tree, &attempt.terms);
+    headers.insert(peer_headers::TREE, place);
     headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
     snapshots::name_revision(node, headers);
-    let sent = node.peer_connections.send(address, attempt.request).await;
+    let sent = node
+        .peer_connections
+        .send(address, attempt.request, Reuse::Any)
+        .await;
     let (response, lease) = match sent {
         Ok(answered) => answered,
         Err(SendError::NotSent(_)) => {
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -18,7 +18,8 @@
 pub const SNAPSHOT_PATH: &str = "/lifthollow/snapshot";
 /// Path at which a node says whether it and its server answer.
 pub const PROBE_PATH: &str = "/lifthollow/probe";
-/// The attempt's tree: place in the order of shedding, nested, repeat.
+/// The attempt's tree (place in the order of shedding, nested, repeat) and its
+/// [`Terms`].
 pub const TREE: HeaderName = HeaderName::from_static("lifthollow-tree");
 /// How long the attempt may wait before it runs, milliseconds.
 pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
@@ -28,7 +29,8 @@
 pub const NODE: HeaderName = HeaderName::from_static("lifthollow-node");
 /// How the attempt ended.
 pub const OUTCOME: HeaderName = HeaderName::from_static("lifthollow-outcome");
-/// Running, waiting and allowed requests at the server.
+/// Running, waiting and allowed requests at the server, its admission level, and
+/// the share of requests that it fails, in thousandths.
 pub const LOAD: HeaderName = HeaderName::from_static("lifthollow-load");
 
 /// Where an attempt stands in the tree of its request.
@@ -44,16 +46,18 @@
 
 /// The word for an attempt that the server answered.
 pub const ANSWERED: &str = "answered";
+const THOUSANDTHS: f64 = 1000.0;
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
 
-const NOT_RUN_REASONS: [(&str, NotRunReason); 9] = [
+const NOT_RUN_REASONS: [(&str, NotRunReason); 10] = [
     ("downstream-overloaded", NotRunReason::DownstreamOverloaded),
     ("node-unreachable", NotRunReason::NodeUnreachable),
     ("node-leaving", NotRunReason::NodeLeaving),
     ("server-draining", NotRunReason::ServerDraining),
     ("wrong-instance", NotRunReason::WrongInstance),
     ("server-unreachable", NotRunReason::ServerUnreachable),
+    ("server-failing", NotRunReason::ServerFailing),
     ("queue-full", NotRunReason::QueueFull),
     ("queue-timeout", NotRunReason::QueueTimeout),
     ("server-refused", NotRunReason::ServerRefused),
@@ -157,7 +161,8 @@
         limit,
     } = load.occupancy;
     let (level, nested) = (load.level.0, u8::from(load.is_nested));
-    let text = format!("{running} {waiting} {limit} {level} {nested}");
+    let failures = (load.failure_share * THOUSANDTHS).round() as u32;
+    let text = format!("{running} {waiting} {limit} {level} {nested} {failures}");
     HeaderValue::try_from(text).expect("digits and blanks")
 }
 
@@ -175,33 +180,54 @@
         occupancy,
         level: AdmissionLevel(u16::try_from(next()?).ok()?),
         is_nested: next()? != 0,
+        failure_share: f64::from(next()?) / THOUSANDTHS,
     })
 }
 
+/// What an attempt allows, and where it comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// The zone that the request started in.
+    pub zone: String,
+    /// Whether another server has room for it.
+    pub may_go_elsewhere: bool,
+    /// Whether it can be sent again if its answer is lost.
+    pub may_repeat: bool,
+}
+
 /// The value of [`TREE`].
-pub fn tree_value(tree: &TreePlace) -> HeaderValue {
+pub fn tree_value(tree: &TreePlace, terms: &Terms) -> HeaderValue {
     let level = AdmissionLevel::of(tree.priority).0;
-    let text = format!(
-        "{level} {} {}",
-        u8::from(tree.is_nested),
-        u8::from(tree.is_repeat)
-    );
-    HeaderValue::try_from(text).expect("digits and blanks")
+    let nested = u8::from(tree.is_nested);
+    let repeat = u8::from(tree.is_repeat);
+    let elsewhere = u8::from(terms.may_go_elsewhere);
+    let again = u8::from(terms.may_repeat);
+    let zone = &terms.zone;
+    let text = format!("{level} {nested} {repeat} {elsewhere} {again} {zone}");
+    HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static(""))
 }
 
 /// Reads [`TREE`]; requests without one are the least important.
-pub fn tree(headers: &HeaderMap) -> TreePlace {
+pub fn tree(headers: &HeaderMap) -> (TreePlace, Terms) {
     let value = headers.get(TREE).and_then(|value| value.to_str().ok());
-    let mut numbers = value
-        .unwrap_or_default()
-        .split(' ')
-        .map(|number| number.parse::<u16>().unwrap_or_default());
-    let mut next = || numbers.next().unwrap_or_default();
-    TreePlace {
+    let mut words = value.unwrap_or_default().splitn(6, ' ');
+    let mut next = || {
+        let word = words.next().unwrap_or_default();
+        word.parse::<u16>().unwrap_or_default()
+    };
+    let place = TreePlace {
         priority: AdmissionLevel(next()).priority(),
         is_nested: next() != 0,
         is_repeat: next() != 0,
-    }
+    };
+    let may_go_elsewhere = next() != 0;
+    let may_repeat = next() != 0;
+    let terms = Terms {
+        zone: words.next().unwrap_or_default().to_owned(),
+        may_go_elsewhere,
+        may_repeat,
+    };
+    (place, terms)
 }
 
 /// Where the sender of a message takes messages itself.
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -11,6 +11,7 @@
 
 use crate::http::ProxyBody;
 use crate::http::body;
+use crate::http::pool::Reuse;
 use crate::node::Node;
 use crate::{peer_headers, snapshots};
 
@@ -44,7 +45,11 @@
     request.headers_mut().insert(HOST, host);
     snapshots::name_revision(node, request.headers_mut());
     let exchange = async {
-        let (response, lease) = node.peer_connections.send(address, request).await.ok()?;
+        let (response, lease) = node
+            .peer_connections
+            .send(address, request, Reuse::Any)
+            .await
+            .ok()?;
         let status = response.status();
         body::read(response.into_body(), MAX_ANSWER).await.ok()?;
         lease.keep();
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -17,6 +17,7 @@
 
 use crate::http::ProxyBody;
 use crate::http::body::{self, ReadBody};
+use crate::http::pool::Reuse;
 use crate::node::Node;
 use crate::peer_headers;
 
@@ -138,7 +139,10 @@
     let host = HeaderValue::try_from(from.to_string()).expect("an address is plain text");
     request.headers_mut().insert(HOST, host);
     let exchange = async {
-        let (response, lease) = node.peer_connections.send(from, request).await?;
+        let (response, lease) = node
+            .peer_connections
+            .send(from, request, Reuse::Any)
+            .await?;
         match body::read(response.into_body(), MAX_SNAPSHOT).await? {
             ReadBody::Larger { .. } => Err(FetchError::TooLarge),
             ReadBody::Whole(bytes) => {
