Run the real nodes in a deterministic simulation

Weighed: driving coordination::mesh by events of its own, as crates/sim does for lifthollowd (a second place that composes the decisions, so a second thing that can be wrong); a library that simulates tokio's sockets (not to be had here). Chosen: the real nodes, on tokio's paused clock, over connections in memory. The process opens sockets only through proxy::network, and gets its random numbers from its surroundings; the clock reads tokio's.

--- a/crates/proxy/src/http/caller_stream.rs
+++ b/crates/proxy/src/http/caller_stream.rs
@@ -13,7 +13,8 @@
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::network::Stream;
 
 /// Bytes that are read ahead at most.
 const MAX_READ_AHEAD: usize = 64 * 1024;
@@ -21,7 +22,7 @@
 const READ_SIZE: usize = 8 * 1024;
 
 struct Shared {
-    stream: TcpStream,
+    stream: Stream,
     ahead: BytesMut,
     /// Bytes of `ahead` that were handed to be inspected.
     inspected: usize,
@@ -38,7 +39,7 @@
 pub struct ReadAhead(Rc<RefCell<Shared>>);
 
 /// Divides a connection into the two halves. Both must be polled by one task.
-pub fn split(stream: TcpStream) -> (CallerStream, ReadAhead) {
+pub fn split(stream: Stream) -> (CallerStream, ReadAhead) {
     let shared = Rc::new(RefCell::new(Shared {
         stream,
         ahead: BytesMut::new(),
--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -13,10 +13,11 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
+use crate::http::ProxyBody;
 use crate::http::headers::keep_alive_seconds;
-use crate::http::{ProxyBody, socket};
+use crate::network::Network;
 
 /// How long an unused connection is kept if the other side names no time.
 const DEFAULT_KEEP: Duration = Duration::from_secs(5);
@@ -82,6 +83,7 @@
     idle: Rc<RefCell<HashMap<SocketAddrV4, Vec<IdleConnection>>>>,
     rest_limits: Rc<RefCell<HashMap<SocketAddrV4, RestLimit>>>,
     opened: Rc<Cell<u64>>,
+    network: Rc<dyn Network>,
     connect_limit: Duration,
 }
 
@@ -95,12 +97,14 @@
 }
 
 impl Pool {
-    /// A pool without connections, that waits for a new one for `connect_limit`.
-    pub fn new(connect_limit: Duration) -> Self {
+    /// A pool without connections, that opens them through `network` and waits for
+    /// a new one for `connect_limit`.
+    pub fn new(network: Rc<dyn Network>, connect_limit: Duration) -> Self {
         Pool {
             idle: Rc::default(),
             rest_limits: Rc::default(),
             opened: Rc::default(),
+            network,
             connect_limit,
         }
     }
@@ -225,8 +229,10 @@
     }
 
     async fn open(&self, address: SocketAddrV4) -> Result<Connection, SendError> {
-        let stream = socket::connect(address, self.connect_limit)
+        let opening = timeout(self.connect_limit, self.network.connect(address));
+        let stream = opening
             .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(SendError::NotSent)?;
         self.opened.set(self.opened.get() + 1);
         let (sender, driver) = http1::Builder::new()
--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -13,12 +13,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioTimer;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::http::ProxyBody;
 use crate::http::caller_stream;
 use crate::http::pipeline::{AbortOnDrop, HeadScanner, Pipeline};
-use crate::http::{ProxyBody, socket};
+use crate::network::{Listener, Stream};
 
 /// Pause after the system refused to accept a connection (out of descriptors).
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -94,7 +94,7 @@
 /// Serves connections of `listener` until `closing` turns true; then connections
 /// end after the request that is on them.
 pub async fn run<H: Handler>(
-    listener: TcpListener,
+    listener: Box<dyn Listener>,
     handler: Rc<H>,
     in_progress: InProgress,
     closing: watch::Receiver<bool>,
@@ -104,8 +104,7 @@
         tokio::select! {
             _ = stop.wait_for(|closing| *closing) => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    socket::prepare(&stream);
+                Ok(stream) => {
                     let connection = serve(stream, handler.clone(), in_progress.clone(), closing.clone());
                     tokio::task::spawn_local(connection);
                 }
@@ -116,7 +115,7 @@
 }
 
 async fn serve<H: Handler>(
-    stream: TcpStream,
+    stream: Stream,
     handler: Rc<H>,
     in_progress: InProgress,
     mut closing: watch::Receiver<bool>,
--- a/crates/proxy/src/http/socket.rs
+++ b/crates/proxy/src/http/socket.rs
@@ -28,16 +28,6 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Connects to `address` within `limit`.
-pub async fn connect(address: SocketAddrV4, limit: Duration) -> io::Result<TcpStream> {
-    let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(limit, connecting)
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    prepare(&stream);
-    Ok(stream)
-}
-
 /// Sends small writes at once and has a silent peer noticed. Where the system
 /// refuses an option, the connection is used without it.
 pub fn prepare(stream: &TcpStream) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`node`]: the state that both share;
 //! - [`probe`]: whether a server that fell silent can be trusted again;
 //! - [`snapshots`]: what comes from outside, and from other nodes in its place;
-//! - [`http`]: connections, bodies;
+//! - [`http`]: bodies and what HTTP says of connections; [`network`]: connections;
 //! - [`process`]: listeners, signals, start and stop.
 //!
 //! What callers and servers call their headers is told by [`WireNames`], so that
@@ -20,6 +20,7 @@
 pub mod inbound;
 pub mod logging;
 pub mod metrics;
+pub mod network;
 pub mod node;
 pub mod outbound;
 pub mod peer_headers;
@@ -29,6 +30,6 @@
 pub mod snapshots;
 pub mod wire_names;
 
-pub use node::Node;
+pub use node::{Node, Surroundings};
 pub use settings::ProxySettings;
 pub use wire_names::WireNames;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -26,6 +26,7 @@
 use crate::http::server::ConnectionLimits;
 use crate::logging::LineLimit;
 use crate::metrics::Metrics;
+use crate::network::{Network, SystemNetwork};
 use crate::settings::ProxySettings;
 use crate::wire_names::WireNames;
 use lifthollow_transport::clock::Clock;
@@ -64,6 +65,24 @@
     pub random: SmallRng,
 }
 
+/// What a process is given of the machine that it runs on.
+pub struct Surroundings {
+    /// Where connections come from and go to.
+    pub network: Rc<dyn Network>,
+    /// The source of everything random.
+    pub random: SmallRng,
+}
+
+impl Surroundings {
+    /// The machine's own network, and random numbers that nobody can foresee.
+    pub fn of_system() -> Self {
+        Surroundings {
+            network: Rc::new(SystemNetwork),
+            random: SmallRng::from_rng(&mut rand::rng()),
+        }
+    }
+}
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -83,6 +102,8 @@
     pub names: WireNames,
     /// The monotonic clock.
     pub clock: Clock,
+    /// Where connections come from and go to.
+    pub network: Rc<dyn Network>,
     /// Decisions.
     pub state: RefCell<TrafficState>,
     /// Connections to the server beside this node.
@@ -108,9 +129,11 @@
     pub fn new(
         settings: ProxySettings,
         names: WireNames,
+        surroundings: Surroundings,
         metrics: Rc<Metrics>,
         log: Logger,
     ) -> Rc<Self> {
+        let network = surroundings.network;
         let state = TrafficState {
             snapshots: SnapshotStore::default(),
             routes: None,
@@ -119,7 +142,7 @@
             budgets: RetryBudgets::new(settings.retry_bound),
             admission: ServerAdmission::new(&settings.service, UNKNOWN_SLOTS),
             waiters: HashMap::new(),
-            random: SmallRng::from_rng(&mut rand::rng()),
+            random: surroundings.random,
         };
         let own_address = HeaderValue::try_from(settings.inbound.to_string());
         Rc::new(Node {
@@ -128,13 +151,14 @@
             names,
             clock: Clock::start(),
             state: RefCell::new(state),
-            server_connections: Pool::new(SERVER_CONNECT_LIMIT),
-            peer_connections: Pool::new(PEER_CONNECT_LIMIT),
+            server_connections: Pool::new(network.clone(), SERVER_CONNECT_LIMIT),
+            peer_connections: Pool::new(network.clone(), PEER_CONNECT_LIMIT),
             metrics,
             log,
             line_limit: LineLimit::default(),
             phase: Cell::new(Phase::Serving),
             newer_at: Cell::new(None),
+            network,
         })
     }
 
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use slog::info;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -16,7 +15,6 @@
 
 use crate::http::ProxyBody;
 use crate::http::server::{self, ConnectionLimits, Handler, InProgress};
-use crate::http::socket;
 use crate::inbound::Inbound;
 use crate::node::{Node, Phase};
 use crate::outbound::Outbound;
@@ -45,9 +43,38 @@
     source: impl Future<Output = ()> + 'static,
     reload: impl Fn(&Rc<Node>) + 'static,
 ) -> Result<()> {
-    let settings = &node.settings;
     let mut terminate = signal(SignalKind::terminate()).context("signal TERM")?;
     let mut hangup = signal(SignalKind::hangup()).context("signal HUP")?;
+    let running = start(&node, source)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&node),
+        }
+    }
+    running.stop().await;
+    Ok(())
+}
+
+/// A process that serves.
+pub struct Running {
+    node: Rc<Node>,
+    callers: InProgress,
+    peers: InProgress,
+    close: watch::Sender<bool>,
+}
+
+/// Starts to serve. `source` is run beside it and tells it what comes from outside.
+///
+/// # Errors
+///
+/// One of the addresses in the settings can't be listened at.
+pub fn start(node: &Rc<Node>, source: impl Future<Output = ()> + 'static) -> Result<Running> {
+    let settings = &node.settings;
+    let listen = |what: &str, address: SocketAddrV4| {
+        let listener = node.network.listen(address);
+        listener.with_context(|| format!("listening at {address} for {what}"))
+    };
     let outbound = listen("outbound", settings.outbound)?;
     let inbound = listen("inbound", settings.inbound)?;
     let readiness = listen("readiness", settings.readiness)?;
@@ -87,46 +114,43 @@
     info!(node.log, "started"; "node" => &settings.node_name, "service" => &settings.service,
         "zone" => &settings.zone, "outbound" => %settings.outbound, "inbound" => %settings.inbound,
         "version" => env!("CARGO_PKG_VERSION"));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => reload(&node),
-        }
-    }
-    stop(&node, &callers, &peers, close).await;
-    Ok(())
+    Ok(Running {
+        node: node.clone(),
+        callers,
+        peers,
+        close,
+    })
 }
 
-fn listen(what: &str, address: SocketAddrV4) -> Result<TcpListener> {
-    socket::listen(address).with_context(|| format!("listening at {address} for {what}"))
-}
-
-/// Until the platform has noticed, everything is served as before, so that the
-/// server beside this node isn't idle; then attempts for it are refused, and what
-/// is in progress is finished.
-async fn stop(
-    node: &Rc<Node>,
-    callers: &InProgress,
-    peers: &InProgress,
-    close: watch::Sender<bool>,
-) {
-    let begun = Instant::now();
-    node.phase.set(Phase::Announced);
-    info!(node.log, "stopping"; "requests" => callers.requests(), "attempts" => peers.requests());
-    sleep_until(begun + STILL_TAKING_ATTEMPTS).await;
-    node.phase.set(Phase::Draining);
-    sleep_until(begun + STILL_SERVING).await;
-    let _ = close.send(true);
-    let last = begun + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
-    let nothing_left = async {
-        while callers.connections() + peers.requests() > 0 {
-            sleep(STOP_POLL).await;
-        }
-    };
-    let left = last.saturating_duration_since(Instant::now());
-    let is_complete = timeout(left, nothing_left).await.is_ok();
-    info!(node.log, "stopped"; "complete" => is_complete, "requests" => callers.requests(),
-        "attempts" => peers.requests(), "after_ms" => begun.elapsed().as_millis() as u64);
+impl Running {
+    /// Stops as planned. Until the platform has noticed, everything is served as
+    /// before, so that the server beside this node isn't idle; then attempts for
+    /// it are refused, and what is in progress is finished.
+    pub async fn stop(self) {
+        let Running {
+            node,
+            callers,
+            peers,
+            close,
+        } = self;
+        let begun = Instant::now();
+        node.phase.set(Phase::Announced);
+        info!(node.log, "stopping"; "requests" => callers.requests(), "attempts" => peers.requests());
+        sleep_until(begun + STILL_TAKING_ATTEMPTS).await;
+        node.phase.set(Phase::Draining);
+        sleep_until(begun + STILL_SERVING).await;
+        let _ = close.send(true);
+        let last = begun + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
+        let nothing_left = async {
+            while callers.connections() + peers.requests() > 0 {
+                sleep(STOP_POLL).await;
+            }
+        };
+        let left = last.saturating_duration_since(Instant::now());
+        let is_complete = timeout(left, nothing_left).await.is_ok();
+        info!(node.log, "stopped"; "complete" => is_complete, "requests" => callers.requests(),
+            "attempts" => peers.requests(), "after_ms" => begun.elapsed().as_millis() as u64);
+    }
 }
 
 async fn housekeeping(node: Rc<Node>) {
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -1,4 +1,5 @@
-//! The process's monotonic clock as timestamps.
+//! The process's monotonic clock as timestamps. In a simulation it is the virtual
+//! clock of its run time.
 
 use std::time::{Duration, Instant};
 
@@ -14,13 +15,13 @@
     /// A clock whose origin is now.
     pub fn start() -> Self {
         Clock {
-            origin: Instant::now(),
+            origin: instant_now(),
         }
     }
 
     /// The time now.
     pub fn now(&self) -> Timestamp {
-        let passed = self.origin.elapsed();
+        let passed = instant_now().saturating_duration_since(self.origin);
         Timestamp::from_micros(passed.as_micros() as u64)
     }
 
@@ -29,3 +30,7 @@
         self.origin + Duration::from_micros(timestamp.as_micros())
     }
 }
+
+fn instant_now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
