Learn from failed runs, too, which services a request needs

A log of second 38 to 46 shows the catalogue's level at 355 of 383 and that of the feeds' nodes at 0: nodes that had just started knew of no call graph, and learned it from successful runs only, of which there were hardly any.

Change: what a failed run has called counts as needed; of other services it still says nothing. A service that only some runs need stays below the share at which it counts (test).

Test: what_failed_runs_called_is_known_to_be_needed failed before.

--- a/crates/coordination/src/pressure/call_graph.rs
+++ b/crates/coordination/src/pressure/call_graph.rs
@@ -64,14 +64,18 @@
     }
 
     /// A run completed. One that failed may have stopped before its later
-    /// calls, so only a successful one tells what was not needed.
+    /// calls, so only a successful one tells what was not needed. What it did
+    /// call, a failed one needed as well: a node that starts while a service
+    /// further down is overloaded may see hardly any other runs.
     pub fn completed(&mut self, id: InboundId, success: bool) {
         let Some(run) = self.active.remove(&id) else {
             return;
         };
+        let shares = self.shares.entry((run.source, run.class)).or_default();
         if success {
-            let key = (run.source, run.class);
-            self.shares.entry(key).or_default().learn(run.called);
+            shares.learn(run.called);
+        } else if !run.called.is_empty() {
+            shares.learn_needed(run.called);
         }
     }
 
@@ -99,9 +103,7 @@
 
 impl CallShares {
     fn learn(&mut self, called: BTreeSet<ServiceName>) {
-        self.runs = self.runs.saturating_add(1);
-        // While there are few runs their plain mean is taken.
-        let gain = GAIN.max(1.0 / f64::from(self.runs));
+        let gain = self.next_gain();
         for share in self.shares.values_mut() {
             *share -= *share * gain;
         }
@@ -109,4 +111,19 @@
             *self.shares.entry(service).or_insert(0.0) += gain;
         }
     }
+
+    /// Learns that these were needed, and nothing of others.
+    fn learn_needed(&mut self, called: BTreeSet<ServiceName>) {
+        let gain = self.next_gain();
+        for service in called {
+            let share = self.shares.entry(service).or_insert(0.0);
+            *share += (1.0 - *share) * gain;
+        }
+    }
+
+    /// The share of the next run. While there are few, their plain mean is taken.
+    fn next_gain(&mut self) -> f64 {
+        self.runs = self.runs.saturating_add(1);
+        GAIN.max(1.0 / f64::from(self.runs))
+    }
 }
--- a/crates/coordination/tests/mesh_admission.rs
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -273,3 +273,44 @@
     let here = sheddable("here", 0);
     assert_eq!(admission.arrive(at(20), &here, open), Verdict::Run);
 }
+
+#[test]
+fn what_failed_runs_called_is_known_to_be_needed() {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    for number in 0..30 {
+        let request = sheddable(&number.to_string(), 0);
+        let run = admission.started(at(number), &request);
+        admission.called(run, "media");
+        admission.call_ended(run, true);
+        admission.answered(at(number), run, false);
+        admission.finish(at(number), &request, run, RunEnd::Failed, None);
+    }
+    let closed_to_most = |service: &ServiceName| match service.as_str() {
+        "media" => AdmissionLevel(100),
+        _ => AdmissionLevel::OPEN,
+    };
+    assert_eq!(admission.level(false, closed_to_most), AdmissionLevel(100));
+}
+
+#[test]
+fn call_that_only_some_runs_make_is_not_needed_although_it_fails() {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    for number in 0..100 {
+        let request = sheddable(&number.to_string(), 0);
+        let run = admission.started(at(number), &request);
+        let calls = number % 2 == 0;
+        if calls {
+            admission.called(run, "media");
+            admission.call_ended(run, true);
+        }
+        admission.answered(at(number), run, !calls);
+        let end = if calls {
+            RunEnd::Failed
+        } else {
+            RunEnd::Served
+        };
+        admission.finish(at(number), &request, run, end, None);
+    }
+    let closed = |_: &ServiceName| AdmissionLevel(100);
+    assert_eq!(admission.level(false, closed), AdmissionLevel::OPEN);
+}
