Try a server again in whose place another answered

Nothing of that service was served for the rest of the run, though all servers were well. The answers came from a fault of the simulation (connections of a server outlived it), but nothing in the node ended the state: a server that was withdrawn came back only with a new announcement, and a server that is well has no reason for one.

Change: a server that announces its end is withdrawn as before. One in whose place another answered gets nothing for 1 s; the request was not run either way.

Test: server_in_whose_place_another_answered_is_tried_again failed before (no server was chosen).

--- a/crates/coordination/src/mesh/server_record.rs
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -23,8 +23,12 @@
         /// How many.
         failed_probes: u32,
     },
-    /// Never: its node says that it leaves, or that another has its address.
-    Withdrawn,
+    /// Not before this time, if ever: its node says that it leaves, or that another
+    /// has its address.
+    Withdrawn {
+        /// Never, if none.
+        until: Option<Timestamp>,
+    },
 }
 
 /// What this node knows of one server.
@@ -40,7 +44,7 @@
     /// at which they were reported.
     pub(super) levels: [(AdmissionLevel, Timestamp); 2],
     pub(super) heard: Timestamp,
-    pub(super) standing: Standing,
+    standing: Standing,
     /// How long callers' requests and nested calls take.
     pub(super) latencies: [LatencyEstimate; 2],
     /// Answers that this node missed.
@@ -83,13 +87,29 @@
     /// A new announcement: what the node said of the former is void.
     pub(super) fn replace_instance(&mut self, instance: ServerInstance) {
         self.instance = instance;
-        if self.standing == Standing::Withdrawn {
+        if matches!(self.standing, Standing::Withdrawn { .. }) {
             self.standing = Standing::Good;
         }
     }
 
-    pub(super) fn trust_again(&mut self) {
-        if self.standing != Standing::Withdrawn {
+    /// Its standing now.
+    pub(super) fn standing(&self, now: Timestamp) -> Standing {
+        match self.standing {
+            Standing::Withdrawn { until: Some(until) } if now >= until => Standing::Good,
+            standing => standing,
+        }
+    }
+
+    pub(super) fn set_standing(&mut self, standing: Standing) {
+        self.standing = standing;
+    }
+
+    pub(super) fn is_withdrawn(&self, now: Timestamp) -> bool {
+        matches!(self.standing(now), Standing::Withdrawn { .. })
+    }
+
+    pub(super) fn trust_again(&mut self, now: Timestamp) {
+        if !self.is_withdrawn(now) {
             self.standing = Standing::Good;
         }
     }
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -30,6 +30,8 @@
 const LOSS_PENALTY: f64 = 3.0;
 /// The same for requests that can't be asked for again.
 const LOSS_PENALTY_ONCE: f64 = 10.0;
+/// A server in whose place another answered gets nothing for this time.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(1000);
 /// From this share of lost answers on, a server is not sound.
 const LOSSY_SHARE: f64 = 0.05;
 /// An admission level is believed this long, and halved again and again after.
@@ -150,11 +152,11 @@
         let allowed = candidates.iter().filter(|id| !wanted.excluded.contains(id));
         let usable = || {
             let records = allowed.clone().filter_map(|id| self.records.get(id));
-            records.filter(|record| record.standing != Standing::Withdrawn)
+            records.filter(|record| !record.is_withdrawn(now))
         };
         let best = usable()
             .map(|record| {
-                let set_aside = record.standing != Standing::Good;
+                let set_aside = record.standing(now) != Standing::Good;
                 let jitter = random.random::<f64>() * JITTER;
                 (
                     set_aside,
@@ -208,7 +210,7 @@
         };
         record.heard = now;
         record.losses.observe(now, false);
-        record.trust_again();
+        record.trust_again(now);
         if let Some(load) = load {
             record.note_report(now, load);
         }
@@ -233,28 +235,38 @@
 
     /// The server or its node could not be reached, or stayed silent. True if it
     /// was in good standing: it is to be probed from now on.
-    pub fn set_aside(&mut self, id: &InstanceId) -> bool {
+    pub fn set_aside(&mut self, now: Timestamp, id: &InstanceId) -> bool {
         match self.records.get_mut(id) {
-            Some(record) if record.standing == Standing::Good => {
-                record.standing = Standing::Suspect { failed_probes: 0 };
+            Some(record) if record.standing(now) == Standing::Good => {
+                record.set_standing(Standing::Suspect { failed_probes: 0 });
                 true
             }
             _ => false,
         }
     }
 
-    /// The server's node says that it leaves or that another has its address.
-    /// It gets nothing until it announces something else.
+    /// The server's node says that it leaves. It gets nothing until it announces
+    /// something else.
     pub fn withdraw(&mut self, id: &InstanceId) {
+        self.set_withdrawn(id, None);
+    }
+
+    /// Another server answered in its place. It gets nothing for a while: it may
+    /// have been one that was about to end.
+    pub fn misdirected(&mut self, now: Timestamp, id: &InstanceId) {
+        self.set_withdrawn(id, Some(now + MISDIRECTED_PAUSE));
+    }
+
+    fn set_withdrawn(&mut self, id: &InstanceId, until: Option<Timestamp>) {
         if let Some(record) = self.records.get_mut(id) {
-            record.standing = Standing::Withdrawn;
+            record.set_standing(Standing::Withdrawn { until });
         }
     }
 
     /// When the server should be probed next; none if it need not be.
-    pub fn probe_delay(&self, id: &InstanceId) -> Option<Duration> {
+    pub fn probe_delay(&self, now: Timestamp, id: &InstanceId) -> Option<Duration> {
         let record = self.records.get(id)?;
-        let Standing::Suspect { failed_probes } = record.standing else {
+        let Standing::Suspect { failed_probes } = record.standing(now) else {
             return None;
         };
         let doublings = failed_probes.min(8);
@@ -263,14 +275,15 @@
     }
 
     /// A probe of the server's node has ended.
-    pub fn probed(&mut self, id: &InstanceId, answered: bool) {
+    pub fn probed(&mut self, now: Timestamp, id: &InstanceId, answered: bool) {
         let Some(record) = self.records.get_mut(id) else {
             return;
         };
         if answered {
-            record.trust_again();
-        } else if let Standing::Suspect { failed_probes } = &mut record.standing {
-            *failed_probes += 1;
+            record.trust_again(now);
+        } else if let Standing::Suspect { failed_probes } = record.standing(now) {
+            let failed_probes = failed_probes + 1;
+            record.set_standing(Standing::Suspect { failed_probes });
         }
     }
 
@@ -314,7 +327,7 @@
         let ids = self.by_service.get(service).into_iter().flatten();
         let levels: Vec<(AdmissionLevel, Duration)> = ids
             .filter_map(|id| self.records.get(id))
-            .filter(|record| record.standing == Standing::Good)
+            .filter(|record| record.standing(now) == Standing::Good)
             .map(|record| record.levels[usize::from(is_nested)])
             .map(|(level, reported)| (level, now.saturating_since(reported)))
             .collect();
@@ -339,7 +352,7 @@
             .iter()
             .map(|record| record.levels[usize::from(is_nested)].1);
         let last = reports.max().unwrap_or_default();
-        let is_set_aside = |record: &&&ServerRecord| record.standing != Standing::Good;
+        let is_set_aside = |record: &&&ServerRecord| record.standing(now) != Standing::Good;
         KnownLoad {
             level: self.admission_level(now, service, is_nested),
             age: now.saturating_since(last),
@@ -368,7 +381,7 @@
 
 /// Whether a server has room and answers what it is given.
 fn is_sound(now: Timestamp, record: &ServerRecord) -> bool {
-    record.standing == Standing::Good
+    record.standing(now) == Standing::Good
         && record.losses(now) < LOSSY_SHARE
         && record.utilization(now) < 1.0
 }
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -171,14 +171,16 @@
 #[test]
 fn server_set_aside_comes_back_only_by_a_probe() {
     let mut pool = pool();
-    assert!(pool.set_aside(&id("i-a")));
-    assert!(!pool.set_aside(&id("i-a")), "it is probed already");
+    assert!(pool.set_aside(at(0), &id("i-a")));
+    assert!(!pool.set_aside(at(0), &id("i-a")), "it is probed already");
     assert_ne!(chosen(&pool, 60_000), "i-a");
-    let first = pool.probe_delay(&id("i-a")).expect("it is to be probed");
-    pool.probed(&id("i-a"), false);
-    assert!(pool.probe_delay(&id("i-a")).expect("still") > first);
-    pool.probed(&id("i-a"), true);
-    assert_eq!(pool.probe_delay(&id("i-a")), None);
+    let first = pool
+        .probe_delay(at(0), &id("i-a"))
+        .expect("it is to be probed");
+    pool.probed(at(0), &id("i-a"), false);
+    assert!(pool.probe_delay(at(0), &id("i-a")).expect("still") > first);
+    pool.probed(at(0), &id("i-a"), true);
+    assert_eq!(pool.probe_delay(at(0), &id("i-a")), None);
     assert_eq!(chosen(&pool, 60_000), "i-a");
 }
 
@@ -186,7 +188,7 @@
 fn server_set_aside_is_used_if_no_other_is_left() {
     let mut pool = ServerPool::new("a");
     pool.set_servers(at(0), [server("i-a", "a", 1)]);
-    pool.set_aside(&id("i-a"));
+    pool.set_aside(at(0), &id("i-a"));
     assert_eq!(chosen(&pool, 0), "i-a");
 }
 
@@ -204,6 +206,21 @@
     assert!(pool.choose(at(2), "feeds", ANY, &mut random()).is_some());
 }
 
+#[test]
+fn server_in_whose_place_another_answered_is_tried_again() {
+    let mut pool = ServerPool::new("a");
+    pool.set_servers(at(0), [server("i-a", "a", 1)]);
+    pool.misdirected(at(0), &id("i-a"));
+    assert!(pool.choose(at(500), "feeds", ANY, &mut random()).is_none());
+    assert_eq!(chosen(&pool, 2000), "i-a");
+    let other = server("i-b", "a", 2);
+    pool.set_servers(at(2000), [server("i-a", "a", 1), other]);
+    for _ in 0..8 {
+        pool.sent(&id("i-b"));
+    }
+    assert_eq!(chosen(&pool, 2000), "i-a", "as good as any other");
+}
+
 #[test]
 fn silence_is_counted_only_while_nothing_is_answered() {
     let mut pool = pool();
@@ -289,7 +306,7 @@
         choice.expect("there are servers").has_alternative
     };
     assert!(has_alternative(&pool));
-    pool.set_aside(&id("i-b"));
+    pool.set_aside(at(0), &id("i-b"));
     for _ in 0..10 {
         pool.lost(at(0), &id("i-c"));
     }
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -236,7 +236,14 @@
         | NotRunReason::DownstreamOverloaded
         | NotRunReason::ServerRefused => {}
         NotRunReason::ServerDraining | NotRunReason::WrongInstance => {
-            node.state.borrow_mut().servers.withdraw(&server.id);
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            if reason == NotRunReason::WrongInstance {
+                state.servers.misdirected(now, &server.id);
+            } else {
+                state.servers.withdraw(&server.id);
+            }
+            drop(state);
             info!(node.log, "server withdrawn"; "server" => server.id.as_str(),
                 "service" => &server.service, "why" => peer_headers::not_run_word(reason),
                 "revision" => node.revision());
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -61,7 +61,8 @@
 
 /// Sets `server` aside and probes it until it answers.
 pub fn set_aside(node: &Rc<Node>, server: &ServerInstance, why: &str) {
-    let is_new = node.state.borrow_mut().servers.set_aside(&server.id);
+    let now = node.now();
+    let is_new = node.state.borrow_mut().servers.set_aside(now, &server.id);
     if is_new {
         info!(node.log, "server set aside"; "server" => server.id.as_str(),
             "service" => &server.service, "why" => why, "revision" => node.revision());
@@ -71,13 +72,17 @@
 
 async fn probe_until_alive(node: Rc<Node>, server: ServerInstance) {
     loop {
-        let delay = node.state.borrow().servers.probe_delay(&server.id);
+        let now = node.now();
+        let delay = node.state.borrow().servers.probe_delay(now, &server.id);
         let Some(delay) = delay else {
             return;
         };
         sleep(delay).await;
         let is_alive = is_alive(&node, &server).await;
-        node.state.borrow_mut().servers.probed(&server.id, is_alive);
+        let now = node.now();
+        let mut state = node.state.borrow_mut();
+        state.servers.probed(now, &server.id, is_alive);
+        drop(state);
         if is_alive {
             info!(node.log, "server trusted again"; "server" => server.id.as_str(),
                 "service" => &server.service);
