Bring servers and routes in line only when something has changed

Change: forget_vanished tells whether any was forgotten; only then is the state brought in line. Changes from outside bring it in line themselves, as before.

Test: mesh_routes.rs states what forget_vanished returns.

--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -94,10 +94,17 @@
         applied
     }
 
-    /// Servers that vanished a moment ago without announcing that they leave.
-    pub fn recently_vanished(&mut self, now: Timestamp) -> Vec<ServerInstance> {
+    /// Forgets servers that vanished too long ago. True if there were any.
+    pub fn forget_vanished(&mut self, now: Timestamp) -> bool {
+        let before = self.vanished.len();
         self.vanished
             .retain(|_, (_, since)| now.saturating_since(*since) < VANISHED_GRACE);
+        self.vanished.len() < before
+    }
+
+    /// Servers that vanished without announcing that they leave, and are not
+    /// forgotten.
+    pub fn recently_vanished(&self) -> Vec<ServerInstance> {
         let ready = self.vanished.values().map(|(instance, _)| instance);
         ready
             .filter(|instance| instance.is_ready())
--- a/crates/coordination/tests/mesh_routes.rs
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -171,8 +171,11 @@
     store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
     store.apply(at(1000), 6, Change::ServerGone(id("i-1")));
     assert!(store.snapshot().servers.is_empty());
-    assert_eq!(store.recently_vanished(at(20_500)).len(), 1);
-    assert!(store.recently_vanished(at(21_500)).is_empty());
+    assert!(!store.forget_vanished(at(20_500)));
+    assert_eq!(store.recently_vanished().len(), 1);
+    assert!(store.forget_vanished(at(21_500)));
+    assert!(store.recently_vanished().is_empty());
+    assert!(!store.forget_vanished(at(21_500)), "there is none left");
 }
 
 #[test]
@@ -182,7 +185,7 @@
     draining.state = ServerState::Draining;
     store.apply(at(0), 5, Change::Server(draining));
     store.apply(at(1000), 6, Change::ServerGone(id("i-1")));
-    assert!(store.recently_vanished(at(1100)).is_empty());
+    assert!(store.recently_vanished().is_empty());
 }
 
 #[test]
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -254,7 +254,7 @@
             .map(|known| known.instance.clone())
             .collect();
         let without = |service: &str| !servers.iter().any(|server| server.service == service);
-        let vanished = state.snapshots.recently_vanished(now);
+        let vanished = state.snapshots.recently_vanished();
         let still_used: Vec<ServerInstance> = vanished
             .into_iter()
             .filter(|server| without(&server.service))
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -167,7 +167,9 @@
         let mut state = node.state.borrow_mut();
         let now = node.now();
         state.admission.observe(now);
-        node.refresh(&mut state);
+        if state.snapshots.forget_vanished(now) {
+            node.refresh(&mut state);
+        }
     }
 }
 
