Log when a server begins to fail its requests and when it no longer does

It changes what the node believes and what it tells others, so it is a line of its own, with the zone of the callers concerned and the share.

--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -237,6 +237,11 @@
         self.health.overdue(now, run);
     }
 
+    /// The zone whose requests the server fails most, if it turns any away.
+    pub fn failing_zone(&self, now: Timestamp) -> Option<(&str, f64)> {
+        self.health.failing_zone(now)
+    }
+
     /// The share of requests from callers in `zone` that the server fails, 0 to 1.
     pub fn failure_share(&self, now: Timestamp, zone: &str) -> f64 {
         self.health.failure_share(now, zone)
--- a/crates/coordination/src/mesh/server_health.rs
+++ b/crates/coordination/src/mesh/server_health.rs
@@ -130,6 +130,16 @@
         self.failures.get(zone).map_or(0.0, |share| share.at(now))
     }
 
+    /// The zone whose requests the server fails most, if it turns any away.
+    pub fn failing_zone(&self, now: Timestamp) -> Option<(&str, f64)> {
+        let shares = self
+            .failures
+            .iter()
+            .map(|(zone, share)| (zone.as_str(), share.at(now)));
+        let worst = shares.max_by(|one, other| one.1.total_cmp(&other.1));
+        worst.filter(|(_, share)| *share >= TURN_AWAY_SHARE)
+    }
+
     /// Whether an attempt that can go to another server should do so.
     pub fn turns_away(&mut self, now: Timestamp, zone: &str) -> bool {
         if self.failure_share(now, zone) < TURN_AWAY_SHARE {
--- a/crates/coordination/tests/mesh_health.rs
+++ b/crates/coordination/tests/mesh_health.rs
@@ -78,6 +78,15 @@
     assert_eq!(health.failure_share(at(30), OWN_ZONE), 0.0);
 }
 
+#[test]
+fn zone_that_is_failed_most_is_named() {
+    let mut health = failing();
+    run(&mut health, 11, OTHER_ZONE, RunEnd::Served);
+    let zone = |at_ms| health.failing_zone(at(at_ms)).map(|(zone, _)| zone);
+    assert_eq!(zone(40), Some(OWN_ZONE));
+    assert_eq!(zone(20_000), None, "it is forgotten");
+}
+
 #[test]
 fn failing_server_turns_attempts_away_but_for_a_few() {
     let mut health = failing();
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -118,6 +118,8 @@
     pub line_limit: LineLimit,
     /// How far a planned stop has come.
     pub phase: Cell<Phase>,
+    /// Whether the server beside this node was last found to fail its requests.
+    pub is_server_failing: Cell<bool>,
     /// Where this node takes messages of other nodes, as a header value.
     pub own_address: HeaderValue,
     /// The highest revision heard of from another node, and which.
@@ -158,6 +160,7 @@
             line_limit: LineLimit::default(),
             phase: Cell::new(Phase::Serving),
             newer_at: Cell::new(None),
+            is_server_failing: Cell::new(false),
             network,
         })
     }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -164,6 +164,7 @@
             info!(node.log, "log lines left out"; "count" => left_out);
         }
         note_gauges(&node);
+        note_server_health(&node);
         let mut state = node.state.borrow_mut();
         let now = node.now();
         state.admission.observe(now);
@@ -173,6 +174,22 @@
     }
 }
 
+/// Logs when the server beside this node begins to fail its requests, and when it
+/// no longer does.
+fn note_server_health(node: &Rc<Node>) {
+    let state = node.state.borrow();
+    let failing = state.admission.failing_zone(node.now());
+    if node.is_server_failing.replace(failing.is_some()) == failing.is_some() {
+        return;
+    }
+    match failing {
+        Some((zone, share)) => {
+            info!(node.log, "server fails requests"; "callers_zone" => zone, "failure_share" => share);
+        }
+        None => info!(node.log, "server serves requests again"),
+    }
+}
+
 fn note_gauges(node: &Rc<Node>) {
     let load = node.state.borrow().admission.occupancy();
     let gauge = |what: &str, value: u32| {
