Of servers with one address, only the newest entry is in force; a 421 is no failure

Half of the attempts went to identities that were gone, and each 421 counted as a failure of the new server, which was then avoided. Change: SnapshotStore::servers_in_force; a node that knows which server stands beside it refuses attempts for the former one without asking; a misdirected run counts neither as served nor as failed, nor teaches what a request needs.

--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -4,7 +4,8 @@
 //! answer it, from other nodes. Whatever the way, nothing older replaces
 //! anything newer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +48,8 @@
 pub struct SnapshotStore {
     snapshot: Arc<Snapshot>,
     vanished: BTreeMap<InstanceId, (ServerInstance, Timestamp)>,
+    /// The revision of the newest entry with an address.
+    newest_at: HashMap<SocketAddrV4, u64>,
 }
 
 impl SnapshotStore {
@@ -88,6 +91,7 @@
                 }
             }
             Arc::make_mut(&mut self.snapshot).servers = newer.servers;
+            self.index_addresses();
             applied.push(Applied::Servers);
         }
         self.advance(newer.revision);
@@ -112,6 +116,42 @@
             .collect()
     }
 
+    /// The servers that exist, as far as is known: of entries with one address
+    /// only the newest, since a server that starts at an address of before leaves
+    /// the former one's entry to run out. A server that vanished without a word
+    /// is among them while its service has no other and its address isn't taken.
+    pub fn servers_in_force(&self) -> Vec<ServerInstance> {
+        let mut servers: Vec<ServerInstance> = self
+            .snapshot
+            .servers
+            .values()
+            .filter(|known| !self.is_superseded(known))
+            .map(|known| known.instance.clone())
+            .collect();
+        let is_replaced = |vanished: &ServerInstance| {
+            servers.iter().any(|server| {
+                server.service == vanished.service || server.address == vanished.address
+            })
+        };
+        let mut still_used = self.recently_vanished();
+        still_used.retain(|vanished| !is_replaced(vanished));
+        servers.extend(still_used);
+        servers
+    }
+
+    fn is_superseded(&self, known: &KnownServer) -> bool {
+        let newest = self.newest_at.get(&known.instance.address);
+        newest.is_some_and(|revision| *revision > known.revision)
+    }
+
+    fn index_addresses(&mut self) {
+        self.newest_at.clear();
+        for known in self.snapshot.servers.values() {
+            let newest = self.newest_at.entry(known.instance.address).or_default();
+            *newest = known.revision.max(*newest);
+        }
+    }
+
     fn apply_configuration(&mut self, configuration: Configuration) -> Applied {
         let known = self.snapshot.configuration.as_ref();
         if known.is_some_and(|known| known.version >= configuration.version) {
@@ -134,6 +174,7 @@
         let id = instance.id.clone();
         let server = KnownServer { instance, revision };
         Arc::make_mut(&mut self.snapshot).servers.insert(id, server);
+        self.index_addresses();
         Applied::Servers
     }
 
@@ -146,6 +187,7 @@
         if let Some(server) = snapshot.servers.remove(id) {
             self.vanished.insert(id.clone(), (server.instance, now));
         }
+        self.index_addresses();
         Applied::Servers
     }
 }
--- a/crates/coordination/tests/mesh_routes.rs
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -188,6 +188,62 @@
     assert!(store.recently_vanished().is_empty());
 }
 
+fn ids_in_force(store: &SnapshotStore) -> Vec<String> {
+    let servers = store.servers_in_force();
+    servers.iter().map(|server| server.id.to_string()).collect()
+}
+
+#[test]
+fn of_entries_with_one_address_the_newest_is_in_force() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-old", "a", 1)));
+    store.apply(at(1), 7, Change::Server(server("i-new", "a", 1)));
+    store.apply(at(2), 6, Change::Server(server("i-other", "a", 2)));
+    assert_eq!(ids_in_force(&store), ["i-new", "i-other"]);
+}
+
+#[test]
+fn address_that_went_to_another_service_no_longer_serves_the_former() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-feeds", "a", 1)));
+    let mut taken_over = server("i-media", "a", 1);
+    taken_over.service = "media".to_owned();
+    store.apply(at(1), 6, Change::Server(taken_over));
+    assert_eq!(ids_in_force(&store), ["i-media"]);
+    store.apply(at(2), 7, Change::ServerGone(id("i-feeds")));
+    assert_eq!(ids_in_force(&store), ["i-media"], "its address is taken");
+}
+
+#[test]
+fn draining_server_with_the_newest_entry_keeps_its_address() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-old", "a", 1)));
+    let mut draining = server("i-new", "a", 1);
+    draining.state = ServerState::Draining;
+    store.apply(at(1), 6, Change::Server(draining));
+    assert_eq!(ids_in_force(&store), ["i-new"]);
+    assert!(!store.servers_in_force()[0].is_ready());
+}
+
+#[test]
+fn older_entry_is_in_force_again_when_the_newer_one_is_gone() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-old", "a", 1)));
+    store.apply(at(1), 6, Change::Server(server("i-new", "a", 1)));
+    store.apply(at(2), 7, Change::ServerGone(id("i-new")));
+    assert_eq!(ids_in_force(&store), ["i-old"]);
+}
+
+#[test]
+fn vanished_server_stays_in_force_only_while_its_service_has_no_other() {
+    let mut store = SnapshotStore::default();
+    store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
+    store.apply(at(1), 6, Change::ServerGone(id("i-1")));
+    assert_eq!(ids_in_force(&store), ["i-1"]);
+    store.apply(at(2), 7, Change::Server(server("i-2", "a", 2)));
+    assert_eq!(ids_in_force(&store), ["i-2"]);
+}
+
 #[test]
 fn snapshot_survives_its_encoding() {
     let mut store = SnapshotStore::default();
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -157,11 +157,7 @@
     if !node.takes_attempts() {
         return Some(NotRunReason::NodeLeaving);
     }
-    let known = node.own_server(&attempt.server)?;
-    if !node.is_beside(&known) {
-        return Some(NotRunReason::WrongInstance);
-    }
-    (!known.is_ready()).then_some(NotRunReason::ServerDraining)
+    node.refusal_for(&attempt.server)
 }
 
 async fn run(node: &Rc<Node>, mut attempt: Attempt, mut permit: Permit) -> AttemptOutcome {
@@ -188,14 +184,20 @@
         Err(SendError::Lost(error)) => return AttemptOutcome::unknown(lost_reason(&error)),
     };
     let is_failure = response.status().is_server_error();
-    node.state
-        .borrow_mut()
-        .admission
-        .answered(node.now(), permit.run, !is_failure);
+    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    node.state.borrow_mut().admission.answered(
+        node.now(),
+        permit.run,
+        !is_failure && !is_misdirected,
+    );
     if response.headers().get(&names.request_id) != id.as_ref() {
         return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
     }
     if let Some(end) = server_refusal(node, response.status(), response.headers()) {
+        if is_misdirected {
+            // The server that was meant is not there: it has failed nothing.
+            permit.end = RunEnd::Abandoned;
+        }
         finish_reading(response, lease).await;
         return AttemptOutcome {
             end,
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -9,6 +9,7 @@
 
 use hyper::header::HeaderValue;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
+use lifthollow_coordination::mesh::call::NotRunReason;
 use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
@@ -55,6 +56,8 @@
     pub split: WeightedSplit,
     /// The servers.
     pub servers: ServerPool,
+    /// The server beside this node, as far as is known.
+    pub own_server: Option<InstanceId>,
     /// Repeats that this node may send.
     pub budgets: RetryBudgets,
     /// Admission to the server beside this node.
@@ -141,6 +144,7 @@
             routes: None,
             split: WeightedSplit::default(),
             servers: ServerPool::new(&settings.zone),
+            own_server: None,
             budgets: RetryBudgets::new(settings.retry_bound),
             admission: ServerAdmission::new(&settings.service, UNKNOWN_SLOTS),
             waiters: HashMap::new(),
@@ -206,11 +210,16 @@
         server.address == self.settings.server_address
     }
 
-    /// The server beside this node, if it has announced itself.
-    pub fn own_server(&self, id: &InstanceId) -> Option<ServerInstance> {
+    /// Whether an attempt for the server `id` can't be for the one beside this
+    /// node, or comes too late for it. Of a server that this node hasn't heard of
+    /// only the server itself can tell.
+    pub fn refusal_for(&self, id: &InstanceId) -> Option<NotRunReason> {
         let state = self.state.borrow();
         let known = state.snapshots.snapshot().servers.get(id)?;
-        Some(known.instance.clone())
+        if state.own_server.as_ref() != Some(id) {
+            return Some(NotRunReason::WrongInstance);
+        }
+        (!known.instance.is_ready()).then_some(NotRunReason::ServerDraining)
     }
 
     /// Whether the server beside this node has stopped answering.
@@ -251,18 +260,7 @@
         if let Some(configuration) = &snapshot.configuration {
             self.refresh_routes(state, configuration);
         }
-        let mut servers: Vec<ServerInstance> = snapshot
-            .servers
-            .values()
-            .map(|known| known.instance.clone())
-            .collect();
-        let without = |service: &str| !servers.iter().any(|server| server.service == service);
-        let vanished = state.snapshots.recently_vanished();
-        let still_used: Vec<ServerInstance> = vanished
-            .into_iter()
-            .filter(|server| without(&server.service))
-            .collect();
-        servers.extend(still_used);
+        let servers = state.snapshots.servers_in_force();
         self.refresh_queue(state, &servers);
         state.budgets.set_nodes(servers.len());
         state.servers.set_servers(now, servers);
@@ -288,6 +286,7 @@
 
     fn refresh_queue(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
         let own = servers.iter().find(|server| self.is_beside(server));
+        state.own_server = own.map(|server| server.id.clone());
         if let Some(own) = own {
             let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
             let limit = used.min(max_connections(state, &own.service)).max(1);
