Few nodes watch the store; the others learn from messages between nodes

Change: the nodes beside a few servers (one in each zone, three at least, by a hash of the address) watch. Each message names the sender's revision and how long ago some node had it confirmed as the newest. A node that is behind fetches the difference from the sender; one whose view nobody has confirmed for 1.0 to 1.3 s asks two watchers, then the store, and tells the watchers what it learned there. Tests: mesh_view (choice of watchers, ages, updates by difference with quickcheck), three simulations: only the watchers call a store that answers; all watchers without power, or refused, with a new configuration. The last one failed first. watching_takes_few_calls was red now and then before this (times of checks were drawn, 7 calls are possible); it now can't be: idle watchers check after 1.5 s at the earliest.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -14,6 +14,8 @@
 //! given. [`request_tree`] tells which request a nested call is made for.
 //!
 //! [`snapshot_store`] keeps what the node was told from outside, forward only.
+//! [`watchers`] tells which nodes ask the source for all, and [`view_freshness`]
+//! when the others must.
 
 pub mod admission_queue;
 pub mod call;
@@ -26,4 +28,6 @@
 mod server_record;
 pub mod server_selection;
 pub mod snapshot_store;
+pub mod view_freshness;
+pub mod watchers;
 pub mod weighted_split;
--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -4,31 +4,24 @@
 //! answer it, from other nodes. Whatever the way, nothing older replaces
 //! anything newer.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{
-    Configuration, ConfigurationError, InstanceId, KnownServer, ServerInstance, Snapshot,
+    Change, Configuration, ConfigurationError, InstanceId, KnownServer, RevisedChange,
+    ServerInstance, Snapshot, Update,
 };
 
 /// A server that vanished without announcing its end is remembered this long. Its
 /// entry may have run out because it, or the source, was cut off; if its service
 /// has no other server, it is better asked than nobody.
 const VANISHED_GRACE: Duration = Duration::from_secs(20);
-
-/// One change that the source tells of.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    /// A new configuration.
-    Configuration(Configuration),
-    /// A server announced itself, or something about it changed.
-    Server(ServerInstance),
-    /// A server's announcement is gone.
-    ServerGone(InstanceId),
-}
+/// Changes that are kept for nodes that are behind. One that is further behind is
+/// sent the whole snapshot.
+const KEPT_CHANGES: usize = 1024;
 
 /// What came of a change.
 #[derive(Clone, Debug, PartialEq)]
@@ -50,6 +43,10 @@
     vanished: BTreeMap<InstanceId, (ServerInstance, Timestamp)>,
     /// The revision of the newest entry with an address.
     newest_at: HashMap<SocketAddrV4, u64>,
+    /// The last changes, in the order of their revisions.
+    recent: VecDeque<RevisedChange>,
+    /// All changes after this revision are among them.
+    recent_since: u64,
 }
 
 impl SnapshotStore {
@@ -60,6 +57,13 @@
 
     /// Takes in one change that was made at `revision`.
     pub fn apply(&mut self, now: Timestamp, revision: u64, change: Change) -> Applied {
+        if revision <= self.snapshot.revision {
+            return Applied::Nothing;
+        }
+        self.keep(RevisedChange {
+            revision,
+            change: change.clone(),
+        });
         match change {
             Change::Configuration(configuration) => self.apply_configuration(configuration),
             Change::Server(instance) => self.apply_server(revision, instance),
@@ -74,6 +78,46 @@
         }
     }
 
+    /// Takes in what another node knows.
+    pub fn update(&mut self, now: Timestamp, update: Update) -> Vec<Applied> {
+        match update {
+            Update::Whole(snapshot) => self.replace(now, snapshot),
+            Update::Difference { revision, changes } => {
+                let applied = changes
+                    .into_iter()
+                    .map(|change| self.apply(now, change.revision, change.change))
+                    .collect();
+                self.advance(revision);
+                applied
+            }
+        }
+    }
+
+    /// What a node needs whose snapshot is of `revision`.
+    pub fn update_since(&self, revision: u64) -> Update {
+        if revision == 0 || revision < self.recent_since {
+            return Update::Whole((*self.snapshot).clone());
+        }
+        let is_new = |change: &&RevisedChange| change.revision > revision;
+        Update::Difference {
+            revision: self.snapshot.revision,
+            changes: self.recent.iter().filter(is_new).cloned().collect(),
+        }
+    }
+
+    fn keep(&mut self, change: RevisedChange) {
+        let newest = self.recent.back().map_or(0, |newest| newest.revision);
+        if change.revision <= newest {
+            return;
+        }
+        self.recent.push_back(change);
+        if self.recent.len() > KEPT_CHANGES
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.recent_since = oldest.revision;
+        }
+    }
+
     /// Takes in a whole snapshot, if it is newer. It replaces all servers.
     pub fn replace(&mut self, now: Timestamp, newer: Snapshot) -> Vec<Applied> {
         if newer.revision < self.snapshot.revision {
@@ -94,6 +138,8 @@
             self.index_addresses();
             applied.push(Applied::Servers);
         }
+        self.recent.clear();
+        self.recent_since = newer.revision;
         self.advance(newer.revision);
         applied
     }
--- a/crates/coordination/tests/mesh_routes.rs
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -3,9 +3,9 @@
 mod mesh_support;
 
 use lifthollow_coordination::mesh::route_table::RouteTable;
-use lifthollow_coordination::mesh::snapshot_store::{Applied, Change, SnapshotStore};
+use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::mesh::{ConfigurationError, KnownServer, ServerState, Snapshot};
+use lifthollow_state::mesh::{Change, ConfigurationError, KnownServer, ServerState, Snapshot};
 use mesh_support::{at, configuration, id, part, random, route, server};
 
 #[test]
--- /dev/null
+++ b/crates/coordination/tests/mesh_view.rs
@@ -0,0 +1,213 @@
+//! Who asks the source, when, and how others learn from them.
+
+mod mesh_support;
+
+use std::collections::BTreeSet;
+
+use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
+use lifthollow_coordination::mesh::view_freshness::{ACCEPTED_AGE, Role, ViewFreshness, age_limit};
+use lifthollow_coordination::mesh::watchers::watchers;
+use lifthollow_state::mesh::{Change, ServerInstance, Update};
+use mesh_support::{at, configuration, id, ms, route, server};
+use quickcheck::quickcheck;
+
+/// Every leaving server must be known within this time.
+const DRAIN: u64 = 2000;
+/// What a listener may spend on watchers that don't answer.
+const ASKING: u64 = 400;
+
+fn fleet(zones: usize, in_each: usize) -> Vec<ServerInstance> {
+    let mut servers = Vec::new();
+    for zone in 0..zones {
+        for place in 0..in_each {
+            let name = format!("i-{zone}-{place}");
+            let mut one = server(&name, &format!("zone-{zone}"), 1);
+            let octets = [10, zone as u8, (place / 250) as u8, (place % 250) as u8 + 1];
+            one.address.set_ip(octets.into());
+            servers.push(one);
+        }
+    }
+    servers
+}
+
+#[test]
+fn few_nodes_watch_and_no_more_in_a_larger_fleet() {
+    for in_each in [10, 100, 1000] {
+        let servers = fleet(5, in_each);
+        let chosen = watchers(&servers);
+        assert_eq!(chosen.len(), 5);
+        let zones: BTreeSet<u8> = chosen
+            .iter()
+            .map(|address| address.ip().octets()[1])
+            .collect();
+        assert_eq!(zones.len(), 5, "one in each zone");
+    }
+}
+
+#[test]
+fn small_fleets_have_three_watchers_if_they_can() {
+    assert_eq!(watchers(&[]).len(), 0);
+    assert_eq!(watchers(&fleet(1, 2)).len(), 2);
+    assert_eq!(watchers(&fleet(1, 9)).len(), 3);
+    assert_eq!(watchers(&fleet(2, 9)).len(), 4);
+    assert_eq!(watchers(&fleet(3, 4)).len(), 3);
+}
+
+#[test]
+fn watchers_do_not_depend_on_the_order_or_on_other_zones() {
+    let servers = fleet(4, 20);
+    let mut reversed = servers.clone();
+    reversed.reverse();
+    let chosen = watchers(&servers);
+    assert_eq!(watchers(&reversed), chosen);
+    let without_one: Vec<ServerInstance> = servers
+        .iter()
+        .filter(|server| server.address != chosen[0])
+        .cloned()
+        .collect();
+    let others = watchers(&without_one);
+    assert_eq!(others[1..], chosen[1..], "only its zone chooses another");
+    assert_ne!(others[0], chosen[0]);
+}
+
+#[test]
+fn a_server_that_starts_anew_leaves_the_choice_as_it_was() {
+    let servers = fleet(3, 5);
+    let mut both = servers.clone();
+    both.extend(servers.iter().cloned().map(|mut server| {
+        server.id = id(&format!("{}-again", server.id));
+        server
+    }));
+    assert_eq!(watchers(&both), watchers(&servers));
+}
+
+#[test]
+fn a_listener_that_hears_nothing_has_asked_before_a_leaving_server_must_be_known() {
+    let latest = age_limit(Role::Listener, 1.0);
+    assert!(latest + ms(ASKING) <= ms(DRAIN));
+}
+
+#[test]
+fn watchers_check_before_listeners_do() {
+    let latest = age_limit(Role::BusyWatcher, 1.0);
+    assert!(latest < age_limit(Role::Listener, 0.0));
+    assert!(latest < ACCEPTED_AGE);
+}
+
+#[test]
+fn a_view_is_as_old_as_its_newest_confirmation() {
+    let mut view = ViewFreshness::default();
+    assert_eq!(view.age(at(10)), None);
+    assert!(view.is_source_lost(at(10)));
+    view.confirm(at(1000), at(900));
+    view.confirm(at(1000), at(400));
+    assert_eq!(view.age(at(1500)), Some(ms(600)));
+    view.confirm(at(1500), at(9000));
+    assert_eq!(view.age(at(1500)), Some(ms(0)), "never from the future");
+}
+
+#[test]
+fn the_source_is_available_from_the_first_confirmation_after_a_gap() {
+    let mut view = ViewFreshness::default();
+    view.confirm(at(1000), at(1000));
+    view.confirm(at(2000), at(2000));
+    assert_eq!(view.source_available_since(at(2500)), Some(at(1000)));
+    assert_eq!(view.source_available_since(at(5000)), None);
+    view.confirm(at(8000), at(8000));
+    assert_eq!(view.source_available_since(at(8100)), Some(at(8000)));
+}
+
+/// A store that has seen `count` servers come, at revisions from 1 on.
+fn store_of(count: u64) -> SnapshotStore {
+    let mut store = SnapshotStore::default();
+    for revision in 1..=count {
+        let name = format!("i-{revision}");
+        let change = Change::Server(server(&name, "a", (revision % 250) as u8));
+        store.apply(at(revision), revision, change);
+        store.advance(revision);
+    }
+    store
+}
+
+#[test]
+fn a_node_that_is_behind_is_sent_only_what_it_lacks() {
+    let store = store_of(9);
+    let Update::Difference { revision, changes } = store.update_since(7) else {
+        panic!("the whole was sent");
+    };
+    assert_eq!(revision, 9);
+    let revisions: Vec<u64> = changes.iter().map(|change| change.revision).collect();
+    assert_eq!(revisions, [8, 9]);
+}
+
+#[test]
+fn a_node_that_knows_nothing_or_is_too_far_behind_is_sent_the_whole() {
+    let mut store = store_of(2000);
+    assert!(matches!(store.update_since(0), Update::Whole(_)));
+    assert!(matches!(store.update_since(100), Update::Whole(_)));
+    assert!(matches!(
+        store.update_since(1500),
+        Update::Difference { .. }
+    ));
+    let whole = (**store.snapshot()).clone();
+    let mut newer = whole.clone();
+    newer.revision = 2500;
+    store.replace(at(3000), newer);
+    assert!(
+        matches!(store.update_since(2000), Update::Whole(_)),
+        "changes before a whole snapshot are not known apart"
+    );
+}
+
+#[test]
+fn what_the_snapshot_includes_is_not_applied_again() {
+    let mut store = store_of(3);
+    store.apply(at(10), 4, Change::ServerGone(id("i-2")));
+    store.advance(4);
+    let late = Change::Server(server("i-2", "a", 2));
+    assert_eq!(store.apply(at(11), 2, late), Applied::Nothing);
+    assert!(!store.snapshot().servers.contains_key(&id("i-2")));
+}
+
+/// Changes as a source makes them: servers come, change and go.
+fn change(pick: u8) -> Change {
+    let name = format!("i-{}", pick % 7);
+    match pick % 5 {
+        0 => Change::ServerGone(id(&name)),
+        1 => Change::Configuration(configuration(u64::from(pick) + 1, vec![route("r", "/")])),
+        _ => {
+            let mut one = server(&name, "a", pick % 7);
+            one.slots = u32::from(pick);
+            Change::Server(one)
+        }
+    }
+}
+
+quickcheck! {
+    /// However nodes take turns at asking each other, all that end at the newest
+    /// revision know the same.
+    fn updates_lead_to_the_same_snapshot(picks: Vec<u8>, asking: Vec<(u8, u8)>) -> bool {
+        let mut source = SnapshotStore::default();
+        let mut nodes = vec![SnapshotStore::default(); 4];
+        let mut asking = asking.into_iter();
+        for (place, pick) in picks.into_iter().enumerate() {
+            let revision = place as u64 + 1;
+            source.apply(at(revision), revision, change(pick));
+            source.advance(revision);
+            if let Some((from, to)) = asking.next() {
+                let (from, to) = (usize::from(from) % 5, usize::from(to) % 4);
+                let mine = nodes[to].snapshot().revision;
+                let update = match nodes.get(from) {
+                    Some(node) => node.update_since(mine),
+                    None => source.update_since(mine),
+                };
+                nodes[to].update(at(revision), update);
+            }
+        }
+        nodes.into_iter().all(|mut node| {
+            let update = source.update_since(node.snapshot().revision);
+            node.update(at(10_000), update);
+            node.snapshot() == source.snapshot()
+        })
+    }
+}
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -311,11 +311,12 @@
 impl Handler for Inbound {
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
+        node.last_request.set(Some(node.now()));
         if let Some(sender) = peer_headers::sender(request.headers()) {
             snapshots::note_revision(node, request.headers(), sender);
         }
         match request.uri().path() {
-            peer_headers::SNAPSHOT_PATH => return snapshots::answer(node),
+            peer_headers::SNAPSHOT_PATH => return snapshots::answer(node, request.headers()),
             peer_headers::PROBE_PATH => return probe::answer(node),
             _ => {}
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -15,6 +15,8 @@
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
 use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
+use lifthollow_coordination::mesh::view_freshness::{self, Role, ViewFreshness};
+use lifthollow_coordination::mesh::watchers::watchers;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
 use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
 use lifthollow_state::{ServiceName, Timestamp};
@@ -46,10 +48,17 @@
 /// How long a connection may stay unused unless the configuration says otherwise.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// A node that nothing has reached for this long is idle.
+const IDLE_AFTER: Duration = Duration::from_secs(2);
+
 /// Decisions and what they know.
 pub struct TrafficState {
     /// What was told from outside.
     pub snapshots: SnapshotStore,
+    /// When that was last confirmed.
+    pub view: ViewFreshness,
+    /// The servers whose nodes watch the source for all, by address.
+    pub watchers: Vec<SocketAddrV4>,
     /// The routes in force; none before a configuration arrived.
     pub routes: Option<Arc<RouteTable>>,
     /// Splits of routes over services.
@@ -125,8 +134,10 @@
     pub is_server_failing: Cell<bool>,
     /// Where this node takes messages of other nodes, as a header value.
     pub own_address: HeaderValue,
-    /// The highest revision heard of from another node, and which.
-    pub newer_at: Cell<Option<(u64, SocketAddrV4)>>,
+    /// Whether an update is being fetched from another node.
+    pub is_catching_up: Cell<bool>,
+    /// When a caller or another node last asked for something, if ever.
+    pub last_request: Cell<Option<Timestamp>>,
 }
 
 impl Node {
@@ -141,6 +152,8 @@
         let network = surroundings.network;
         let state = TrafficState {
             snapshots: SnapshotStore::default(),
+            view: ViewFreshness::default(),
+            watchers: Vec::new(),
             routes: None,
             split: WeightedSplit::default(),
             servers: ServerPool::new(&settings.zone),
@@ -163,7 +176,8 @@
             log,
             line_limit: LineLimit::default(),
             phase: Cell::new(Phase::Serving),
-            newer_at: Cell::new(None),
+            is_catching_up: Cell::new(false),
+            last_request: Cell::new(None),
             is_server_failing: Cell::new(false),
             network,
         })
@@ -189,6 +203,49 @@
         self.state.borrow().snapshots.snapshot().revision
     }
 
+    /// Whether this node watches the source itself. One that knows of no other
+    /// node does.
+    pub fn is_watcher(&self) -> bool {
+        let state = self.state.borrow();
+        state.watchers.is_empty() || state.watchers.contains(&self.settings.server_address)
+    }
+
+    fn role(&self) -> Role {
+        match (self.is_watcher(), self.is_busy()) {
+            (false, _) => Role::Listener,
+            (true, true) => Role::BusyWatcher,
+            (true, false) => Role::IdleWatcher,
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        let now = self.now();
+        let last = self.last_request.get();
+        last.is_some_and(|last| now.saturating_since(last) < IDLE_AFTER)
+    }
+
+    /// How old the view may grow before this node checks it; `drawn` is from 0 to 1.
+    pub fn age_limit(&self, drawn: f64) -> Duration {
+        view_freshness::age_limit(self.role(), drawn)
+    }
+
+    /// Whether the view is so fresh that the source need not be asked.
+    pub fn is_view_fresh(&self) -> bool {
+        let age = self.view_age();
+        age.is_some_and(|age| age <= view_freshness::ACCEPTED_AGE)
+    }
+
+    /// The time since the view was confirmed; none if it never was.
+    pub fn view_age(&self) -> Option<Duration> {
+        self.state.borrow().view.age(self.now())
+    }
+
+    /// At `at`, the source had nothing newer than this node has.
+    pub fn confirm_view(&self, at: Timestamp) {
+        let now = self.now();
+        self.state.borrow_mut().view.confirm(now, at);
+    }
+
     /// Version of the configuration in force; none before the first.
     pub fn configuration_version(&self) -> Option<u64> {
         let state = self.state.borrow();
@@ -202,7 +259,12 @@
 
     /// The address of the node beside a server.
     pub fn node_beside(&self, server: &ServerInstance) -> SocketAddrV4 {
-        SocketAddrV4::new(*server.address.ip(), self.settings.inbound.port())
+        self.beside(server.address)
+    }
+
+    /// The address of the node beside the server at `server`.
+    pub fn beside(&self, server: SocketAddrV4) -> SocketAddrV4 {
+        SocketAddrV4::new(*server.ip(), self.settings.inbound.port())
     }
 
     /// Whether the server stands beside this node.
@@ -261,6 +323,7 @@
             self.refresh_routes(state, configuration);
         }
         let servers = state.snapshots.servers_in_force();
+        state.watchers = watchers(&servers);
         self.refresh_queue(state, &servers);
         state.budgets.set_nodes(servers.len());
         state.servers.set_servers(now, servers);
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -23,7 +23,8 @@
 pub const TREE: HeaderName = HeaderName::from_static("lifthollow-tree");
 /// How long the attempt may wait before it runs, milliseconds.
 pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
-/// Revision of the sender's snapshot.
+/// Revision of the sender's snapshot, and how long ago it was confirmed to be the
+/// newest, in milliseconds, if ever.
 pub const REVISION: HeaderName = HeaderName::from_static("lifthollow-revision");
 /// Where the sender takes messages of other nodes.
 pub const NODE: HeaderName = HeaderName::from_static("lifthollow-node");
@@ -184,6 +185,35 @@
     })
 }
 
+/// What a node says of its view of the source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedRevision {
+    /// Revision of its snapshot.
+    pub revision: u64,
+    /// How long ago it was confirmed to be the newest; none if it never was.
+    pub age: Option<Duration>,
+}
+
+/// The value of [`REVISION`].
+pub fn revision_value(named: NamedRevision) -> HeaderValue {
+    let Some(age) = named.age else {
+        return HeaderValue::from(named.revision);
+    };
+    let text = format!("{} {}", named.revision, age.as_millis());
+    HeaderValue::try_from(text).expect("digits and a blank")
+}
+
+/// Reads [`REVISION`].
+pub fn revision(headers: &HeaderMap) -> Option<NamedRevision> {
+    let mut words = headers.get(REVISION)?.to_str().ok()?.split(' ');
+    let revision = words.next()?.parse().ok()?;
+    let age = words.next().and_then(|word| word.parse().ok());
+    Some(NamedRevision {
+        revision,
+        age: age.map(Duration::from_millis),
+    })
+}
+
 /// What an attempt allows, and where it comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -1,8 +1,8 @@
 //! What comes from outside: applied, and passed on between nodes.
 //!
-//! Every message between nodes names the sender's revision. A node that stays
-//! behind, because the source doesn't answer it, fetches the whole snapshot from
-//! a node that is ahead.
+//! Few nodes watch the source. Every message between nodes names the sender's
+//! revision and how long ago that was confirmed to be the newest. A node that is
+//! behind fetches what it lacks from a node that is ahead.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -10,8 +10,9 @@
 
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
-use lifthollow_coordination::mesh::snapshot_store::{Applied, Change};
-use lifthollow_state::mesh::Snapshot;
+use lifthollow_coordination::mesh::snapshot_store::Applied;
+use lifthollow_state::mesh::{Change, Snapshot, Update};
+use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use thiserror::Error;
 
@@ -19,12 +20,18 @@
 use crate::http::body::{self, ReadBody};
 use crate::http::pool::Reuse;
 use crate::node::Node;
-use crate::peer_headers;
+use crate::peer_headers::{self, NamedRevision};
 
-/// A node waits this long for the source before it asks another node.
-const FETCH_DELAY: Duration = Duration::from_millis(300);
-/// The longest time that another node may take to answer.
+/// A node that watches the source waits this long for it before it asks another
+/// node.
+const WATCHER_DELAY: Duration = Duration::from_millis(300);
+/// The longest time that a node which is ahead may take to answer.
 const FETCH_LIMIT: Duration = Duration::from_millis(800);
+/// The longest time that a node which watches the source may take to answer,
+/// before another one or the source is asked.
+const ASK_LIMIT: Duration = Duration::from_millis(200);
+/// How many nodes that watch the source are asked before the source itself.
+const WATCHERS_ASKED: usize = 2;
 /// The largest snapshot that is taken in, bytes.
 const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
 
@@ -38,6 +45,8 @@
     TooLarge,
     #[error("{0}")]
     Decode(#[from] minicbor::decode::Error),
+    #[error("no revision named")]
+    Unnamed,
     #[error("no answer in time")]
     TimedOut,
 }
@@ -92,66 +101,154 @@
     }
 }
 
-/// The answer to a node that asks for the snapshot.
-pub fn answer(node: &Rc<Node>) -> Response<ProxyBody> {
-    let snapshot = node.state.borrow().snapshots.snapshot().clone();
-    let bytes = minicbor::to_vec(&*snapshot).expect("writing to memory does not fail");
-    Response::new(ProxyBody::Whole(bytes.into()))
+/// The answer to a node that asks for what it lacks: it names the revision that
+/// it has.
+pub fn answer(node: &Rc<Node>, headers: &HeaderMap) -> Response<ProxyBody> {
+    let theirs = peer_headers::revision(headers).map_or(0, |named| named.revision);
+    let update = node.state.borrow().snapshots.update_since(theirs);
+    let bytes = minicbor::to_vec(&update).expect("writing to memory does not fail");
+    let mut response = Response::new(ProxyBody::Whole(bytes.into()));
+    name_revision(node, response.headers_mut());
+    response
 }
 
-/// Tells another node which revision this one has, and where to ask for it.
+/// Tells another node which revision this one has, how fresh that is, and where to
+/// ask for it.
 pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
-    headers.insert(peer_headers::REVISION, HeaderValue::from(node.revision()));
+    let named = NamedRevision {
+        revision: node.revision(),
+        age: node.view_age(),
+    };
+    headers.insert(peer_headers::REVISION, peer_headers::revision_value(named));
     headers.insert(peer_headers::NODE, node.own_address.clone());
 }
 
 /// Takes note of the revision that another node names.
 pub fn note_revision(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
-    let Some(theirs) = peer_headers::number::<u64>(headers, &peer_headers::REVISION) else {
+    let Some(theirs) = peer_headers::revision(headers) else {
         return;
     };
-    if theirs <= node.revision() || node.newer_at.get().is_some() {
-        return;
+    note_named(node, theirs);
+    if theirs.revision > node.revision() && !node.is_catching_up.replace(true) {
+        tokio::task::spawn_local(catch_up(node.clone(), theirs.revision, from));
+    }
+}
+
+/// What another node knows of the same revision is known here, too.
+fn note_named(node: &Rc<Node>, theirs: NamedRevision) {
+    if let Some(age) = theirs.age
+        && theirs.revision == node.revision()
+    {
+        node.confirm_view(node.now().saturating_sub(age));
     }
-    node.newer_at.set(Some((theirs, from)));
-    tokio::task::spawn_local(catch_up(node.clone(), theirs, from));
 }
 
 async fn catch_up(node: Rc<Node>, theirs: u64, from: SocketAddrV4) {
     // Without a snapshot there is nothing to wait for: callers are turned away.
-    if node.revision() > 0 {
-        tokio::time::sleep(FETCH_DELAY).await;
+    if node.revision() > 0 && node.is_watcher() {
+        tokio::time::sleep(WATCHER_DELAY).await;
     }
     if node.revision() < theirs {
-        match fetch(&node, from).await {
-            Ok(snapshot) => replace(&node, &from.to_string(), snapshot),
-            Err(error) => {
-                warn!(node.log, "snapshot not fetched"; "from" => %from, "error" => %error);
-            }
+        fetch_update(&node, from, FETCH_LIMIT).await;
+    }
+    node.is_catching_up.set(false);
+}
+
+/// Asks nodes that watch the source what this one lacks, until its view is fresh.
+/// False if it is not.
+pub async fn ask_watchers(node: &Rc<Node>) -> bool {
+    for address in drawn_watchers(node) {
+        fetch_update(node, address, ASK_LIMIT).await;
+        if node.is_view_fresh() {
+            return true;
+        }
+    }
+    false
+}
+
+fn drawn_watchers(node: &Rc<Node>) -> Vec<SocketAddrV4> {
+    let others = other_watchers(node).into_iter();
+    let mut state = node.state.borrow_mut();
+    others.sample(&mut state.random, WATCHERS_ASKED)
+}
+
+/// Tells the nodes that watch the source what this one has learned from it: the
+/// source may refuse them all.
+pub fn tell_watchers(node: &Rc<Node>) {
+    for address in other_watchers(node) {
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            // The question names this node's revision.
+            fetch_update(&node, address, ASK_LIMIT).await;
+        });
+    }
+}
+
+/// The nodes that watch the source, but for this one.
+fn other_watchers(node: &Rc<Node>) -> Vec<SocketAddrV4> {
+    let state = node.state.borrow();
+    let own = node.settings.server_address;
+    let others = state.watchers.iter().filter(|address| **address != own);
+    others.map(|server| node.beside(*server)).collect()
+}
+
+async fn fetch_update(node: &Rc<Node>, from: SocketAddrV4, limit: Duration) {
+    let asked = node.now();
+    match fetch(node, from, limit).await {
+        Ok((update, named)) => {
+            take_update(node, &from.to_string(), update);
+            let answered = node.now();
+            let age = named.age.map(|age| age + answered.saturating_since(asked));
+            note_named(node, NamedRevision { age, ..named });
+        }
+        Err(error) => {
+            warn!(node.log, "update not fetched"; "from" => %from, "error" => %error,
+                "revision" => node.revision());
         }
     }
-    node.newer_at.set(None);
 }
 
-async fn fetch(node: &Rc<Node>, from: SocketAddrV4) -> Result<Snapshot, FetchError> {
+fn take_update(node: &Rc<Node>, from: &str, update: Update) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let applied = state.snapshots.update(now, update);
+    if !applied.is_empty() {
+        node.refresh(&mut state);
+    }
+    drop(state);
+    node.metrics
+        .changes
+        .with_label_values(&["node"])
+        .inc_by(applied.len() as u64);
+    log_applied(node, from, &applied);
+}
+
+async fn fetch(
+    node: &Rc<Node>,
+    from: SocketAddrV4,
+    limit: Duration,
+) -> Result<(Update, NamedRevision), FetchError> {
     let mut request = Request::new(ProxyBody::empty());
     *request.uri_mut() = hyper::Uri::from_static(peer_headers::SNAPSHOT_PATH);
     let host = HeaderValue::try_from(from.to_string()).expect("an address is plain text");
-    request.headers_mut().insert(HOST, host);
+    let headers = request.headers_mut();
+    headers.insert(HOST, host);
+    name_revision(node, headers);
     let exchange = async {
         let (response, lease) = node
             .peer_connections
             .send(from, request, Reuse::Any)
             .await?;
+        let named = peer_headers::revision(response.headers()).ok_or(FetchError::Unnamed)?;
         match body::read(response.into_body(), MAX_SNAPSHOT).await? {
             ReadBody::Larger { .. } => Err(FetchError::TooLarge),
             ReadBody::Whole(bytes) => {
                 lease.keep();
-                Ok(minicbor::decode(&bytes)?)
+                Ok((minicbor::decode(&bytes)?, named))
             }
         }
     };
-    tokio::time::timeout(FETCH_LIMIT, exchange)
+    tokio::time::timeout(limit, exchange)
         .await
         .map_err(|_| FetchError::TimedOut)?
 }
--- /dev/null
+++ b/crates/state/src/mesh/update.rs
@@ -0,0 +1,50 @@
+//! What a node needs to bring its snapshot up to date.
+
+use minicbor::{Decode, Encode};
+
+use crate::mesh::configuration::Configuration;
+use crate::mesh::server_instance::{InstanceId, ServerInstance};
+use crate::mesh::snapshot::Snapshot;
+
+/// One change that the source tells of.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Change {
+    /// A new configuration.
+    #[n(0)]
+    Configuration(#[n(0)] Configuration),
+    /// A server announced itself, or something about it changed.
+    #[n(1)]
+    Server(#[n(0)] ServerInstance),
+    /// A server's announcement is gone.
+    #[n(2)]
+    ServerGone(#[n(0)] InstanceId),
+}
+
+/// A change and the revision that it was made at.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RevisedChange {
+    /// The revision.
+    #[n(0)]
+    pub revision: u64,
+    /// The change.
+    #[n(1)]
+    pub change: Change,
+}
+
+/// What one node sends another that is behind.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Update {
+    /// The sender doesn't know the changes since the other's revision apart.
+    #[n(0)]
+    Whole(#[n(0)] Snapshot),
+    /// All changes since the other's revision.
+    #[n(1)]
+    Difference {
+        /// The revision that they lead to.
+        #[n(0)]
+        revision: u64,
+        /// The changes, in the order of their revisions.
+        #[n(1)]
+        changes: Vec<RevisedChange>,
+    },
+}
