A server whose entry ran out is taken as gone 2.5 s after that, or after the store's return

A last server of a service was used on for 20 s whatever the store said. Change: SnapshotStore::forget_vanished is told since when the store has been available, as far as any node knows (ViewFreshness); nothing is forgotten while it is away. Tests that failed first: two in mesh_routes, last_server_of_a_service_is_used_on_until_its_entry_would_be_back.

--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -15,10 +15,11 @@
     ServerInstance, Snapshot, Update,
 };
 
-/// A server that vanished without announcing its end is remembered this long. Its
-/// entry may have run out because it, or the source, was cut off; if its service
-/// has no other server, it is better asked than nobody.
-const VANISHED_GRACE: Duration = Duration::from_secs(20);
+/// A server whose entry is gone without an announcement is remembered this long,
+/// and until the source has been available for as long: its entry may have run out
+/// while the source was away, and is back about two seconds after the source is,
+/// if the server lives. If its service has no other server, it is asked until then.
+const VANISHED_GRACE: Duration = Duration::from_millis(2500);
 /// Changes that are kept for nodes that are behind. One that is further behind is
 /// sent the whole snapshot.
 const KEPT_CHANGES: usize = 1024;
@@ -144,11 +145,17 @@
         applied
     }
 
-    /// Forgets servers that vanished too long ago. True if there were any.
-    pub fn forget_vanished(&mut self, now: Timestamp) -> bool {
+    /// Forgets servers that vanished too long ago. True if there were any. The
+    /// source has been available since `available_since`; none while it is lost:
+    /// then nothing is forgotten, as no server can come back.
+    pub fn forget_vanished(&mut self, now: Timestamp, available_since: Option<Timestamp>) -> bool {
+        let Some(available_since) = available_since else {
+            return false;
+        };
         let before = self.vanished.len();
-        self.vanished
-            .retain(|_, (_, since)| now.saturating_since(*since) < VANISHED_GRACE);
+        self.vanished.retain(|_, (_, vanished)| {
+            now.saturating_since(available_since.max(*vanished)) < VANISHED_GRACE
+        });
         self.vanished.len() < before
     }
 
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -168,7 +168,8 @@
         let mut state = node.state.borrow_mut();
         let now = node.now();
         state.admission.observe(now);
-        if state.snapshots.forget_vanished(now) {
+        let available_since = state.view.source_available_since(now);
+        if state.snapshots.forget_vanished(now, available_since) {
             node.refresh(&mut state);
         }
     }
