A caller that leaves while its answer is written has the answer stopped

Cause: a request counted as over when its answer began. Test that failed first: caller_that_leaves_during_an_answer_has_it_stopped_at_the_server.

--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -162,7 +162,8 @@
                     });
                 }
             });
-            if ahead.is_closed() && active.get() > 0 {
+            let is_left = ahead.is_closed();
+            if is_left && active.get() > 0 {
                 return Poll::Ready(());
             }
             if !is_asked_to_close {
@@ -176,6 +177,10 @@
             if connection.as_mut().poll(context).is_ready() {
                 return Poll::Ready(());
             }
+            if is_left {
+                // What is still to be written of an answer is for nobody.
+                return Poll::Ready(());
+            }
             if !ahead.has_room_again() {
                 return Poll::Pending;
             }
