Stand-ins: ports chosen ahead of a start are not ones that the system hands out

Cause: the roster of a demo names ports before the nodes start; they were chosen by the system, freed again, and given to whatever socket asked for any port meanwhile: 'node's port 127.0.0.1:33037: Address already in use' in one of six runs of scripts/demo on a busy machine. Change: ports are drawn from 12,000 to 31,999. Test that failed first: chosen_ports_are_not_ones_that_the_system_hands_out.

--- a/crates/standin/src/experiment/claim_roster.rs
+++ b/crates/standin/src/experiment/claim_roster.rs
@@ -1,16 +1,21 @@
 //! The nodes that store claims on idempotency keys.
 //!
-//! A roster names its members by address before they start, so their ports are chosen by the
-//! system ahead of time and left free again for the nodes.
+//! A roster names its members by address before they start, so their ports are chosen ahead of
+//! time and left free again for the nodes. They are not ones that the system hands out: any socket
+//! that is opened meanwhile could get them.
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 
 use anyhow::Context;
+use rand::RngExt;
 
-/// How often another port is tried when one is taken for UDP.
-const PORT_TRIES: usize = 20;
+/// How often another port is tried when one is taken.
+const PORT_TRIES: usize = 100;
+/// Ports below those that systems hand out by themselves (from 32,768 on, or 49,152).
+const PORTS: Range<u16> = 12_000..32_000;
 
 /// One member.
 #[derive(Clone, Debug)]
@@ -66,10 +71,13 @@
 
 impl ReservedPort {
     fn choose() -> anyhow::Result<Self> {
+        let mut random = rand::rng();
         for _ in 0..PORT_TRIES {
-            let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-            let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, tcp.local_addr()?.port());
-            if let Ok(udp) = UdpSocket::bind(address) {
+            let port = random.random_range(PORTS);
+            let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+            let tcp = TcpListener::bind(address);
+            let udp = UdpSocket::bind(address);
+            if let (Ok(tcp), Ok(udp)) = (tcp, udp) {
                 return Ok(ReservedPort {
                     address,
                     _tcp: tcp,
