--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -40,6 +40,26 @@
     Claim(ClaimCommand),
     /// A node's state to a file.
     Snapshot(SnapshotCommand),
+    /// Why requests were not served, by nodes' logs.
+    Causes(CausesCommand),
+}
+
+/// Count, over the logs of any number of nodes, why requests were not served: for
+/// each service, what callers were told and the cause, the most frequent first,
+/// with the seconds in which it came.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "causes",
+    example = "All nodes of a site:\n  {command_name} logs/*"
+)]
+pub struct CausesCommand {
+    /// logs, JSON lines; `-` is standard input
+    #[argh(positional)]
+    pub files: Vec<String>,
+    /// only the request whose identity begins so, with its nested calls
+    #[argh(option)]
+    pub request: Option<String>,
 }
 
 /// Show a node in short: its table, its load, what is in progress.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 mod columns;
 mod duration;
 mod file;
+pub mod logs;
 pub mod node;
 pub mod outcome;
 pub mod table;
@@ -43,6 +44,7 @@
         Command::Leaving(command) => node::leaving(&command.address),
         Command::Claim(command) => node::claim(command),
         Command::Snapshot(command) => node::snapshot(command),
+        Command::Causes(command) => logs::causes(command),
     }
 }
 
--- a/crates/ctl/tests/support/mod.rs
+++ b/crates/ctl/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Runs the program and keeps its files apart from other tests.
+#![allow(dead_code)] // each test file uses its own part
 
 use std::fs;
 use std::path::PathBuf;
