Hedges get little of the saved budget

Change: an attempt beside a late one is paid from a part that holds two at most, as before; a repeat after a lost answer has the whole saved budget. Tests: hedges_get_little_of_what_is_saved, a_hedge_is_paid_like_any_repeat.

--- a/crates/coordination/src/mesh/retry_budget.rs
+++ b/crates/coordination/src/mesh/retry_budget.rs
@@ -9,6 +9,9 @@
 //! in any window the fleet repeats at most what that window and the one before
 //! have earned. A share of half of the bound's is therefore safe.
 //!
+//! An attempt beside one that is late (a hedge) may be no more than load: in an
+//! overload many are late. Of what is saved only little can be spent on those.
+//!
 //! A repeat makes the nested calls of its run repeats too. Those can't be held
 //! back, so they are taken out of the budget of the service that they go to, and
 //! a part of the bound is kept free for them.
@@ -23,6 +26,8 @@
 /// The part of the fixed number that a node may have at once, and that it gets
 /// anew in each window.
 const FIXED_SHARE: f64 = 0.25;
+/// The most that is kept for hedges.
+const MAX_HEDGES: f64 = 2.0;
 /// The most that may be owed for calls of repeated runs.
 const MAX_DEBT: f64 = 20.0;
 /// Shorter windows are taken for this long.
@@ -52,6 +57,8 @@
     refilled: Timestamp,
     /// Owed for calls of repeated runs.
     debt: f64,
+    /// The part of all this that hedges may have.
+    hedges: f64,
 }
 
 impl Balance {
@@ -63,6 +70,7 @@
             fixed,
             refilled: now,
             debt: 0.0,
+            hedges: fixed.min(MAX_HEDGES),
         }
     }
 
@@ -86,6 +94,7 @@
         let repaid = amount.min(self.debt);
         self.debt -= repaid;
         self.earned += amount - repaid;
+        self.hedges = (self.hedges + amount).min(MAX_HEDGES);
     }
 
     /// Takes `amount` of what expires first; what is missing is owed.
@@ -145,6 +154,16 @@
         is_enough
     }
 
+    /// Pays for one attempt beside another that is late; says whether there was
+    /// enough.
+    pub fn withdraw_for_hedge(&mut self, now: Timestamp, service: &str) -> bool {
+        if self.balance(now, service).hedges < 1.0 || !self.withdraw(now, service) {
+            return false;
+        }
+        self.balance(now, service).hedges -= 1.0;
+        true
+    }
+
     /// A call of a repeated run was sent to `service`.
     pub fn inherited(&mut self, now: Timestamp, service: &str) {
         self.balance(now, service).spend(1.0);
@@ -164,7 +183,9 @@
             .expect("it was inserted above");
         balance.expire(now, window / 2);
         let passed = now.saturating_since(balance.refilled).as_secs_f64();
-        balance.fixed = (balance.fixed + fixed * passed / window.as_secs_f64()).min(fixed);
+        let refill = fixed * passed / window.as_secs_f64();
+        balance.fixed = (balance.fixed + refill).min(fixed);
+        balance.hedges = (balance.hedges + refill).min(MAX_HEDGES);
         balance.refilled = now;
         balance
     }
--- a/crates/coordination/tests/mesh_budget.rs
+++ b/crates/coordination/tests/mesh_budget.rs
@@ -81,6 +81,29 @@
     assert_eq!(repeated.count(), 12 * NODES);
 }
 
+#[test]
+fn hedges_get_little_of_what_is_saved() {
+    let mut budgets = RetryBudgets::new(bound());
+    budgets.set_nodes(95);
+    for request in 0..1000 {
+        budgets.deposit(at(request), "feeds");
+    }
+    let hedges = (0..100).filter(|_| budgets.withdraw_for_hedge(at(1000), "feeds"));
+    assert_eq!(hedges.count(), 2);
+    assert!(budgets.withdraw(at(1000), "feeds"), "repeats have more");
+}
+
+#[test]
+fn a_hedge_is_paid_like_any_repeat() {
+    let mut budgets = RetryBudgets::new(bound());
+    budgets.set_nodes(95);
+    for request in 0..15 {
+        budgets.deposit(at(request), "feeds");
+    }
+    assert!(budgets.withdraw(at(20), "feeds"));
+    assert!(!budgets.withdraw_for_hedge(at(20), "feeds"), "it is spent");
+}
+
 #[test]
 fn what_was_earned_long_ago_is_worth_nothing() {
     let mut budgets = RetryBudgets::new(bound());
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
+use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::server_selection::Choice;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::ServerInstance;
@@ -62,7 +63,7 @@
             _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
             is_lost = watched.is_lost(node) => {
                 let may_hedge = is_lost && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
-                if !may_hedge || !pay_for_repeat(node, request) {
+                if !may_hedge || !pay_for_hedge(node, request) {
                     continue;
                 }
                 call.hedge(&watched.server.id);
@@ -201,9 +202,21 @@
 }
 
 fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
+    pay(node, request, RetryBudgets::withdraw)
+}
+
+fn pay_for_hedge(node: &Rc<Node>, request: &RoutedRequest) -> bool {
+    pay(node, request, RetryBudgets::withdraw_for_hedge)
+}
+
+fn pay(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    withdraw: impl FnOnce(&mut RetryBudgets, Timestamp, &str) -> bool,
+) -> bool {
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    let paid = state.budgets.withdraw(now, &request.route.service);
+    let paid = withdraw(&mut state.budgets, now, &request.route.service);
     if paid {
         node.metrics.repeats.inc();
     }
