A confirmation of the view has an identity, and grows no younger by being passed on

Cause: nodes name the age of a confirmation, and each message takes its transit and the rounding off that age. Change: a confirmation names its process and a number; a node takes an age from the first message that names it, and a repetition changes nothing. Ages are rounded up. A confirmation of an older revision is taken as well: it says that there was nothing newer then. Tests: three in mesh_view.rs fail with the former rule; the simulation with busy nodes passes with it too (six nodes are too few for the drift), and stays as a guard.

--- a/crates/coordination/tests/mesh_view.rs
+++ b/crates/coordination/tests/mesh_view.rs
@@ -3,13 +3,18 @@
 mod mesh_support;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
-use lifthollow_coordination::mesh::view_freshness::{ACCEPTED_AGE, Role, ViewFreshness, age_limit};
+use lifthollow_coordination::mesh::view_freshness::{
+    ACCEPTED_AGE, Confirmation, ConfirmationId, Role, ViewFreshness, age_limit,
+};
 use lifthollow_coordination::mesh::watchers::watchers;
 use lifthollow_state::mesh::{Change, ServerInstance, Update};
 use mesh_support::{at, configuration, id, ms, route, server};
 use quickcheck::quickcheck;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 /// Every leaving server must be known within this time.
 const DRAIN: u64 = 2000;
@@ -96,7 +101,7 @@
 
 #[test]
 fn a_view_is_as_old_as_its_newest_confirmation() {
-    let mut view = ViewFreshness::default();
+    let mut view = ViewFreshness::new(1);
     assert_eq!(view.age(at(10)), None);
     assert!(view.is_source_lost(at(10)));
     view.confirm(at(1000), at(900));
@@ -108,7 +113,7 @@
 
 #[test]
 fn the_source_is_available_from_the_first_confirmation_after_a_gap() {
-    let mut view = ViewFreshness::default();
+    let mut view = ViewFreshness::new(1);
     view.confirm(at(1000), at(1000));
     view.confirm(at(2000), at(2000));
     assert_eq!(view.source_available_since(at(2500)), Some(at(1000)));
@@ -117,6 +122,108 @@
     assert_eq!(view.source_available_since(at(8100)), Some(at(8000)));
 }
 
+/// What another node says of confirmation `number` of the process `origin`.
+fn named(origin: u32, number: u32, age: u64) -> Confirmation {
+    Confirmation {
+        id: ConfirmationId { origin, number },
+        age: ms(age),
+    }
+}
+
+#[test]
+fn a_confirmation_that_is_told_again_is_no_news() {
+    let mut view = ViewFreshness::new(1);
+    view.hear(at(1000), named(7, 3, 200));
+    assert_eq!(view.age(at(1000)), Some(ms(200)));
+    view.hear(at(1500), named(7, 3, 200));
+    view.hear(at(1500), named(7, 2, 0));
+    assert_eq!(view.age(at(1500)), Some(ms(700)));
+    view.hear(at(1500), named(7, 4, 100));
+    assert_eq!(view.age(at(1500)), Some(ms(100)));
+}
+
+#[test]
+fn a_node_does_not_believe_others_about_its_own_confirmations() {
+    let mut view = ViewFreshness::new(1);
+    view.confirm(at(1000), at(1000));
+    let own = view.newest(at(1000)).expect("it was confirmed");
+    view.hear(at(1800), Confirmation { age: ms(0), ..own });
+    assert_eq!(view.age(at(1800)), Some(ms(800)));
+}
+
+/// Nodes that tell each other how fresh their views are.
+struct Talking {
+    views: Vec<ViewFreshness>,
+    random: SmallRng,
+}
+
+impl Talking {
+    fn new(count: u32) -> Self {
+        Talking {
+            views: (0..count).map(ViewFreshness::new).collect(),
+            random: SmallRng::seed_from_u64(1),
+        }
+    }
+
+    /// In the millisecond that ends at `now`, every node has told another one how
+    /// fresh its view is; messages take a millisecond.
+    fn step(&mut self, now: u64) {
+        let sent: Vec<Option<Confirmation>> = self
+            .views
+            .iter()
+            .map(|view| view.newest(at(now - 1)))
+            .collect();
+        for confirmation in sent.into_iter().flatten() {
+            let to = self.random.random_range(0..self.views.len());
+            self.views[to].hear(at(now), confirmation);
+        }
+    }
+
+    fn youngest(&self, now: u64) -> Duration {
+        let ages = self.views.iter().filter_map(|view| view.age(at(now)));
+        ages.min().expect("some view was confirmed")
+    }
+}
+
+/// What the ways from the source may take off an age: messages take a
+/// millisecond, and few pass on a confirmation before everybody has it.
+const TRANSIT: u64 = 40;
+
+#[test]
+fn views_grow_old_in_a_fleet_that_talks_much_when_nobody_reaches_the_source() {
+    for nodes in [15, 70, 300] {
+        let mut fleet = Talking::new(nodes);
+        for watcher in [0, 1, 2] {
+            fleet.views[watcher].confirm(at(1000), at(1000));
+        }
+        for now in 1001..4000 {
+            fleet.step(now);
+            let least = (now - 1000).saturating_sub(TRANSIT);
+            assert!(
+                fleet.youngest(now) >= ms(least),
+                "{nodes} nodes at {now} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn one_node_that_reaches_the_source_keeps_all_views_fresh() {
+    let mut fleet = Talking::new(300);
+    for now in 1000..4000 {
+        if now % 500 == 0 {
+            fleet.views[9].confirm(at(now), at(now));
+        }
+        fleet.step(now);
+        if now > 1500 {
+            let oldest = fleet.views.iter().map(|view| view.age(at(now))).max();
+            assert!(oldest.flatten() <= Some(ms(600)), "at {now} ms");
+            let all_know = fleet.views.iter().all(|view| view.age(at(now)).is_some());
+            assert!(all_know);
+        }
+    }
+}
+
 /// A store that has seen `count` servers come, at revisions from 1 on.
 fn store_of(count: u64) -> SnapshotStore {
     let mut store = SnapshotStore::default();
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -15,13 +15,13 @@
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
 use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
-use lifthollow_coordination::mesh::view_freshness::{self, Role, ViewFreshness};
+use lifthollow_coordination::mesh::view_freshness::{self, Confirmation, Role, ViewFreshness};
 use lifthollow_coordination::mesh::watchers::watchers;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
 use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
 use lifthollow_state::{ServiceName, Timestamp};
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use slog::Logger;
 use tokio::sync::oneshot;
 
@@ -150,9 +150,10 @@
         log: Logger,
     ) -> Rc<Self> {
         let network = surroundings.network;
+        let mut random = surroundings.random;
         let state = TrafficState {
             snapshots: SnapshotStore::default(),
-            view: ViewFreshness::default(),
+            view: ViewFreshness::new(random.random()),
             watchers: Vec::new(),
             routes: None,
             split: WeightedSplit::default(),
@@ -161,7 +162,7 @@
             budgets: RetryBudgets::new(settings.retry_bound),
             admission: ServerAdmission::new(&settings.service, UNKNOWN_SLOTS),
             waiters: HashMap::new(),
-            random: surroundings.random,
+            random,
         };
         let own_address = HeaderValue::try_from(settings.inbound.to_string());
         Rc::new(Node {
@@ -240,12 +241,23 @@
         self.state.borrow().view.age(self.now())
     }
 
-    /// At `at`, the source had nothing newer than this node has.
+    /// The newest confirmation of the view; none if there never was one.
+    pub fn newest_confirmation(&self) -> Option<Confirmation> {
+        self.state.borrow().view.newest(self.now())
+    }
+
+    /// The source said that it had nothing newer at `at` than this node has.
     pub fn confirm_view(&self, at: Timestamp) {
         let now = self.now();
         self.state.borrow_mut().view.confirm(now, at);
     }
 
+    /// Another node named a confirmation that holds for this node's view, too.
+    pub fn hear_confirmation(&self, confirmation: Confirmation) {
+        let now = self.now();
+        self.state.borrow_mut().view.hear(now, confirmation);
+    }
+
     /// Version of the configuration in force; none before the first.
     pub fn configuration_version(&self) -> Option<u64> {
         let state = self.state.borrow();
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -9,6 +9,7 @@
 use lifthollow_coordination::mesh::admission_queue::Occupancy;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
 use lifthollow_coordination::mesh::server_selection::ReportedLoad;
+use lifthollow_coordination::mesh::view_freshness::{Confirmation, ConfirmationId};
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Priority;
 
@@ -23,8 +24,9 @@
 pub const TREE: HeaderName = HeaderName::from_static("lifthollow-tree");
 /// How long the attempt may wait before it runs, milliseconds.
 pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
-/// Revision of the sender's snapshot, and how long ago it was confirmed to be the
-/// newest, in milliseconds, if ever.
+/// Revision of the sender's snapshot; and, if that was ever confirmed to be the
+/// newest, how long ago in milliseconds, and the origin and number of that
+/// confirmation.
 pub const REVISION: HeaderName = HeaderName::from_static("lifthollow-revision");
 /// Where the sender takes messages of other nodes.
 pub const NODE: HeaderName = HeaderName::from_static("lifthollow-node");
@@ -48,6 +50,7 @@
 /// The word for an attempt that the server answered.
 pub const ANSWERED: &str = "answered";
 const THOUSANDTHS: f64 = 1000.0;
+const MICROS_IN_MILLISECOND: u128 = 1000;
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
 
@@ -190,30 +193,41 @@
 pub struct NamedRevision {
     /// Revision of its snapshot.
     pub revision: u64,
-    /// How long ago it was confirmed to be the newest; none if it never was.
-    pub age: Option<Duration>,
+    /// The newest confirmation that there was nothing newer; none if there never
+    /// was one.
+    pub confirmation: Option<Confirmation>,
 }
 
 /// The value of [`REVISION`].
 pub fn revision_value(named: NamedRevision) -> HeaderValue {
-    let Some(age) = named.age else {
+    let Some(Confirmation { id, age }) = named.confirmation else {
         return HeaderValue::from(named.revision);
     };
-    let text = format!("{} {}", named.revision, age.as_millis());
-    HeaderValue::try_from(text).expect("digits and a blank")
+    // Rounded up: a confirmation must not seem younger than it is.
+    let age = age.as_micros().div_ceil(MICROS_IN_MILLISECOND);
+    let text = format!("{} {age} {} {}", named.revision, id.origin, id.number);
+    HeaderValue::try_from(text).expect("digits and blanks")
 }
 
 /// Reads [`REVISION`].
 pub fn revision(headers: &HeaderMap) -> Option<NamedRevision> {
     let mut words = headers.get(REVISION)?.to_str().ok()?.split(' ');
     let revision = words.next()?.parse().ok()?;
-    let age = words.next().and_then(|word| word.parse().ok());
     Some(NamedRevision {
         revision,
-        age: age.map(Duration::from_millis),
+        confirmation: confirmation(words),
     })
 }
 
+/// A node of an earlier release names no origin; its word is not taken.
+fn confirmation<'a>(mut words: impl Iterator<Item = &'a str>) -> Option<Confirmation> {
+    let age = Duration::from_millis(words.next()?.parse().ok()?);
+    let origin = words.next()?.parse().ok()?;
+    let number = words.next()?.parse().ok()?;
+    let id = ConfirmationId { origin, number };
+    Some(Confirmation { id, age })
+}
+
 /// What an attempt allows, and where it comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -11,6 +11,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use lifthollow_coordination::mesh::snapshot_store::Applied;
+use lifthollow_coordination::mesh::view_freshness::Confirmation;
 use lifthollow_state::mesh::{Change, Snapshot, Update};
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
@@ -117,7 +118,7 @@
 pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
     let named = NamedRevision {
         revision: node.revision(),
-        age: node.view_age(),
+        confirmation: node.newest_confirmation(),
     };
     headers.insert(peer_headers::REVISION, peer_headers::revision_value(named));
     headers.insert(peer_headers::NODE, node.own_address.clone());
@@ -134,12 +135,13 @@
     }
 }
 
-/// What another node knows of the same revision is known here, too.
+/// If the source had nothing newer than what another node has, it had nothing
+/// newer than what this node has, which is the same or more.
 fn note_named(node: &Rc<Node>, theirs: NamedRevision) {
-    if let Some(age) = theirs.age
-        && theirs.revision == node.revision()
+    if let Some(confirmation) = theirs.confirmation
+        && theirs.revision <= node.revision()
     {
-        node.confirm_view(node.now().saturating_sub(age));
+        node.hear_confirmation(confirmation);
     }
 }
 
@@ -197,9 +199,19 @@
     match fetch(node, from, limit).await {
         Ok((update, named)) => {
             take_update(node, &from.to_string(), update);
-            let answered = node.now();
-            let age = named.age.map(|age| age + answered.saturating_since(asked));
-            note_named(node, NamedRevision { age, ..named });
+            // The answer may have been long on its way.
+            let took = node.now().saturating_since(asked);
+            let confirmation = named.confirmation.map(|named| Confirmation {
+                age: named.age + took,
+                ..named
+            });
+            note_named(
+                node,
+                NamedRevision {
+                    confirmation,
+                    ..named
+                },
+            );
         }
         Err(error) => {
             warn!(node.log, "update not fetched"; "from" => %from, "error" => %error,
