--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -6,7 +6,7 @@
 //! 2. [`weighted_split`]: which of the route's services;
 //! 3. [`call`]: whether there is another attempt, and what the caller is told;
 //! 4. [`server_selection`]: which server gets the attempt;
-//! 5. [`retry_budget`]: whether a repeat may be spent on it;
+//! 5. [`retry_budget`]: whether a repeat may be spent on it ([`sent_counts`]);
 //! 6. [`server_admission`]: at the server's node, whether it runs, waits
 //!    ([`admission_queue`]) or is refused.
 //!
@@ -23,6 +23,7 @@
 pub mod request_tree;
 pub mod retry_budget;
 pub mod route_table;
+pub mod sent_counts;
 pub mod server_admission;
 pub mod server_health;
 mod server_record;
--- a/crates/coordination/src/mesh/retry_budget.rs
+++ b/crates/coordination/src/mesh/retry_budget.rs
@@ -1,37 +1,43 @@
 //! The repeats that all nodes together may send to a service.
 //!
 //! The bound of the fleet is a share of the requests of a window plus a fixed
-//! number. Nodes don't ask each other for leave: each keeps its part, which is
-//! the share of its own first attempts and an equal part of the fixed number.
+//! number; the window, the one before it or the one half a window before it
+//! counts, whichever has most requests. Nodes don't ask each other for leave: each
+//! keeps its part, which is the share of its own requests and an equal part of the
+//! fixed number.
 //!
-//! What first attempts earn can be saved for a window, so that a burst of lost
-//! answers finds something to be repeated from, and is worth nothing after that:
-//! in any window the fleet repeats at most what that window and the one before
-//! have earned. A share of half of the bound's is therefore safe.
+//! A node counts what it sent in short parts of a window ([`SentCounts`]). A repeat
+//! is sent if after it every window that has begun is within the node's part,
+//! whatever comes later, and if the last window is so by its own requests alone.
+//! Thus a burst of lost answers finds what the requests before it allow, and
+//! nothing older.
 //!
 //! An attempt beside one that is late (a hedge) may be no more than load: in an
-//! overload many are late. Of what is saved only little can be spent on those.
+//! overload many are late. Only little can be spent on those.
 //!
 //! A repeat makes the nested calls of its run repeats too. Those can't be held
-//! back, so they are taken out of the budget of the service that they go to, and
-//! a part of the bound is kept free for them.
+//! back. They count where they are made, and a part of the bound is kept free for
+//! them: the larger one from requests of callers, each of which may lead to many.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 
-/// The part of the bound's share that a first attempt earns.
-const EARNED_SHARE: f64 = 0.45;
-/// The part of the fixed number that a node may have at once, and that it gets
-/// anew in each window.
-const FIXED_SHARE: f64 = 0.25;
+use crate::mesh::sent_counts::{PARTS, SentCounts};
+
+/// The part of the bound's share that repeats of nested calls may use.
+const NESTED_SHARE: f64 = 0.7;
+/// The part that repeats of callers' requests may use: all that is repeated may be
+/// repeated once more further down, within the bound.
+const REQUEST_SHARE: f64 = 0.5;
+/// The part of the fixed number that nodes use. A node that starts anew has
+/// forgotten what it sent, and may use its part a second time.
+const FIXED_SHARE: f64 = 0.35;
 /// The most that is kept for hedges.
 const MAX_HEDGES: f64 = 2.0;
-/// The most that may be owed for calls of repeated runs.
-const MAX_DEBT: f64 = 20.0;
 /// Shorter windows are taken for this long.
-const MIN_WINDOW: Duration = Duration::from_millis(1);
+const MIN_WINDOW: Duration = Duration::from_millis(20);
 
 /// The bound for the fleet as a whole.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -44,69 +50,32 @@
     pub window: Duration,
 }
 
-/// What a node may spend on one service.
-#[derive(Clone, Copy, Debug)]
-struct Balance {
-    /// Earned since `half_began`.
-    earned: f64,
-    /// Earned in the half of a window before.
-    earned_before: f64,
-    half_began: Timestamp,
-    /// Of the fixed number.
-    fixed: f64,
-    refilled: Timestamp,
-    /// Owed for calls of repeated runs.
-    debt: f64,
-    /// The part of all this that hedges may have.
-    hedges: f64,
+/// What a repeat repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeated {
+    /// A request of a caller, the root of its tree.
+    Request,
+    /// A call that a server makes for a request of its own.
+    NestedCall,
 }
 
-impl Balance {
-    fn new(now: Timestamp, fixed: f64) -> Self {
-        Balance {
-            earned: 0.0,
-            earned_before: 0.0,
-            half_began: now,
-            fixed,
-            refilled: now,
-            debt: 0.0,
-            hedges: fixed.min(MAX_HEDGES),
+impl Repeated {
+    /// The part of the bound's share that such repeats may use.
+    fn share(self) -> f64 {
+        match self {
+            Repeated::Request => REQUEST_SHARE,
+            Repeated::NestedCall => NESTED_SHARE,
         }
     }
+}
 
-    fn available(&self) -> f64 {
-        self.earned_before + self.earned + self.fixed - self.debt
-    }
-
-    /// Forgets what was earned too long ago.
-    fn expire(&mut self, now: Timestamp, half: Duration) {
-        let passed = now.saturating_since(self.half_began);
-        if passed < half {
-            return;
-        }
-        let is_next = passed < half * 2;
-        self.earned_before = if is_next { self.earned } else { 0.0 };
-        self.earned = 0.0;
-        self.half_began = if is_next { self.half_began + half } else { now };
-    }
-
-    fn earn(&mut self, amount: f64) {
-        let repaid = amount.min(self.debt);
-        self.debt -= repaid;
-        self.earned += amount - repaid;
-        self.hedges = (self.hedges + amount).min(MAX_HEDGES);
-    }
-
-    /// Takes `amount` of what expires first; what is missing is owed.
-    fn spend(&mut self, amount: f64) {
-        let mut left = amount;
-        for part in [&mut self.earned_before, &mut self.earned, &mut self.fixed] {
-            let taken = left.min(*part);
-            *part -= taken;
-            left -= taken;
-        }
-        self.debt = (self.debt + left).min(MAX_DEBT);
-    }
+/// What a node sent to one service, and what it may still send.
+#[derive(Clone, Debug, Default)]
+struct Account {
+    sent: SentCounts,
+    /// What hedges may use of the rest.
+    hedges: f64,
+    hedges_refilled: Timestamp,
 }
 
 /// This node's part of the bound, for each service.
@@ -114,7 +83,7 @@
 pub struct RetryBudgets {
     bound: FleetRetryBound,
     nodes: usize,
-    balances: HashMap<String, Balance>,
+    accounts: HashMap<String, Account>,
 }
 
 impl RetryBudgets {
@@ -124,7 +93,7 @@
         RetryBudgets {
             bound,
             nodes: 1,
-            balances: HashMap::new(),
+            accounts: HashMap::new(),
         }
     }
 
@@ -138,55 +107,90 @@
         self.bound = bound;
     }
 
-    /// A first attempt was sent to `service`.
+    /// A request for `service` was sent for the first time.
     pub fn deposit(&mut self, now: Timestamp, service: &str) {
-        let earned = self.bound.ratio * EARNED_SHARE;
-        self.balance(now, service).earn(earned);
+        let earned = self.bound.ratio * REQUEST_SHARE;
+        let account = self.account(now, service);
+        account.sent.note_request();
+        account.hedges = (account.hedges + earned).min(MAX_HEDGES);
     }
 
     /// Pays for one repeat to `service`; says whether there was enough.
-    pub fn withdraw(&mut self, now: Timestamp, service: &str) -> bool {
-        let balance = self.balance(now, service);
-        let is_enough = balance.available() >= 1.0;
+    pub fn withdraw(&mut self, now: Timestamp, service: &str, repeated: Repeated) -> bool {
+        let share = self.bound.ratio * repeated.share();
+        let fixed = self.fixed();
+        let sent = &mut self.account(now, service).sent;
+        let is_enough = sent.allows_repeat(share, fixed);
         if is_enough {
-            balance.spend(1.0);
+            sent.note_repeat();
         }
         is_enough
     }
 
+    /// Whether [`withdraw`](Self::withdraw) would find enough for one repeat.
+    pub fn has_room(&self, now: Timestamp, service: &str, repeated: Repeated) -> bool {
+        let share = self.bound.ratio * repeated.share();
+        let known = self.accounts.get(service);
+        let mut sent = known.map(|known| known.sent.clone()).unwrap_or_default();
+        sent.advance(now, self.part());
+        sent.allows_repeat(share, self.fixed())
+    }
+
     /// Pays for one attempt beside another that is late; says whether there was
     /// enough.
-    pub fn withdraw_for_hedge(&mut self, now: Timestamp, service: &str) -> bool {
-        if self.balance(now, service).hedges < 1.0 || !self.withdraw(now, service) {
+    pub fn withdraw_for_hedge(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        repeated: Repeated,
+    ) -> bool {
+        if self.account(now, service).hedges < 1.0 || !self.withdraw(now, service, repeated) {
             return false;
         }
-        self.balance(now, service).hedges -= 1.0;
+        self.account(now, service).hedges -= 1.0;
         true
     }
 
     /// A call of a repeated run was sent to `service`.
     pub fn inherited(&mut self, now: Timestamp, service: &str) {
-        self.balance(now, service).spend(1.0);
+        self.account(now, service).sent.note_repeat();
+    }
+
+    /// This node's part of the fixed number.
+    fn fixed(&self) -> f64 {
+        self.bound.fixed * FIXED_SHARE / self.nodes as f64
+    }
+
+    fn window(&self) -> Duration {
+        self.bound.window.max(MIN_WINDOW)
+    }
+
+    /// Length of the parts in which a window is counted.
+    fn part(&self) -> Duration {
+        self.window() / PARTS
     }
 
-    /// The balance for `service` as of now.
-    fn balance(&mut self, now: Timestamp, service: &str) -> &mut Balance {
-        let fixed = self.bound.fixed * FIXED_SHARE / self.nodes as f64;
-        let window = self.bound.window.max(MIN_WINDOW);
-        if !self.balances.contains_key(service) {
-            let fresh = Balance::new(now, fixed);
-            self.balances.insert(service.to_owned(), fresh);
+    /// The account of `service` as of now.
+    fn account(&mut self, now: Timestamp, service: &str) -> &mut Account {
+        let fixed = self.fixed();
+        let (window, part) = (self.window(), self.part());
+        if !self.accounts.contains_key(service) {
+            let fresh = Account {
+                hedges: fixed.min(MAX_HEDGES),
+                hedges_refilled: now,
+                ..Account::default()
+            };
+            self.accounts.insert(service.to_owned(), fresh);
         }
-        let balance = self
-            .balances
+        let account = self
+            .accounts
             .get_mut(service)
             .expect("it was inserted above");
-        balance.expire(now, window / 2);
-        let passed = now.saturating_since(balance.refilled).as_secs_f64();
+        account.sent.advance(now, part);
+        let passed = now.saturating_since(account.hedges_refilled).as_secs_f64();
         let refill = fixed * passed / window.as_secs_f64();
-        balance.fixed = (balance.fixed + refill).min(fixed);
-        balance.hedges = (balance.hedges + refill).min(MAX_HEDGES);
-        balance.refilled = now;
-        balance
+        account.hedges = (account.hedges + refill).min(MAX_HEDGES);
+        account.hedges_refilled = now;
+        account
     }
 }
--- a/crates/coordination/tests/mesh_budget.rs
+++ b/crates/coordination/tests/mesh_budget.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use lifthollow_coordination::mesh::retry_budget::{FleetRetryBound, RetryBudgets};
+use lifthollow_coordination::mesh::retry_budget::{FleetRetryBound, Repeated, RetryBudgets};
 use mesh_support::at;
 use quickcheck::quickcheck;
 
@@ -19,12 +19,15 @@
 #[test]
 fn calls_of_repeated_runs_are_taken_out_of_the_budget() {
     let mut budgets = RetryBudgets::new(bound());
-    assert!(budgets.withdraw(at(0), "feeds"));
+    assert!(budgets.withdraw(at(0), "feeds", Repeated::Request));
     for _ in 0..20 {
         budgets.inherited(at(0), "feeds");
     }
-    assert!(!budgets.withdraw(at(1000), "feeds"));
-    assert!(budgets.withdraw(at(1000), "media"), "of that service only");
+    assert!(!budgets.withdraw(at(1000), "feeds", Repeated::Request));
+    assert!(
+        budgets.withdraw(at(1000), "media", Repeated::Request),
+        "of that service only"
+    );
 }
 
 #[test]
@@ -42,7 +45,7 @@
             budgets[node].deposit(at(millisecond), "feeds");
             requests += 1;
         }
-        if budgets[node].withdraw(at(millisecond), "feeds") {
+        if budgets[node].withdraw(at(millisecond), "feeds", Repeated::Request) {
             repeats_at.push(millisecond);
         }
     }
@@ -77,10 +80,25 @@
         let node = &mut budgets[request % NODES];
         node.deposit(at(request as u64 / 3), "feeds");
     }
-    let repeated = (0..12 * NODES).filter(|lost| budgets[lost % NODES].withdraw(at(5000), "feeds"));
+    let repeated = (0..12 * NODES)
+        .filter(|lost| budgets[lost % NODES].withdraw(at(5000), "feeds", Repeated::Request));
     assert_eq!(repeated.count(), 12 * NODES);
 }
 
+#[test]
+fn room_for_a_repeat_is_told_without_taking_it() {
+    let mut budgets = RetryBudgets::new(bound());
+    let mut left = 0;
+    while budgets.has_room(at(0), "feeds", Repeated::Request) {
+        assert!(budgets.withdraw(at(0), "feeds", Repeated::Request));
+        left += 1;
+    }
+    assert!(left > 0, "the fixed number allows some");
+    assert!(!budgets.withdraw(at(0), "feeds", Repeated::Request));
+    let later = at(30_000);
+    assert!(budgets.has_room(later, "feeds", Repeated::Request));
+}
+
 #[test]
 fn hedges_get_little_of_what_is_saved() {
     let mut budgets = RetryBudgets::new(bound());
@@ -88,9 +106,13 @@
     for request in 0..1000 {
         budgets.deposit(at(request), "feeds");
     }
-    let hedges = (0..100).filter(|_| budgets.withdraw_for_hedge(at(1000), "feeds"));
+    let hedges =
+        (0..100).filter(|_| budgets.withdraw_for_hedge(at(1000), "feeds", Repeated::Request));
     assert_eq!(hedges.count(), 2);
-    assert!(budgets.withdraw(at(1000), "feeds"), "repeats have more");
+    assert!(
+        budgets.withdraw(at(1000), "feeds", Repeated::Request),
+        "repeats have more"
+    );
 }
 
 #[test]
@@ -100,8 +122,11 @@
     for request in 0..15 {
         budgets.deposit(at(request), "feeds");
     }
-    assert!(budgets.withdraw(at(20), "feeds"));
-    assert!(!budgets.withdraw_for_hedge(at(20), "feeds"), "it is spent");
+    assert!(budgets.withdraw(at(20), "feeds", Repeated::Request));
+    assert!(
+        !budgets.withdraw_for_hedge(at(20), "feeds", Repeated::Request),
+        "it is spent"
+    );
 }
 
 #[test]
@@ -111,11 +136,12 @@
     for request in 0..1000 {
         budgets.deposit(at(request), "feeds");
     }
-    assert!(budgets.withdraw(at(5000), "feeds"));
-    assert!(!budgets.withdraw(at(16_000), "feeds"));
+    assert!(budgets.withdraw(at(5000), "feeds", Repeated::Request));
+    assert!(!budgets.withdraw(at(16_000), "feeds", Repeated::Request));
 }
 
 /// Requests and wishes for repeats of a fleet, a tenth of a second after another.
+/// Those of nested calls may use the largest share.
 fn worst_excess(nodes: usize, requests: &[u8], wishes: &[u8]) -> f64 {
     const STEP: u64 = 100;
     const WINDOW: usize = 100;
@@ -129,8 +155,9 @@
         for request in 0..usize::from(*count) {
             budgets[(step * 7 + request) % nodes].deposit(now, "feeds");
         }
-        let paid = (0..usize::from(*wished) * 4)
-            .filter(|wish| budgets[(step * 5 + wish) % nodes].withdraw(now, "feeds"));
+        let paid = (0..usize::from(*wished) * 4).filter(|wish| {
+            budgets[(step * 5 + wish) % nodes].withdraw(now, "feeds", Repeated::NestedCall)
+        });
         repeats.push(paid.count());
     }
     let sum = |counts: &mut dyn Iterator<Item = usize>| counts.sum::<usize>() as f64;
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -8,7 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
-use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
+use lifthollow_coordination::mesh::retry_budget::{Repeated, RetryBudgets};
 use lifthollow_coordination::mesh::server_selection::Choice;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::ServerInstance;
@@ -17,7 +17,7 @@
 
 use crate::http::ProxyBody;
 use crate::inbound::{Attempt, AttemptOutcome};
-use crate::node::Node;
+use crate::node::{Node, purpose};
 use crate::outbound::answer::{finish, log_attempt};
 use crate::outbound::request::RoutedRequest;
 use crate::outbound::send::{outgoing_request, send};
@@ -139,10 +139,10 @@
     let silence = {
         let mut state = node.state.borrow_mut();
         let service = &request.route.service;
-        match (call.is_repeat(), request.tree.is_repeat) {
-            (false, false) => state.budgets.deposit(sent, service),
-            (false, true) => state.budgets.inherited(sent, service),
-            (true, _) => {}
+        match (call.is_new(), request.tree.is_repeat) {
+            (true, false) => state.budgets.deposit(sent, service),
+            (true, true) => state.budgets.inherited(sent, service),
+            (false, _) => {}
         }
         state.servers.sent(&server.id);
         state.servers.silence(&server.id, request.tree.is_nested)
@@ -196,9 +196,11 @@
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     let service = &request.route.service;
+    let now = node.now();
+    let purpose = purpose(&state.budgets, now, service, request.tree.is_nested);
     state
         .servers
-        .choose(node.now(), service, call.wanted(), &mut state.random)
+        .choose(now, service, call.wanted(purpose), &mut state.random)
 }
 
 fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
@@ -212,11 +214,15 @@
 fn pay(
     node: &Rc<Node>,
     request: &RoutedRequest,
-    withdraw: impl FnOnce(&mut RetryBudgets, Timestamp, &str) -> bool,
+    withdraw: impl FnOnce(&mut RetryBudgets, Timestamp, &str, Repeated) -> bool,
 ) -> bool {
     let now = node.now();
+    let repeated = match request.tree.is_nested {
+        true => Repeated::NestedCall,
+        false => Repeated::Request,
+    };
     let mut state = node.state.borrow_mut();
-    let paid = withdraw(&mut state.budgets, now, &request.route.service);
+    let paid = withdraw(&mut state.budgets, now, &request.route.service, repeated);
     if paid {
         node.metrics.repeats.inc();
     }
