Nested calls that can't be repeated go to servers that don't fail

Cause: a request whose tree needs four or eight calls at a service of which some servers refuse or lose half of what they are given nearly always fails, with all work done for it, once there is no budget left to repeat a call. Change: while no repeat can be paid for, nested calls go to servers that fail less than 0.15 if there are any, and the level that calls meet is that of these servers. While repeats can be paid for, the room at failing servers is used as before. Tests: two in mesh_attempts.rs fail without it.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -5,7 +5,7 @@
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{InstanceId, Route};
 
-use crate::mesh::server_selection::Wanted;
+use crate::mesh::server_selection::{Purpose, Wanted};
 
 /// A caller that is refused is asked to come back after this time if nobody
 /// named another.
@@ -159,10 +159,11 @@
     }
 
     /// What its next attempt needs of a server.
-    pub fn wanted(&self) -> Wanted<'_> {
+    pub fn wanted(&self, purpose: Purpose) -> Wanted<'_> {
         Wanted {
             excluded: &self.excluded,
             may_repeat: self.idempotent,
+            purpose,
         }
     }
 
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -34,6 +34,11 @@
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(1000);
 /// From this share of lost answers on, a server is not sound.
 const LOSSY_SHARE: f64 = 0.05;
+/// From this share of losses or refusals on, a server gets nested calls that can't
+/// be repeated only if all others are as bad: of the calls that a run makes one
+/// after the other, one would most likely fail, and with it all work done for the
+/// request. The same share at which the server's own node turns requests away.
+const FAILING_SHARE: f64 = 0.15;
 /// An admission level is believed this long, and halved again and again after.
 const LEVEL_VALIDITY: Duration = Duration::from_millis(250);
 /// How long it then takes to be halved.
@@ -70,6 +75,32 @@
     pub excluded: &'a [InstanceId],
     /// Whether it can be asked for again if the answer is lost.
     pub may_repeat: bool,
+    /// For whom it is made.
+    pub purpose: Purpose,
+}
+
+/// For whom an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// For a caller.
+    Request,
+    /// For a run on another server, which fails if any of its calls does.
+    NestedCall {
+        /// Whether a repeat could be paid for if the attempt failed.
+        can_be_repeated: bool,
+    },
+}
+
+impl Purpose {
+    fn is_nested(self) -> bool {
+        matches!(self, Purpose::NestedCall { .. })
+    }
+
+    /// Whether the work that was done for the request is lost with the attempt.
+    fn must_succeed(self) -> bool {
+        let can_be_repeated = false;
+        self == Purpose::NestedCall { can_be_repeated }
+    }
 }
 
 /// What a server's node tells of its load with an answer.
@@ -157,12 +188,10 @@
         let best = usable()
             .map(|record| {
                 let set_aside = record.standing(now) != Standing::Good;
+                let is_failing = wanted.purpose.must_succeed() && is_failing(now, record);
                 let jitter = random.random::<f64>() * JITTER;
-                (
-                    set_aside,
-                    self.cost(now, record, wanted.may_repeat) + jitter,
-                    record,
-                )
+                let cost = self.cost(now, record, wanted.may_repeat) + jitter;
+                ((set_aside, is_failing), cost, record)
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
         let server = best.2.instance.clone();
@@ -317,18 +346,25 @@
 
     /// The lowest level that some server of `service` lets through, of those
     /// that reported a moment ago. Without such, what was reported last counts,
-    /// less and less.
+    /// less and less. For calls that must succeed, servers that fail much don't
+    /// count while there are others: that they have room is no help.
     pub fn admission_level(
         &self,
         now: Timestamp,
         service: &str,
-        is_nested: bool,
+        purpose: Purpose,
     ) -> AdmissionLevel {
         let ids = self.by_service.get(service).into_iter().flatten();
-        let levels: Vec<(AdmissionLevel, Duration)> = ids
+        let mut records: Vec<&ServerRecord> = ids
             .filter_map(|id| self.records.get(id))
             .filter(|record| record.standing(now) == Standing::Good)
-            .map(|record| record.levels[usize::from(is_nested)])
+            .collect();
+        if purpose.must_succeed() && records.iter().any(|record| !is_failing(now, record)) {
+            records.retain(|record| !is_failing(now, record));
+        }
+        let levels: Vec<(AdmissionLevel, Duration)> = records
+            .into_iter()
+            .map(|record| record.levels[usize::from(purpose.is_nested())])
             .map(|(level, reported)| (level, now.saturating_since(reported)))
             .collect();
         let is_fresh = |(_, age): &&(AdmissionLevel, Duration)| *age <= LEVEL_VALIDITY;
@@ -345,16 +381,16 @@
     }
 
     /// What is known of a service's load, for logs.
-    pub fn known_load(&self, now: Timestamp, service: &str, is_nested: bool) -> KnownLoad {
+    pub fn known_load(&self, now: Timestamp, service: &str, purpose: Purpose) -> KnownLoad {
         let ids = self.by_service.get(service).into_iter().flatten();
         let records: Vec<&ServerRecord> = ids.filter_map(|id| self.records.get(id)).collect();
         let reports = records
             .iter()
-            .map(|record| record.levels[usize::from(is_nested)].1);
+            .map(|record| record.levels[usize::from(purpose.is_nested())].1);
         let last = reports.max().unwrap_or_default();
         let is_set_aside = |record: &&&ServerRecord| record.standing(now) != Standing::Good;
         KnownLoad {
-            level: self.admission_level(now, service, is_nested),
+            level: self.admission_level(now, service, purpose),
             age: now.saturating_since(last),
             servers: records.len(),
             set_aside: records.iter().filter(is_set_aside).count(),
@@ -379,6 +415,11 @@
     }
 }
 
+/// Whether a run whose calls went to the server would most likely fail.
+fn is_failing(now: Timestamp, record: &ServerRecord) -> bool {
+    record.losses(now) >= FAILING_SHARE
+}
+
 /// Whether a server has room and answers what it is given.
 fn is_sound(now: Timestamp, record: &ServerRecord) -> bool {
     record.standing(now) == Standing::Good
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -6,7 +6,7 @@
 use lifthollow_coordination::mesh::call::{
     AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
 };
-use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool, Wanted};
+use lifthollow_coordination::mesh::server_selection::{Purpose, ReportedLoad, ServerPool, Wanted};
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::mesh::RequestKind;
 use mesh_support::{at, id, ms, random, route, server};
@@ -123,6 +123,7 @@
 const ANY: Wanted<'static> = Wanted {
     excluded: &[],
     may_repeat: true,
+    purpose: Purpose::Request,
 };
 
 fn pool() -> ServerPool {
@@ -269,7 +270,7 @@
 #[test]
 fn level_of_a_service_is_that_of_the_servers_heard_of_lately() {
     let mut pool = pool();
-    let level = |pool: &ServerPool, now| pool.admission_level(at(now), "feeds", false).0;
+    let level = |pool: &ServerPool, now| pool.admission_level(at(now), "feeds", Purpose::Request).0;
     assert_eq!(level(&pool, 1000), 0);
     pool.reported(at(1000), &id("i-a"), reported(100));
     assert_eq!(
@@ -295,6 +296,70 @@
     assert_eq!(chosen(&pool, 20_000), "i-a", "they are forgotten");
 }
 
+/// A nested call, for which there is no budget if it fails.
+const LAST_TRY: Purpose = Purpose::NestedCall {
+    can_be_repeated: false,
+};
+const NESTED: Wanted<'static> = Wanted {
+    purpose: LAST_TRY,
+    ..ANY
+};
+
+/// A pool in which i-a and i-b refuse half of what they are given, and i-c is
+/// three times as busy as it can be.
+fn pool_with_one_sound_server() -> ServerPool {
+    let mut pool = pool();
+    for failing in ["i-a", "i-b"] {
+        let load = ReportedLoad {
+            failure_share: 0.5,
+            is_nested: true,
+            ..reported(0)
+        };
+        pool.reported(at(10), &id(failing), load);
+    }
+    for _ in 0..30 {
+        pool.sent(&id("i-c"));
+    }
+    pool
+}
+
+#[test]
+fn nested_calls_wait_for_a_sound_server_rather_than_fail_at_another() {
+    let pool = pool_with_one_sound_server();
+    let choose = |wanted| pool.choose(at(10), "feeds", wanted, &mut random());
+    let server = choose(NESTED).expect("there are servers").server;
+    assert_eq!(server.id, id("i-c"));
+    assert_ne!(chosen(&pool, 10), "i-c", "one try is worth more than none");
+    let repeatable = Wanted {
+        purpose: Purpose::NestedCall {
+            can_be_repeated: true,
+        },
+        ..ANY
+    };
+    let server = choose(repeatable).expect("there are servers").server;
+    assert_ne!(server.id, id("i-c"), "it can be tried again");
+    let excluded = [id("i-c")];
+    let without = Wanted {
+        excluded: &excluded,
+        ..NESTED
+    };
+    assert!(choose(without).is_some(), "if there is no other");
+}
+
+#[test]
+fn room_at_failing_servers_does_not_open_the_level_of_nested_calls() {
+    let mut pool = pool_with_one_sound_server();
+    let load = ReportedLoad {
+        is_nested: true,
+        ..reported(90)
+    };
+    pool.reported(at(10), &id("i-c"), load);
+    let level = |pool: &ServerPool| pool.admission_level(at(10), "feeds", LAST_TRY).0;
+    assert_eq!(level(&pool), 90);
+    pool.set_aside(at(10), &id("i-c"));
+    assert_eq!(level(&pool), 0, "only failing ones are left");
+}
+
 #[test]
 fn another_server_is_named_only_if_it_has_room_and_answers() {
     let mut pool = pool();
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout_at;
 
 use crate::inbound::{Attempt, AttemptOutcome};
-use crate::node::Node;
+use crate::node::{Node, nested_level};
 
 /// One request at the server. Dropping it frees its slot.
 pub(super) struct Permit {
@@ -99,8 +99,8 @@
     let verdict = {
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
-        let servers = &state.servers;
-        let level_of = |service: &ServiceName| servers.admission_level(now, service.as_str(), true);
+        let (servers, budgets) = (&state.servers, &state.budgets);
+        let level_of = |service: &ServiceName| nested_level(servers, budgets, now, service);
         state.admission.arrive(now, &arriving, level_of)
     };
     match verdict {
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -11,7 +11,7 @@
 use slog::info;
 
 use crate::http::ProxyBody;
-use crate::node::Node;
+use crate::node::{Node, purpose};
 use crate::outbound::request::RoutedRequest;
 use crate::peer_headers;
 
@@ -27,11 +27,10 @@
         let held = now.saturating_since(request.arrived).as_millis() as u64;
         let service = &request.route.service;
         let is_nested = request.tree.is_nested;
-        let known = node
-            .state
-            .borrow()
-            .servers
-            .known_load(now, service, is_nested);
+        let state = node.state.borrow();
+        let purpose = purpose(&state.budgets, now, service, is_nested);
+        let known = state.servers.known_load(now, service, purpose);
+        drop(state);
         info!(node.log, "request not served"; "request" => node.names.request_id_of(&request.head.headers),
             "outcome" => outcome, "why" => why, "route" => &request.route.route.name,
             "service" => service, "nested" => is_nested,
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -17,7 +17,7 @@
 
 use crate::http::ProxyBody;
 use crate::inbound::{Attempt, AttemptOutcome};
-use crate::node::Node;
+use crate::node::{Node, purpose};
 use crate::outbound::answer::{finish, log_attempt};
 use crate::outbound::request::RoutedRequest;
 use crate::outbound::send::{outgoing_request, send};
@@ -196,9 +196,11 @@
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     let service = &request.route.service;
+    let now = node.now();
+    let purpose = purpose(&state.budgets, now, service, request.tree.is_nested);
     state
         .servers
-        .choose(node.now(), service, call.wanted(), &mut state.random)
+        .choose(now, service, call.wanted(purpose), &mut state.random)
 }
 
 fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{Call, FinalAnswer, RefusalReason};
+use lifthollow_coordination::mesh::server_selection::Purpose;
 use lifthollow_state::Timestamp;
 use rand::RngExt;
 
@@ -124,7 +125,9 @@
     }
     let mut state = node.state.borrow_mut();
     let service = &request.route.service;
-    let level = state.servers.admission_level(node.now(), service, false);
+    let level = state
+        .servers
+        .admission_level(node.now(), service, Purpose::Request);
     if level.admits(request.tree.priority) {
         return None;
     }
