Servers of the own zone come first while they have spare room

A server of the own zone was preferred below 0.75 of its slots only, and by 0.30 of utilization, though nobody waits while slots are free. Change: a server of the own zone is taken while it has as many free slots as arrivals vary by (the square root of its slots), is warm and answers; a server of a service with many slots is so up to a higher utilization. Beyond that, another zone counts 0.1 of utilization, about the time of a message against that of a run.

--- a/crates/coordination/src/mesh/server_record.rs
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -114,14 +114,18 @@
         }
     }
 
+    /// Requests that the server works on at once.
+    pub(super) fn limit(&self) -> u32 {
+        self.report.limit.max(self.instance.slots).max(1)
+    }
+
     /// Own requests, which are known, and those of others as last reported.
     pub(super) fn utilization(&self, now: Timestamp) -> f64 {
-        let limit = self.report.limit.max(self.instance.slots).max(1);
         let reported = self.report.running + self.report.waiting;
         let others = reported.saturating_sub(self.own_at_report);
         let age = now.saturating_since(self.reported).as_secs_f64();
         let half_lives = age / REPORT_HALF_LIFE.as_secs_f64();
         let others = f64::from(others) * 0.5_f64.powf(half_lives);
-        (f64::from(self.in_flight) + others) / f64::from(limit)
+        (f64::from(self.in_flight) + others) / f64::from(self.limit())
     }
 }
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -1,8 +1,8 @@
 //! Which server of a service gets an attempt.
 //!
 //! Every node sees only its own requests and what servers' nodes say with their
-//! answers. The least utilized server is taken; the own zone is preferred while
-//! its servers are not much busier than others. A server that stays silent or
+//! answers. The least utilized server is taken; those of the own zone come first
+//! while they have spare room, since a run then takes no longer there. A server that stays silent or
 //! can't be reached is set aside until its node has answered a probe, so that no
 //! request is spent on finding out.
 
@@ -18,10 +18,15 @@
 use crate::mesh::admission_queue::Occupancy;
 use crate::mesh::server_record::{ServerRecord, Standing};
 
-/// How much busier a server of the own zone may be and still be preferred.
-const OWN_ZONE_PREFERENCE: f64 = 0.30;
-/// Above this utilization nothing is preferred but room.
-const BUSY_UTILIZATION: f64 = 0.75;
+/// What another zone counts, in utilization, when the own zone has no spare room:
+/// about the time that a message between zones takes, against that of a run.
+const OTHER_ZONE_COST: f64 = 0.1;
+/// From this cost of losses on (see [`LOSS_PENALTY`]) a server is not preferred for
+/// standing in the own zone.
+const OWN_ZONE_WORTH: f64 = 0.30;
+/// Slots that must be free at a preferred server, as a multiple of the square root
+/// of all: arrivals vary by about that much, so that hardly any has to wait.
+const SPARE_SLOTS: f64 = 1.0;
 /// Random part of the comparison, so that nodes that know the same don't all
 /// choose the same server.
 const JITTER: f64 = 0.05;
@@ -190,8 +195,9 @@
                 let set_aside = record.standing(now) != Standing::Good;
                 let is_failing = wanted.purpose.must_succeed() && is_failing(now, record);
                 let jitter = random.random::<f64>() * JITTER;
-                let cost = self.cost(now, record, wanted.may_repeat) + jitter;
-                ((set_aside, is_failing), cost, record)
+                let suits = self.suits(now, record, wanted.may_repeat);
+                let ranks = (set_aside, is_failing, !suits.is_near_and_free);
+                (ranks, suits.cost + jitter, record)
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
         let server = best.2.instance.clone();
@@ -397,24 +403,44 @@
         }
     }
 
-    fn cost(&self, now: Timestamp, record: &ServerRecord, may_repeat: bool) -> f64 {
+    fn suits(&self, now: Timestamp, record: &ServerRecord, may_repeat: bool) -> Suits {
         let penalty = if may_repeat {
             LOSS_PENALTY
         } else {
             LOSS_PENALTY_ONCE
         };
-        let mut cost = record.utilization(now) + record.losses(now) * penalty;
-        if now < record.warm_until {
+        let is_near = record.instance.zone == self.own_zone;
+        let is_warming_up = now < record.warm_until;
+        let utilization = record.utilization(now);
+        let losses = record.losses(now) * penalty;
+        let is_free = utilization < spare_room_below(record.limit());
+        let mut cost = utilization + losses;
+        if is_warming_up {
             cost += WARM_UP_PENALTY;
         }
-        let is_near = record.instance.zone == self.own_zone;
-        if is_near && cost < BUSY_UTILIZATION {
-            cost -= OWN_ZONE_PREFERENCE;
+        if !is_near {
+            cost += OTHER_ZONE_COST;
+        }
+        Suits {
+            is_near_and_free: is_near && is_free && !is_warming_up && losses < OWN_ZONE_WORTH,
+            cost,
         }
-        cost
     }
 }
 
+/// How well a server suits an attempt.
+struct Suits {
+    /// Whether it stands in the own zone and has spare room.
+    is_near_and_free: bool,
+    /// Its utilization, and what else speaks against it.
+    cost: f64,
+}
+
+/// The utilization below which a server with `limit` slots has spare room.
+fn spare_room_below(limit: u32) -> f64 {
+    1.0 - SPARE_SLOTS / f64::from(limit).sqrt()
+}
+
 /// Whether a run whose calls went to the server would most likely fail.
 fn is_failing(now: Timestamp, record: &ServerRecord) -> bool {
     record.losses(now) >= FAILING_SHARE
