Classes that never come do not keep the pressure from those above them

Cause: the level that a service's needs ask for is looked at from the least important class on, and ended at the first class that needs nothing. Tests: classes_that_never_come_do_not_keep_the_pressure_from_others fails without it. The test of a class that does not need the service left that class without any run, and so asked for what is mended here; its runs are there now, without calls.

--- a/crates/coordination/src/pressure/call_graph.rs
+++ b/crates/coordination/src/pressure/call_graph.rs
@@ -84,6 +84,13 @@
         self.active.remove(&id);
     }
 
+    /// Whether enough runs for calls of `class` from `source` were seen to tell what
+    /// they need.
+    pub fn is_known(&self, source: &CallSource, class: PriorityClass) -> bool {
+        let shares = self.shares.get(&(source.clone(), class));
+        shares.is_some_and(|shares| shares.runs >= MIN_RUNS)
+    }
+
     /// The services that nearly every run for a call of `class` from `source`
     /// needs.
     pub fn needed(
--- a/crates/coordination/src/pressure/downstream.rs
+++ b/crates/coordination/src/pressure/downstream.rs
@@ -10,14 +10,17 @@
 ///
 /// Classes are looked at from the least important: the level enters a class
 /// only if all classes below it are refused as well, so that calls of a class
-/// that does not need an overloaded service are never refused for it.
+/// that does not need an overloaded service are never refused for it. Classes that
+/// hardly any call belongs to are passed over: nothing is known of their needs, and
+/// they must not keep the level from the classes above them.
 pub fn downstream_level(
     graph: &CallGraph,
     source: &CallSource,
     level_of: impl Fn(&ServiceName) -> AdmissionLevel,
 ) -> AdmissionLevel {
     let mut combined = AdmissionLevel::OPEN;
-    for class in PriorityClass::ALL {
+    let known = |class: &PriorityClass| graph.is_known(source, *class);
+    for class in PriorityClass::ALL.into_iter().filter(known) {
         let needed = graph.needed(source, class);
         let level = needed.map(&level_of).max().unwrap_or(AdmissionLevel::OPEN);
         if level <= first_of(class) {
--- a/crates/coordination/tests/pressure.rs
+++ b/crates/coordination/tests/pressure.rs
@@ -62,12 +62,32 @@
 fn class_that_does_not_need_the_service_ends_the_pressure() {
     let mut graph = CallGraph::default();
     learn(&mut graph, PriorityClass::Sheddable, 10);
+    learn(&mut graph, PriorityClass::Normal, 0);
     learn(&mut graph, PriorityClass::Critical, 10);
     let deep = level(PriorityClass::Critical, 40);
     let first_normal = level(PriorityClass::Normal, 0);
     assert_eq!(level_at_entry(&graph, deep), first_normal);
 }
 
+#[test]
+fn classes_that_never_come_do_not_keep_the_pressure_from_others() {
+    let mut graph = CallGraph::default();
+    learn(&mut graph, PriorityClass::Critical, 10);
+    let deep = level(PriorityClass::Critical, 40);
+    assert_eq!(level_at_entry(&graph, deep), deep);
+    let below = level(PriorityClass::Sheddable, 40);
+    assert_eq!(level_at_entry(&graph, below), AdmissionLevel::OPEN);
+}
+
+#[test]
+fn a_class_that_never_comes_is_not_refused_above_the_last_that_does() {
+    let mut graph = CallGraph::default();
+    learn(&mut graph, PriorityClass::Sheddable, 10);
+    let deep = level(PriorityClass::Critical, 40);
+    let first_normal = level(PriorityClass::Normal, 0);
+    assert_eq!(level_at_entry(&graph, deep), first_normal);
+}
+
 #[test]
 fn calls_from_another_service_do_not_feel_it() {
     let mut graph = CallGraph::default();
