Nested calls: what stands against them in a module of its own

No change of behaviour: which purpose an attempt has and what level nested calls meet is decided in coordination, not in the process's state. A repeat that the fixed number allows is found so without looking at every window.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -11,7 +11,8 @@
 //!    ([`admission_queue`]) or is refused.
 //!
 //! [`server_health`] and [`loss_estimate`] tell which servers fail what they are
-//! given. [`request_tree`] tells which request a nested call is made for.
+//! given. [`request_tree`] tells which request a nested call is made for, and
+//! [`nested_calls`] which servers it may go to.
 //!
 //! [`snapshot_store`] keeps what the node was told from outside, forward only.
 //! [`watchers`] tells which nodes ask the source for all, and [`view_freshness`]
@@ -20,6 +21,7 @@
 pub mod admission_queue;
 pub mod call;
 pub mod loss_estimate;
+pub mod nested_calls;
 pub mod request_tree;
 pub mod retry_budget;
 pub mod route_table;
--- a/crates/coordination/src/mesh/sent_counts.rs
+++ b/crates/coordination/src/mesh/sent_counts.rs
@@ -72,6 +72,9 @@
         let is_within = |requests: u32, repeats: u32| {
             f64::from(repeats + 1) <= ratio * f64::from(requests) + fixed
         };
+        if f64::from(self.repeats(1 - REMEMBERED as i64..=0) + 1) <= fixed {
+            return true;
+        }
         let of_last_window = self.requests(1 - WINDOW..=0);
         is_within(of_last_window, self.repeats(-WINDOW..=0))
             && (-WINDOW..=0)
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -5,6 +5,7 @@
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason};
+use lifthollow_coordination::mesh::nested_calls;
 use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, Verdict};
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_state::{ServiceName, Timestamp};
@@ -12,7 +13,7 @@
 use tokio::time::timeout_at;
 
 use crate::inbound::{Attempt, AttemptOutcome};
-use crate::node::{Node, nested_level};
+use crate::node::Node;
 
 /// One request at the server. Dropping it frees its slot.
 pub(super) struct Permit {
@@ -100,7 +101,8 @@
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
         let (servers, budgets) = (&state.servers, &state.budgets);
-        let level_of = |service: &ServiceName| nested_level(servers, budgets, now, service);
+        let level_of =
+            |service: &ServiceName| nested_calls::admission_level(servers, budgets, now, service);
         state.admission.arrive(now, &arriving, level_of)
     };
     match verdict {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -10,15 +10,15 @@
 use hyper::header::HeaderValue;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::NotRunReason;
-use lifthollow_coordination::mesh::retry_budget::{Repeated, RetryBudgets};
+use lifthollow_coordination::mesh::nested_calls;
+use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
-use lifthollow_coordination::mesh::server_selection::{Purpose, ReportedLoad, ServerPool};
+use lifthollow_coordination::mesh::server_selection::{ReportedLoad, ServerPool};
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
 use lifthollow_coordination::mesh::view_freshness::{self, Confirmation, Role, ViewFreshness};
 use lifthollow_coordination::mesh::watchers::watchers;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
 use lifthollow_state::{ServiceName, Timestamp};
 use rand::rngs::SmallRng;
@@ -78,27 +78,6 @@
     pub random: SmallRng,
 }
 
-/// For whom an attempt at `service` is made, and whether it could be repeated.
-pub fn purpose(budgets: &RetryBudgets, now: Timestamp, service: &str, is_nested: bool) -> Purpose {
-    if !is_nested {
-        return Purpose::Request;
-    }
-    Purpose::NestedCall {
-        can_be_repeated: budgets.has_room(now, service, Repeated::NestedCall),
-    }
-}
-
-/// The level that calls of runs on the server beside this node meet at `service`.
-pub fn nested_level(
-    servers: &ServerPool,
-    budgets: &RetryBudgets,
-    now: Timestamp,
-    service: &ServiceName,
-) -> AdmissionLevel {
-    let purpose = purpose(budgets, now, service.as_str(), true);
-    servers.admission_level(now, service.as_str(), purpose)
-}
-
 /// What a process is given of the machine that it runs on.
 pub struct Surroundings {
     /// Where connections come from and go to.
@@ -328,8 +307,9 @@
     pub fn own_load(&self, is_nested: bool, zone: &str) -> ReportedLoad {
         let now = self.now();
         let state = self.state.borrow();
-        let level_of =
-            |service: &ServiceName| nested_level(&state.servers, &state.budgets, now, service);
+        let level_of = |service: &ServiceName| {
+            nested_calls::admission_level(&state.servers, &state.budgets, now, service)
+        };
         ReportedLoad {
             occupancy: state.admission.occupancy(),
             level: state.admission.level(is_nested, level_of),
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -6,12 +6,13 @@
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use lifthollow_coordination::mesh::call::{AttemptEnd, FinalAnswer, RefusalReason};
+use lifthollow_coordination::mesh::nested_calls;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::mesh::ServerInstance;
 use slog::info;
 
 use crate::http::ProxyBody;
-use crate::node::{Node, purpose};
+use crate::node::Node;
 use crate::outbound::request::RoutedRequest;
 use crate::peer_headers;
 
@@ -28,7 +29,7 @@
         let service = &request.route.service;
         let is_nested = request.tree.is_nested;
         let state = node.state.borrow();
-        let purpose = purpose(&state.budgets, now, service, is_nested);
+        let purpose = nested_calls::purpose(&state.budgets, now, service, is_nested);
         let known = state.servers.known_load(now, service, purpose);
         drop(state);
         info!(node.log, "request not served"; "request" => node.names.request_id_of(&request.head.headers),
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
+use lifthollow_coordination::mesh::nested_calls;
 use lifthollow_coordination::mesh::retry_budget::{Repeated, RetryBudgets};
 use lifthollow_coordination::mesh::server_selection::Choice;
 use lifthollow_state::Timestamp;
@@ -17,7 +18,7 @@
 
 use crate::http::ProxyBody;
 use crate::inbound::{Attempt, AttemptOutcome};
-use crate::node::{Node, purpose};
+use crate::node::Node;
 use crate::outbound::answer::{finish, log_attempt};
 use crate::outbound::request::RoutedRequest;
 use crate::outbound::send::{outgoing_request, send};
@@ -197,7 +198,7 @@
     let state = &mut *state;
     let service = &request.route.service;
     let now = node.now();
-    let purpose = purpose(&state.budgets, now, service, request.tree.is_nested);
+    let purpose = nested_calls::purpose(&state.budgets, now, service, request.tree.is_nested);
     state
         .servers
         .choose(now, service, call.wanted(purpose), &mut state.random)
