--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -52,6 +52,16 @@
     assert_eq!(next, NextStep::Attempt);
 }
 
+#[test]
+fn a_request_is_new_until_its_first_attempt_has_ended_however_that_was() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    assert!(call.is_new());
+    let refused = not_run(false, NotRunReason::QueueFull);
+    call.attempt_ended(&id("i-1"), &refused, ALONE, || panic!("it is no repeat"));
+    assert!(!call.is_new(), "it earns no second right to a repeat");
+    assert!(!call.is_repeat());
+}
+
 #[test]
 fn a_request_reaches_no_more_servers_than_its_route_allows() {
     let mut call = Call::new(at(0), &route("two", "/"), None);
