Budget: sums over the parts of a window in one pass

Change: the sums before each part are made once, and a window is a difference of two. Nothing is copied to ask.

--- a/crates/coordination/src/mesh/retry_budget.rs
+++ b/crates/coordination/src/mesh/retry_budget.rs
@@ -110,30 +110,28 @@
     /// A request for `service` was sent for the first time.
     pub fn deposit(&mut self, now: Timestamp, service: &str) {
         let earned = self.bound.ratio * REQUEST_SHARE;
+        let part = self.part();
         let account = self.account(now, service);
-        account.sent.note_request();
+        account.sent.note_request(now, part);
         account.hedges = (account.hedges + earned).min(MAX_HEDGES);
     }
 
     /// Pays for one repeat to `service`; says whether there was enough.
     pub fn withdraw(&mut self, now: Timestamp, service: &str, repeated: Repeated) -> bool {
-        let share = self.bound.ratio * repeated.share();
-        let fixed = self.fixed();
-        let sent = &mut self.account(now, service).sent;
-        let is_enough = sent.allows_repeat(share, fixed);
+        let is_enough = self.has_room(now, service, repeated);
         if is_enough {
-            sent.note_repeat();
+            self.note_repeat(now, service);
         }
         is_enough
     }
 
     /// Whether [`withdraw`](Self::withdraw) would find enough for one repeat.
     pub fn has_room(&self, now: Timestamp, service: &str, repeated: Repeated) -> bool {
-        let share = self.bound.ratio * repeated.share();
+        let (share, fixed) = (self.bound.ratio * repeated.share(), self.fixed());
         let known = self.accounts.get(service);
-        let mut sent = known.map(|known| known.sent.clone()).unwrap_or_default();
-        sent.advance(now, self.part());
-        sent.allows_repeat(share, self.fixed())
+        known.map_or(fixed >= 1.0, |known| {
+            known.sent.allows_repeat(now, self.part(), share, fixed)
+        })
     }
 
     /// Pays for one attempt beside another that is late; says whether there was
@@ -153,7 +151,12 @@
 
     /// A call of a repeated run was sent to `service`.
     pub fn inherited(&mut self, now: Timestamp, service: &str) {
-        self.account(now, service).sent.note_repeat();
+        self.note_repeat(now, service);
+    }
+
+    fn note_repeat(&mut self, now: Timestamp, service: &str) {
+        let part = self.part();
+        self.account(now, service).sent.note_repeat(now, part);
     }
 
     /// This node's part of the fixed number.
@@ -173,7 +176,7 @@
     /// The account of `service` as of now.
     fn account(&mut self, now: Timestamp, service: &str) -> &mut Account {
         let fixed = self.fixed();
-        let (window, part) = (self.window(), self.part());
+        let window = self.window();
         if !self.accounts.contains_key(service) {
             let fresh = Account {
                 hedges: fixed.min(MAX_HEDGES),
@@ -186,7 +189,6 @@
             .accounts
             .get_mut(service)
             .expect("it was inserted above");
-        account.sent.advance(now, part);
         let passed = now.saturating_since(account.hedges_refilled).as_secs_f64();
         let refill = fixed * passed / window.as_secs_f64();
         account.hedges = (account.hedges + refill).min(MAX_HEDGES);
--- a/crates/coordination/src/mesh/sent_counts.rs
+++ b/crates/coordination/src/mesh/sent_counts.rs
@@ -5,16 +5,17 @@
 //! it touches, so that the rounding never allows too much.
 
 use std::collections::VecDeque;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 
 /// Parts of a window.
 pub const PARTS: u32 = 20;
-/// Parts in a window, and in two of them: as far back as requests count.
-const WINDOW: i64 = PARTS as i64;
-const REMEMBERED: usize = 2 * PARTS as usize + 1;
+const WINDOW: usize = PARTS as usize;
+/// Parts that are remembered: as far back as requests count for a window.
+const REMEMBERED: usize = 2 * WINDOW + 1;
+/// The newest of the remembered parts.
+const NEWEST: usize = REMEMBERED - 1;
 
 /// What was sent in one part of a window.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,76 +34,102 @@
 }
 
 impl SentCounts {
-    /// Time has come to `now`; a part is `length` long.
-    pub fn advance(&mut self, now: Timestamp, length: Duration) {
-        let current =
-            (now.saturating_since(Timestamp::ZERO).as_micros() / length.as_micros()) as u64;
-        let passed = current.saturating_sub(self.newest);
-        self.newest = self.newest.max(current);
-        if self.parts.is_empty() || passed >= REMEMBERED as u64 {
-            self.parts.clear();
-            self.parts.push_back(Part::default());
-            return;
-        }
-        for _ in 0..passed {
-            self.parts.push_back(Part::default());
-        }
-        while self.parts.len() > REMEMBERED {
-            self.parts.pop_front();
-        }
+    /// A request was sent for the first time. A part is `length` long.
+    pub fn note_request(&mut self, now: Timestamp, length: Duration) {
+        self.current(now, length).requests += 1;
     }
 
-    /// A request was sent for the first time.
-    pub fn note_request(&mut self) {
-        if let Some(part) = self.parts.back_mut() {
-            part.requests += 1;
-        }
+    /// A repeat was sent.
+    pub fn note_repeat(&mut self, now: Timestamp, length: Duration) {
+        self.current(now, length).repeats += 1;
     }
 
-    /// A repeat was sent.
-    pub fn note_repeat(&mut self) {
-        if let Some(part) = self.parts.back_mut() {
-            part.repeats += 1;
+    fn current(&mut self, now: Timestamp, length: Duration) -> &mut Part {
+        let number = number_at(now, length);
+        let passed = number.saturating_sub(self.newest);
+        self.newest = self.newest.max(number);
+        if passed >= REMEMBERED as u64 {
+            self.parts.clear();
+        } else {
+            let others = passed as usize;
+            self.parts
+                .extend(std::iter::repeat_n(Part::default(), others));
+        }
+        if self.parts.is_empty() {
+            self.parts.push_back(Part::default());
         }
+        let surplus = self.parts.len().saturating_sub(REMEMBERED);
+        self.parts.drain(..surplus);
+        self.parts
+            .back_mut()
+            .expect("one was added if there was none")
     }
 
     /// Whether one more repeat leaves every window that has begun with at most
     /// `ratio` times its requests and `fixed` besides, whatever comes later.
-    pub fn allows_repeat(&self, ratio: f64, fixed: f64) -> bool {
+    pub fn allows_repeat(&self, now: Timestamp, length: Duration, ratio: f64, fixed: f64) -> bool {
+        let sums = Sums::of(self, number_at(now, length));
         let is_within = |requests: u32, repeats: u32| {
             f64::from(repeats + 1) <= ratio * f64::from(requests) + fixed
         };
-        if f64::from(self.repeats(1 - REMEMBERED as i64..=0) + 1) <= fixed {
-            return true;
-        }
-        let of_last_window = self.requests(1 - WINDOW..=0);
-        is_within(of_last_window, self.repeats(-WINDOW..=0))
-            && (-WINDOW..=0)
-                .all(|first| is_within(self.requests_counted(first), self.repeats(first..=0)))
+        let last_window = NEWEST - WINDOW;
+        let requests_of_last = sums.requests(last_window + 1, NEWEST);
+        is_within(requests_of_last, sums.repeats(last_window, NEWEST))
+            && (last_window..=NEWEST)
+                .all(|first| is_within(sums.requests_counted(first), sums.repeats(first, NEWEST)))
     }
+}
 
-    /// The requests that count for a window that begins in part `first` (0 is the
-    /// newest one, those before it are negative), as far as they were sent.
-    fn requests_counted(&self, first: i64) -> u32 {
-        let in_it = self.requests(first + 1..=0);
-        let half_before = self.requests(first - WINDOW / 2 + 1..=first + WINDOW / 2 - 1);
-        let before = self.requests(first - WINDOW + 1..=first - 1);
-        in_it.max(half_before).max(before)
+/// Number of the part that `now` lies in.
+fn number_at(now: Timestamp, length: Duration) -> u64 {
+    (now.saturating_since(Timestamp::ZERO).as_micros() / length.as_micros()) as u64
+}
+
+/// Sums over all parts that are remembered up to a moment, oldest first; each holds
+/// what was sent before the part of its index.
+struct Sums {
+    requests: [u32; REMEMBERED + 1],
+    repeats: [u32; REMEMBERED + 1],
+}
+
+impl Sums {
+    /// As of the part `current`.
+    fn of(counts: &SentCounts, current: u64) -> Self {
+        let passed = current.saturating_sub(counts.newest).min(REMEMBERED as u64) as usize;
+        let known = counts.parts.len();
+        let mut sums = Sums {
+            requests: [0; REMEMBERED + 1],
+            repeats: [0; REMEMBERED + 1],
+        };
+        for index in 0..REMEMBERED {
+            // How many parts lie between this one and the newest that is known.
+            let age = (REMEMBERED - index).checked_sub(passed + 1);
+            let place = age.and_then(|age| known.checked_sub(age + 1));
+            let part = place.map_or(Part::default(), |place| counts.parts[place]);
+            sums.requests[index + 1] = sums.requests[index] + part.requests;
+            sums.repeats[index + 1] = sums.repeats[index] + part.repeats;
+        }
+        sums
     }
 
-    fn requests(&self, parts: RangeInclusive<i64>) -> u32 {
-        self.those_in(parts).map(|part| part.requests).sum()
+    /// Requests in the parts from `first` to `last`.
+    fn requests(&self, first: usize, last: usize) -> u32 {
+        self.requests[last + 1] - self.requests[first.min(last + 1)]
     }
 
-    fn repeats(&self, parts: RangeInclusive<i64>) -> u32 {
-        self.those_in(parts).map(|part| part.repeats).sum()
+    /// Repeats in the parts from `first` to `last`.
+    fn repeats(&self, first: usize, last: usize) -> u32 {
+        self.repeats[last + 1] - self.repeats[first]
     }
 
-    fn those_in(&self, parts: RangeInclusive<i64>) -> impl Iterator<Item = &Part> {
-        let last = self.parts.len() as i64 - 1;
-        let from = (last + parts.start()).max(0);
-        let to = (last + parts.end()).min(last);
-        let count = (to - from + 1).max(0) as usize;
-        self.parts.iter().skip(from as usize).take(count)
+    /// The requests that count for a window that begins in part `first`, as far as
+    /// they were sent: of the window, of that half a window earlier, or of the one
+    /// before it.
+    fn requests_counted(&self, first: usize) -> u32 {
+        let in_it = self.requests(first + 1, NEWEST);
+        let middle = (first + WINDOW / 2 - 1).min(NEWEST);
+        let half_before = self.requests(first - WINDOW / 2 + 1, middle);
+        let before = self.requests(first - WINDOW + 1, first - 1);
+        in_it.max(half_before).max(before)
     }
 }
