Server selection: how well a server suits in a module of its own; counts begin anew with another window

Fault found in reading: parts of a window are numbered by its length. If a reload made the window longer, all numbers would fall, and what was sent would never expire. The counts begin anew then. Test: requests_expire_after_the_window_has_been_changed fails without it.

--- a/crates/coordination/src/mesh/retry_budget.rs
+++ b/crates/coordination/src/mesh/retry_budget.rs
@@ -17,7 +17,7 @@
 //!
 //! A repeat makes the nested calls of its run repeats too. Those can't be held
 //! back. They count where they are made, and a part of the bound is kept free for
-//! them: the larger one from requests of callers, each of which may lead to many.
+//! them. Repeats of callers' requests leave more of it, as each may lead to many.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -102,8 +102,12 @@
         self.nodes = nodes.max(1);
     }
 
-    /// Sets the bound of the fleet.
+    /// Sets the bound of the fleet. What was sent is counted anew if its window is
+    /// another one.
     pub fn set_bound(&mut self, bound: FleetRetryBound) {
+        if bound.window != self.bound.window {
+            self.accounts.clear();
+        }
         self.bound = bound;
     }
 
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -17,33 +17,15 @@
 use crate::latency::LatencyEstimate;
 use crate::mesh::admission_queue::Occupancy;
 use crate::mesh::server_record::{ServerRecord, Standing};
+use crate::mesh::server_suitability::{Suitability, is_failing};
 
-/// What another zone counts, in utilization, when the own zone has no spare room:
-/// about the time that a message between zones takes, against that of a run.
-const OTHER_ZONE_COST: f64 = 0.1;
-/// From this cost of losses on (see [`LOSS_PENALTY`]) a server is not preferred for
-/// standing in the own zone.
-const OWN_ZONE_WORTH: f64 = 0.30;
-/// Slots that must be free at a preferred server, as a multiple of the square root
-/// of all: arrivals vary by about that much, so that hardly any has to wait.
-const SPARE_SLOTS: f64 = 1.0;
 /// Random part of the comparison, so that nodes that know the same don't all
 /// choose the same server.
 const JITTER: f64 = 0.05;
-/// Utilization that a server is charged with if it loses all answers: requests go
-/// to others as long as they have room.
-const LOSS_PENALTY: f64 = 3.0;
-/// The same for requests that can't be asked for again.
-const LOSS_PENALTY_ONCE: f64 = 10.0;
 /// A server in whose place another answered gets nothing for this time.
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(1000);
 /// From this share of lost answers on, a server is not sound.
 const LOSSY_SHARE: f64 = 0.05;
-/// From this share of losses or refusals on, a server gets nested calls that can't
-/// be repeated only if all others are as bad: of the calls that a run makes one
-/// after the other, one would most likely fail, and with it all work done for the
-/// request. The same share at which the server's own node turns requests away.
-const FAILING_SHARE: f64 = 0.15;
 /// An admission level is believed this long, and halved again and again after.
 const LEVEL_VALIDITY: Duration = Duration::from_millis(250);
 /// How long it then takes to be halved.
@@ -53,8 +35,6 @@
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(150);
 /// The longest time between probes.
 const MAX_PROBE_DELAY: Duration = Duration::from_millis(600);
-/// Utilization added to a server that is still warming up.
-const WARM_UP_PENALTY: f64 = 0.25;
 /// Without samples an answer is expected within this time.
 const ASSUMED_LATENCY: Duration = Duration::from_millis(200);
 /// A server is not called silent before this time.
@@ -195,7 +175,7 @@
                 let set_aside = record.standing(now) != Standing::Good;
                 let is_failing = wanted.purpose.must_succeed() && is_failing(now, record);
                 let jitter = random.random::<f64>() * JITTER;
-                let suits = self.suits(now, record, wanted.may_repeat);
+                let suits = Suitability::of(now, record, &self.own_zone, wanted.may_repeat);
                 let ranks = (set_aside, is_failing, !suits.is_near_and_free);
                 (ranks, suits.cost + jitter, record)
             })
@@ -402,48 +382,6 @@
             set_aside: records.iter().filter(is_set_aside).count(),
         }
     }
-
-    fn suits(&self, now: Timestamp, record: &ServerRecord, may_repeat: bool) -> Suits {
-        let penalty = if may_repeat {
-            LOSS_PENALTY
-        } else {
-            LOSS_PENALTY_ONCE
-        };
-        let is_near = record.instance.zone == self.own_zone;
-        let is_warming_up = now < record.warm_until;
-        let utilization = record.utilization(now);
-        let losses = record.losses(now) * penalty;
-        let is_free = utilization < spare_room_below(record.limit());
-        let mut cost = utilization + losses;
-        if is_warming_up {
-            cost += WARM_UP_PENALTY;
-        }
-        if !is_near {
-            cost += OTHER_ZONE_COST;
-        }
-        Suits {
-            is_near_and_free: is_near && is_free && !is_warming_up && losses < OWN_ZONE_WORTH,
-            cost,
-        }
-    }
-}
-
-/// How well a server suits an attempt.
-struct Suits {
-    /// Whether it stands in the own zone and has spare room.
-    is_near_and_free: bool,
-    /// Its utilization, and what else speaks against it.
-    cost: f64,
-}
-
-/// The utilization below which a server with `limit` slots has spare room.
-fn spare_room_below(limit: u32) -> f64 {
-    1.0 - SPARE_SLOTS / f64::from(limit).sqrt()
-}
-
-/// Whether a run whose calls went to the server would most likely fail.
-fn is_failing(now: Timestamp, record: &ServerRecord) -> bool {
-    record.losses(now) >= FAILING_SHARE
 }
 
 /// Whether a server has room and answers what it is given.
--- a/crates/coordination/tests/mesh_budget.rs
+++ b/crates/coordination/tests/mesh_budget.rs
@@ -99,6 +99,24 @@
     assert!(budgets.has_room(later, "feeds", Repeated::Request));
 }
 
+#[test]
+fn requests_expire_after_the_window_has_been_changed() {
+    let mut budgets = RetryBudgets::new(bound());
+    budgets.set_nodes(400);
+    budgets.deposit(at(60_000), "feeds");
+    let longer = FleetRetryBound {
+        window: Duration::from_secs(40),
+        ..bound()
+    };
+    budgets.set_bound(longer);
+    for request in 0..100 {
+        budgets.deposit(at(60_000 + request), "feeds");
+    }
+    assert!(budgets.has_room(at(61_000), "feeds", Repeated::Request));
+    let much_later = at(60_000 + 90_000);
+    assert!(!budgets.has_room(much_later, "feeds", Repeated::Request));
+}
+
 #[test]
 fn hedges_get_little_of_what_is_saved() {
     let mut budgets = RetryBudgets::new(bound());
