--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -2,9 +2,9 @@
 //!
 //! Every node sees only its own requests and what servers' nodes say with their
 //! answers. The least utilized server is taken; those of the own zone come first
-//! while they have spare room, since a run then takes no longer there. A server that stays silent or
-//! can't be reached is set aside until its node has answered a probe, so that no
-//! request is spent on finding out.
+//! while they have spare room, since a run then takes no longer there. A server
+//! that stays silent or can't be reached is set aside until its node has answered
+//! a probe, so that no request is spent on finding out.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -83,8 +83,12 @@
 
     /// Whether the work that was done for the request is lost with the attempt.
     fn must_succeed(self) -> bool {
-        let can_be_repeated = false;
-        self == Purpose::NestedCall { can_be_repeated }
+        matches!(
+            self,
+            Purpose::NestedCall {
+                can_be_repeated: false
+            }
+        )
     }
 }
 
