Connections that rest hold no buffers of the node's own, and no future

Ruled out: the log (its queue was empty), bodies (sizes above 64 KiB were rare).

Change: what is read goes through one buffer of the thread; a connection holds only bytes that hyper has not taken. The answer's future is boxed.

What is left of a resting connection is hyper's own buffers.

--- a/crates/proxy/src/http/caller_stream.rs
+++ b/crates/proxy/src/http/caller_stream.rs
@@ -3,6 +3,10 @@
 //! hyper stops reading once bytes of a next request wait in its buffer, and so
 //! misses that the caller has left. Here bytes are read ahead, up to a bound, so
 //! that pipelined requests are taken off the wire and a close is seen at once.
+//!
+//! Most connections rest most of the time. What is read goes through a buffer that
+//! all connections of a thread share, and a connection holds only bytes that hyper
+//! has not taken yet.
 
 use std::cell::RefCell;
 use std::io;
@@ -18,9 +22,14 @@
 
 /// Bytes that are read ahead at most.
 const MAX_READ_AHEAD: usize = 64 * 1024;
-/// Bytes asked for at a time.
+/// Bytes asked for at a time: more than nearly all heads of requests.
 const READ_SIZE: usize = 8 * 1024;
 
+thread_local! {
+    /// Where bytes arrive before they are appended to what their connection holds.
+    static READ_BUFFER: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_SIZE].into());
+}
+
 struct Shared {
     stream: Stream,
     ahead: BytesMut,
@@ -81,20 +90,36 @@
     fn fill(&mut self, context: &mut Context<'_>) {
         self.was_full = false;
         while !self.ended && !self.failed && self.ahead.len() < MAX_READ_AHEAD {
-            let length = self.ahead.len();
-            self.ahead.resize(length + READ_SIZE, 0);
-            let mut buffer = ReadBuf::new(&mut self.ahead[length..]);
-            let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer);
-            let filled = buffer.filled().len();
-            self.ahead.truncate(length + filled);
-            match read {
+            match self.read(context) {
                 Poll::Pending => return,
-                Poll::Ready(Ok(())) => self.ended = filled == 0,
+                Poll::Ready(Ok(length)) => self.ended = length == 0,
                 Poll::Ready(Err(_)) => self.failed = true,
             }
         }
         self.was_full = !self.ended && !self.failed;
     }
+
+    /// Appends what has arrived, and says how many bytes that were.
+    fn read(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        READ_BUFFER.with_borrow_mut(|shared| {
+            let mut buffer = ReadBuf::new(shared);
+            let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer);
+            self.ahead.extend_from_slice(buffer.filled());
+            read.map_ok(|()| buffer.filled().len())
+        })
+    }
+
+    /// Hands over bytes that were inspected, as many as there is room for.
+    fn take(&mut self, buffer: &mut ReadBufCursor<'_>) {
+        let length = self.inspected.min(buffer.remaining());
+        buffer.put_slice(&self.ahead[..length]);
+        self.ahead.advance(length);
+        self.inspected -= length;
+        if self.ahead.is_empty() {
+            // Nothing of it is kept while the connection rests.
+            self.ahead = BytesMut::new();
+        }
+    }
 }
 
 impl Read for CallerStream {
@@ -106,10 +131,7 @@
         // Only what was inspected is taken, so that nothing passes uninspected.
         let mut shared = self.0.borrow_mut();
         if shared.inspected > 0 {
-            let length = shared.inspected.min(buffer.remaining());
-            buffer.put_slice(&shared.ahead[..length]);
-            shared.ahead.advance(length);
-            shared.inspected -= length;
+            shared.take(&mut buffer);
             return Poll::Ready(Ok(()));
         }
         if shared.failed {
--- a/crates/proxy/src/http/pipeline.rs
+++ b/crates/proxy/src/http/pipeline.rs
@@ -63,6 +63,10 @@
                 _ => self.stop(),
             }
         }
+        if self.unread.is_empty() {
+            // Nothing of it is kept while the connection rests.
+            self.unread = BytesMut::new();
+        }
         found
     }
 
--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -133,14 +133,16 @@
             let early = pipeline.take(request.method(), request.uri(), request.headers());
             let handler = handler.clone();
             let counted = (Counted::new(&active), in_progress.count_request());
-            async move {
+            // Each connection has room for the answer's future all the time: boxed,
+            // that is a pointer while the connection rests.
+            Box::pin(async move {
                 let answer = match early {
                     Some(early) => early.finished().await,
                     None => handler.handle(request.map(Some)).await,
                 };
                 drop(counted);
                 Ok::<_, Infallible>(answer)
-            }
+            })
         }
     });
     let connection = http1::Builder::new()
