A server that refused a request without running it is asked again once the others have been

The bound of the route is on servers, the one on repeats is the budget; a second request to a server that said it had not run the first breaks neither.

Change: a server that refused to run a request is passed by while the route allows another one; then it is asked again, after a pause that grows with the refusals (10 ms times their number), six refusals in all. One that names a time is not asked before it, and none that may have run it.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -1,18 +1,24 @@
 //! One request of a caller: its attempts, and what the caller is told.
+//!
+//! A route bounds the servers that a request may be sent to. One that has refused to
+//! run it is passed by while there are others; after that it may be asked again,
+//! which sends the request to no further server.
 
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{InstanceId, Route};
 
-use crate::mesh::server_selection::{Purpose, Wanted};
+use crate::mesh::server_selection::Candidates;
 
 /// A caller that is refused is asked to come back after this time if nobody
 /// named another.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Refusals of servers that come without having run may be tried elsewhere so
-/// often.
-const MAX_REFUSED_ATTEMPTS: usize = 6;
+/// A request may be refused so often before its caller is told.
+const MAX_REFUSED_ATTEMPTS: u32 = 6;
+/// A server that has refused a request is asked again after this time, multiplied
+/// with the refusals so far: about half of a short run, after which it may have room.
+const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(10);
 
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -117,14 +123,18 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     idempotent: bool,
-    max_attempts: u32,
-    offered: u32,
-    refused: usize,
+    max_servers: usize,
+    refused: u32,
     may_have_run: bool,
     is_hedged: bool,
     was_turned_away: bool,
     ends: Timestamp,
+    /// Servers that were sent it.
+    asked: Vec<InstanceId>,
+    /// Servers that must not get it again.
     excluded: Vec<InstanceId>,
+    /// Servers that refused to run it and may be asked again.
+    refused_by: Vec<InstanceId>,
     last_refusal: Option<(NotRunReason, Option<Duration>)>,
 }
 
@@ -136,14 +146,15 @@
         let held = bounds.into_iter().flatten().min();
         Call {
             idempotent: route.is_idempotent(),
-            max_attempts: route.max_attempts,
-            offered: 0,
+            max_servers: route.max_attempts as usize,
             refused: 0,
             may_have_run: false,
             is_hedged: false,
             was_turned_away: false,
             ends: held.map_or(Timestamp::from_micros(u64::MAX), |held| now + held),
+            asked: Vec::new(),
             excluded: Vec::new(),
+            refused_by: Vec::new(),
             last_refusal: None,
         }
     }
@@ -153,28 +164,42 @@
         self.ends
     }
 
-    /// Servers that must not get it again.
-    pub fn excluded(&self) -> &[InstanceId] {
-        &self.excluded
+    /// The servers that its next attempt may go to, if there are any: first one that
+    /// has not refused it, if the route allows another.
+    pub fn candidates(&self) -> impl Iterator<Item = Candidates> {
+        let mut passed_by = self.excluded.clone();
+        passed_by.extend_from_slice(&self.refused_by);
+        let another = Candidates::AllBut(passed_by);
+        let again = Candidates::Only(self.refused_by.clone());
+        let may_ask_another = self.asked.len() < self.max_servers;
+        may_ask_another
+            .then_some(another)
+            .into_iter()
+            .chain([again])
     }
 
-    /// What its next attempt needs of a server.
-    pub fn wanted(&self, purpose: Purpose) -> Wanted<'_> {
-        Wanted {
-            excluded: &self.excluded,
-            may_repeat: self.idempotent,
-            purpose,
+    /// How long the attempt at `server` has to wait before it is sent.
+    pub fn pause_before(&self, server: &InstanceId) -> Duration {
+        if self.refused_by.contains(server) {
+            ASK_AGAIN_PAUSE * self.refused
+        } else {
+            Duration::ZERO
         }
     }
 
+    /// Whether it can be sent again although it may have run.
+    pub fn may_repeat(&self) -> bool {
+        self.idempotent
+    }
+
     /// Whether no attempt was made yet.
     pub fn is_new(&self) -> bool {
-        self.excluded.is_empty()
+        self.excluded.is_empty() && self.refused_by.is_empty()
     }
 
     /// Whether a server may have it already.
     pub fn is_repeat(&self) -> bool {
-        self.offered > 0 || self.is_hedged
+        !self.asked.is_empty() || self.is_hedged
     }
 
     /// Whether a server that fails much may still turn it away.
@@ -184,7 +209,7 @@
 
     /// Whether another attempt may run beside one whose server has fallen silent.
     pub fn may_hedge(&self) -> bool {
-        self.idempotent && self.offered + 1 < self.max_attempts
+        self.idempotent && self.asked.len() + 1 < self.max_servers
     }
 
     /// Another attempt starts beside the one at `server`.
@@ -203,9 +228,6 @@
         is_other_in_progress: bool,
         may_repeat: impl FnOnce() -> bool,
     ) -> NextStep {
-        if !self.excluded.contains(server) {
-            self.excluded.push(server.clone());
-        }
         match end {
             AttemptEnd::Answered => {}
             AttemptEnd::NotRun {
@@ -213,20 +235,24 @@
                 reason,
                 retry_after,
             } => {
-                self.offered += u32::from(*offered);
+                self.note_asked(server, *offered);
+                // One that names a time is not asked before it.
+                let may_ask_again = *reason == NotRunReason::ServerRefused && retry_after.is_none();
+                self.pass_by(server, may_ask_again);
                 self.refused += 1;
                 self.was_turned_away |= *reason == NotRunReason::ServerFailing;
                 self.last_refusal = Some((*reason, *retry_after));
             }
             AttemptEnd::Unknown { .. } => {
-                self.offered += 1;
+                self.note_asked(server, true);
+                self.pass_by(server, false);
                 self.may_have_run = true;
             }
         }
         if is_other_in_progress {
             return NextStep::Wait;
         }
-        if self.may_continue() && (self.offered == 0 || may_repeat()) {
+        if self.may_continue() && (self.asked.is_empty() || may_repeat()) {
             return NextStep::Attempt;
         }
         NextStep::Finish(self.give_up())
@@ -259,15 +285,31 @@
         }
     }
 
+    fn note_asked(&mut self, server: &InstanceId, offered: bool) {
+        if offered && !self.asked.contains(server) {
+            self.asked.push(server.clone());
+        }
+    }
+
+    fn pass_by(&mut self, server: &InstanceId, may_ask_again: bool) {
+        self.refused_by.retain(|refusing| refusing != server);
+        let passed_by = if may_ask_again && !self.excluded.contains(server) {
+            &mut self.refused_by
+        } else {
+            &mut self.excluded
+        };
+        if !passed_by.contains(server) {
+            passed_by.push(server.clone());
+        }
+    }
+
     fn may_continue(&self) -> bool {
         let allowed = self.idempotent || !self.may_have_run;
         let is_futile = self.last_refusal.is_some_and(|(reason, _)| {
             // What it needs further down is the same for all servers.
             reason == NotRunReason::DownstreamOverloaded
         });
-        allowed
-            && !is_futile
-            && self.offered < self.max_attempts
-            && self.refused < MAX_REFUSED_ATTEMPTS
+        let has_servers = self.asked.len() < self.max_servers || !self.refused_by.is_empty();
+        allowed && !is_futile && has_servers && self.refused < MAX_REFUSED_ATTEMPTS
     }
 }
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -53,11 +53,32 @@
     pub set_aside: usize,
 }
 
+/// The servers of a service that an attempt may go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Candidates {
+    /// All but these.
+    AllBut(Vec<InstanceId>),
+    /// None but these.
+    Only(Vec<InstanceId>),
+}
+
+impl Candidates {
+    /// All servers of the service.
+    pub const ALL: Candidates = Candidates::AllBut(Vec::new());
+
+    fn include(&self, server: &InstanceId) -> bool {
+        match self {
+            Candidates::AllBut(excluded) => !excluded.contains(server),
+            Candidates::Only(included) => included.contains(server),
+        }
+    }
+}
+
 /// What an attempt needs of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
-    /// Servers that must not get it.
-    pub excluded: &'a [InstanceId],
+    /// Servers that it may go to.
+    pub candidates: &'a Candidates,
     /// Whether it can be asked for again if the answer is lost.
     pub may_repeat: bool,
     /// For whom it is made.
@@ -168,8 +189,8 @@
         wanted: Wanted<'_>,
         random: &mut impl Rng,
     ) -> Option<Choice> {
-        let candidates = self.by_service.get(service)?;
-        let allowed = candidates.iter().filter(|id| !wanted.excluded.contains(id));
+        let servers = self.by_service.get(service)?;
+        let allowed = servers.iter().filter(|id| wanted.candidates.include(id));
         let usable = || {
             let records = allowed.clone().filter_map(|id| self.records.get(id));
             records.filter(|record| !record.is_withdrawn(now))
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -10,11 +10,11 @@
 use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
 use lifthollow_coordination::mesh::nested_calls;
 use lifthollow_coordination::mesh::retry_budget::{Repeated, RetryBudgets};
-use lifthollow_coordination::mesh::server_selection::Choice;
+use lifthollow_coordination::mesh::server_selection::{Choice, Wanted};
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::ServerInstance;
 use slog::info;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use crate::http::ProxyBody;
 use crate::inbound::{Attempt, AttemptOutcome};
@@ -167,7 +167,11 @@
             may_repeat: request.route.route.is_idempotent(),
         },
     };
+    let pause = call.pause_before(&server.id);
     sending.push(Box::pin(async move {
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
         let outcome = send(node, &in_flight.server, attempt).await;
         (in_flight.server.clone(), outcome)
     }));
@@ -199,9 +203,16 @@
     let service = &request.route.service;
     let now = node.now();
     let purpose = nested_calls::purpose(&state.budgets, now, service, request.tree.is_nested);
-    state
-        .servers
-        .choose(now, service, call.wanted(purpose), &mut state.random)
+    call.candidates().find_map(|candidates| {
+        let wanted = Wanted {
+            candidates: &candidates,
+            may_repeat: call.may_repeat(),
+            purpose,
+        };
+        state
+            .servers
+            .choose(now, service, wanted, &mut state.random)
+    })
 }
 
 fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
