Messages between nodes: heads are parsed once, no dates, few look-ups of headers

Three things were done for nothing: - each head was parsed twice and a second map of its headers built, to find requests that wait behind others; nodes never send such, and most callers' don't wait, - hyper added a date of 37 bytes to each answer between nodes, - ten names were looked up (hashed) in each message to remove what is hardly ever there.

Change: only the callers' port looks ahead, and builds a request only if it has to wait; nodes' answers get no date; names are compared in one pass.

The tests of pipelined requests and of headers stand unchanged.

--- a/crates/proxy/src/http/headers.rs
+++ b/crates/proxy/src/http/headers.rs
@@ -25,6 +25,13 @@
 
 /// Removes what concerns the connection that the message came on.
 pub fn remove_single_connection(headers: &mut HeaderMap) {
+    if headers.contains_key(CONNECTION) {
+        remove_named_by_connection(headers);
+    }
+    remove_all(headers, |name| SINGLE_CONNECTION.contains(name));
+}
+
+fn remove_named_by_connection(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -35,7 +42,12 @@
     for name in named {
         headers.remove(name);
     }
-    for name in SINGLE_CONNECTION {
+}
+
+/// Removes all headers whose names are `unwanted`. Most messages have none or few of
+/// them, and looking at names is cheaper than looking them up.
+pub fn remove_all(headers: &mut HeaderMap, unwanted: impl Fn(&HeaderName) -> bool) {
+    while let Some(name) = headers.keys().find(|name| unwanted(name)).cloned() {
         headers.remove(name);
     }
 }
--- a/crates/proxy/src/http/pipeline.rs
+++ b/crates/proxy/src/http/pipeline.rs
@@ -40,25 +40,21 @@
         }
     }
 
-    /// Takes in bytes in the order of their arrival, and returns the complete
-    /// heads in them.
-    pub fn scan(&mut self, arrived: &[u8]) -> Vec<Request<()>> {
-        let mut found = Vec::new();
+    /// Takes in bytes in the order of their arrival, and tells `found` of each
+    /// complete head in them.
+    pub fn scan(&mut self, arrived: &[u8], mut found: impl FnMut(&Head<'_, '_>)) {
         if self.stopped {
-            return found;
+            return;
         }
         self.unread.extend_from_slice(arrived);
         while !self.stopped && !self.unread.is_empty() {
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut head = httparse::Request::new(&mut headers);
             match head.parse(&self.unread) {
-                Ok(httparse::Status::Complete(length)) => match request(&head) {
-                    Some(request) => {
-                        self.unread.advance(length);
-                        found.push(request);
-                    }
-                    None => self.stop(),
-                },
+                Ok(httparse::Status::Complete(length)) if is_last_of_request(&head) => {
+                    found(&Head(head));
+                    self.unread.advance(length);
+                }
                 Ok(httparse::Status::Partial) if self.unread.len() < self.max_header_bytes => break,
                 _ => self.stop(),
             }
@@ -67,7 +63,6 @@
             // Nothing of it is kept while the connection rests.
             self.unread = BytesMut::new();
         }
-        found
     }
 
     fn stop(&mut self) {
@@ -76,28 +71,38 @@
     }
 }
 
-/// The request of a parsed head; none if a body follows it, or if it can't be
-/// told what follows.
-fn request(head: &httparse::Request<'_, '_>) -> Option<Request<()>> {
-    if head.version != Some(1) {
-        return None;
-    }
-    let mut headers = HeaderMap::with_capacity(head.headers.len());
-    for header in head.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
-        headers.append(name, HeaderValue::from_bytes(header.value).ok()?);
+/// A parsed head.
+pub struct Head<'headers, 'bytes>(httparse::Request<'headers, 'bytes>);
+
+impl Head<'_, '_> {
+    /// The request; none if some part of it is not valid.
+    fn request(&self) -> Option<Request<()>> {
+        let Head(head) = self;
+        let mut headers = HeaderMap::with_capacity(head.headers.len());
+        for header in head.headers.iter() {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            headers.append(name, HeaderValue::from_bytes(header.value).ok()?);
+        }
+        let mut request = Request::new(());
+        *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
+        *request.uri_mut() = Uri::try_from(head.path?).ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
     }
-    let has_body = [CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE]
+}
+
+/// Whether the next request follows the head at once, as it does if there is no body.
+fn is_last_of_request(head: &httparse::Request<'_, '_>) -> bool {
+    let announces_more = |name: &str| {
+        [CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE]
+            .iter()
+            .any(|known| name.eq_ignore_ascii_case(known.as_str()))
+    };
+    let has_more = head
+        .headers
         .iter()
-        .any(|name| headers.contains_key(name));
-    if has_body {
-        return None;
-    }
-    let mut request = Request::new(());
-    *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
-    *request.uri_mut() = Uri::try_from(head.path?).ok()?;
-    *request.headers_mut() = headers;
-    Some(request)
+        .any(|header| announces_more(header.name));
+    head.version == Some(1) && !has_more
 }
 
 /// An answer that is under way before hyper has come to its request.
@@ -148,7 +153,7 @@
     /// it at once. `is_busy` says that hyper is at another request.
     pub fn found(
         &self,
-        request: Request<()>,
+        head: &Head<'_, '_>,
         is_busy: bool,
         start: impl FnOnce(&Request<()>) -> Option<AbortOnDrop>,
     ) {
@@ -159,6 +164,9 @@
         if !has_to_wait || state.early.len() >= MAX_AHEAD {
             return;
         }
+        let Some(request) = head.request() else {
+            return;
+        };
         if let Some(answer) = start(&request) {
             let early = EarlyAnswer { request, answer };
             state.early.push_back((position, early));
--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -27,6 +27,11 @@
 
 /// Answers requests. The future is dropped when the caller hangs up.
 pub trait Handler: 'static {
+    /// Whether requests that wait behind others on their connection are looked for.
+    const LOOKS_AHEAD: bool = false;
+    /// Whether answers that name no date get one.
+    const ADDS_DATE: bool = false;
+
     /// Answers `request`, whose body is given if one may follow.
     fn handle(
         self: Rc<Self>,
@@ -148,6 +153,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
+        .auto_date_header(H::ADDS_DATE)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER))
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
@@ -157,12 +163,15 @@
     poll_fn(|context| {
         loop {
             ahead.poll(context, |bytes| {
-                for request in scanner.scan(bytes) {
-                    pipeline.found(request, active.get() > 0, |request| {
+                if !H::LOOKS_AHEAD {
+                    return;
+                }
+                scanner.scan(bytes, |head| {
+                    pipeline.found(head, active.get() > 0, |request| {
                         let may_start = !is_asked_to_close && handler.may_answer_early(request);
                         may_start.then(|| start_early(&handler, &in_progress, request.clone()))
                     });
-                }
+                });
             });
             let is_left = ahead.is_closed();
             if is_left && active.get() > 0 {
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -39,6 +39,9 @@
 pub struct Outbound(pub Rc<Node>);
 
 impl Handler for Outbound {
+    const LOOKS_AHEAD: bool = true;
+    const ADDS_DATE: bool = true;
+
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
         let arrived = node.now();
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -13,6 +13,8 @@
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Priority;
 
+use crate::http::headers::remove_all;
+
 /// What all of them begin with. Callers' headers of this kind are dropped.
 pub const PREFIX: &str = "lifthollow-";
 /// Path at which a node gives its snapshot.
@@ -291,12 +293,5 @@
 
 /// Drops all headers that only nodes may send.
 pub fn strip(headers: &mut HeaderMap) {
-    let ours: Vec<HeaderName> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(PREFIX))
-        .cloned()
-        .collect();
-    for name in ours {
-        headers.remove(name);
-    }
+    remove_all(headers, |name| name.as_str().starts_with(PREFIX));
 }
