Requests are refused at once while a service that their runs need has no server

A service without servers had no records, and so no level: it counted as open.

Change: a service without servers admits no nested call; the level reaches the edge as any other does, where a request is refused as not run, with when to come back. A disbursement can then be asked for again, after a 500 it can't. One request in 300 ms is run at each node all the same, since only runs tell that a service is no longer needed.

Tests: three in mesh_admission and mesh_attempts; the one of the level fails without the change (new constant, so it could not be compiled before).

--- a/crates/coordination/src/mesh/nested_calls.rs
+++ b/crates/coordination/src/mesh/nested_calls.rs
@@ -20,13 +20,17 @@
     }
 }
 
-/// The lowest level of nested calls that `service` lets through.
+/// The lowest level of nested calls that `service` lets through: none if it has no
+/// server, since each call would fail, and its run with it.
 pub fn admission_level(
     servers: &ServerPool,
     budgets: &RetryBudgets,
     now: Timestamp,
     service: &ServiceName,
 ) -> AdmissionLevel {
+    if !servers.has_servers(service.as_str()) {
+        return AdmissionLevel::CLOSED;
+    }
     let purpose = purpose(budgets, now, service.as_str(), true);
     servers.admission_level(now, service.as_str(), purpose)
 }
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -65,6 +65,10 @@
     },
 }
 
+/// While a needed service has no server, one request in this time is run all the
+/// same: what runs need is learned from runs, and may have changed.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Attempts that may wait before the level rises, relative to the square root of
 /// those that run. Runs are short against the time that a request has.
 const TARGET_QUEUE: f64 = 2.5;
@@ -79,6 +83,8 @@
     running: RunningRequests,
     health: ServerHealth,
     next_run: u64,
+    /// When a request was last run though a service that it needs has no server.
+    last_trial: Timestamp,
 }
 
 impl ServerAdmission {
@@ -92,6 +98,7 @@
             running: RunningRequests::default(),
             health: ServerHealth::default(),
             next_run: 0,
+            last_trial: Timestamp::ZERO,
         }
     }
 
@@ -140,7 +147,7 @@
         if attempt.may_go_elsewhere && self.health.turns_away(now, &attempt.zone) {
             return refusal(NotRunReason::ServerFailing, None);
         }
-        if !attempt.is_nested && !self.needed_level(level_of).admits(attempt.priority) {
+        if !attempt.is_nested && !self.is_admitted_further_down(now, attempt.priority, level_of) {
             return refusal(NotRunReason::DownstreamOverloaded, None);
         }
         self.observe(now);
@@ -258,11 +265,26 @@
         self.threshold.observe(now, occupancy);
     }
 
-    /// What the services needed by requests of callers admit. Nested calls are
-    /// not held to it: work has been done for their trees already, and what was
-    /// admitted above the line a moment ago is little.
-    fn needed_level(&self, level_of: impl Fn(&ServiceName) -> AdmissionLevel) -> AdmissionLevel {
-        downstream_level(&self.graph, &self.source(false), level_of)
+    /// Whether the services needed by a request of a caller admit it. Nested calls
+    /// are not held to that: work has been done for their trees already, and what
+    /// was admitted above the line a moment ago is little.
+    fn is_admitted_further_down(
+        &mut self,
+        now: Timestamp,
+        priority: Priority,
+        level_of: impl Fn(&ServiceName) -> AdmissionLevel,
+    ) -> bool {
+        let source = self.source(false);
+        if downstream_level(&self.graph, &source, &level_of).admits(priority) {
+            return true;
+        }
+        let mut needed = self.graph.needed(&source, priority.class);
+        let is_closed = needed.any(|service| level_of(service) >= AdmissionLevel::CLOSED);
+        let is_trial = is_closed && now.saturating_since(self.last_trial) >= TRIAL_INTERVAL;
+        if is_trial {
+            self.last_trial = now;
+        }
+        is_trial
     }
 
     /// Nested calls need other services than requests of callers.
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -215,6 +215,12 @@
         })
     }
 
+    /// Whether any server of `service` takes new work, as far as is known.
+    pub fn has_servers(&self, service: &str) -> bool {
+        let servers = self.by_service.get(service);
+        servers.is_some_and(|servers| !servers.is_empty())
+    }
+
     /// Whether a server loses so many answers that one which is late is worth
     /// asking for elsewhere.
     pub fn loses_answers(&self, now: Timestamp, id: &InstanceId) -> bool {
--- a/crates/coordination/tests/mesh_admission.rs
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -314,3 +314,64 @@
     let closed = |_: &ServiceName| AdmissionLevel(100);
     assert_eq!(admission.level(false, closed), AdmissionLevel::OPEN);
 }
+
+/// A server whose runs for callers all call `ledger`.
+fn needing_ledger() -> ServerAdmission {
+    let mut admission = ServerAdmission::new("feeds", LIMIT);
+    for number in 0..40 {
+        let request = sheddable(&number.to_string(), 0);
+        assert_eq!(admission.arrive(at(0), &request, open), Verdict::Run);
+        run_calling(&mut admission, &request, Some("ledger"));
+    }
+    admission
+}
+
+fn run_calling(admission: &mut ServerAdmission, request: &ArrivingAttempt, called: Option<&str>) {
+    let run = admission.started(at(0), request);
+    if let Some(service) = called {
+        admission.called(run, service);
+        admission.call_ended(run, false);
+    }
+    admission.answered(at(0), run, true);
+    admission.finish(at(0), request, run, RunEnd::Served, Some(ms(10)));
+}
+
+#[test]
+fn requests_are_refused_at_once_while_a_service_that_they_need_has_no_server() {
+    let mut admission = needing_ledger();
+    let no_server = |_: &ServiceName| AdmissionLevel::CLOSED;
+    let arrive = |admission: &mut ServerAdmission, milliseconds: u64| {
+        let request = sheddable("later", 127);
+        let verdict = admission.arrive(at(milliseconds), &request, no_server);
+        matches!(verdict, Verdict::Run)
+    };
+    assert!(
+        arrive(&mut admission, 1000),
+        "one tries whether it is needed"
+    );
+    assert!((1001..1250).all(|at| !arrive(&mut admission, at)));
+    assert!(arrive(&mut admission, 1300));
+    let level = admission.level(false, no_server);
+    let most_important = Priority {
+        class: PriorityClass::Sheddable,
+        user: 127,
+    };
+    assert!(!level.admits(most_important), "callers' nodes are told");
+}
+
+#[test]
+fn a_service_that_is_no_longer_called_is_no_longer_needed() {
+    let mut admission = needing_ledger();
+    let no_server = |_: &ServiceName| AdmissionLevel::CLOSED;
+    let trials = (0..100).filter(|number| {
+        let now = at(1000 + number * 300);
+        let request = sheddable("later", 0);
+        let runs = admission.arrive(now, &request, no_server) == Verdict::Run;
+        if runs {
+            run_calling(&mut admission, &request, None);
+        }
+        runs
+    });
+    assert_eq!(trials.count(), 100);
+    assert_eq!(admission.level(false, no_server), AdmissionLevel::OPEN);
+}
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -6,10 +6,13 @@
 use lifthollow_coordination::mesh::call::{
     AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
 };
+use lifthollow_coordination::mesh::nested_calls;
+use lifthollow_coordination::mesh::retry_budget::{FleetRetryBound, RetryBudgets};
 use lifthollow_coordination::mesh::server_selection::{
     Candidates, Purpose, ReportedLoad, ServerPool, Wanted,
 };
 use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::ServiceName;
 use lifthollow_state::mesh::RequestKind;
 use mesh_support::{at, id, ms, random, route, server};
 
@@ -471,3 +474,19 @@
     assert_eq!(next, NextStep::Attempt);
     assert!(!call.may_be_turned_away());
 }
+
+#[test]
+fn a_service_without_servers_admits_no_nested_call() {
+    let budgets = RetryBudgets::new(FleetRetryBound {
+        ratio: 0.2,
+        fixed: 60.0,
+        window: ms(10_000),
+    });
+    let level = |pool: &ServerPool| {
+        nested_calls::admission_level(pool, &budgets, at(0), &ServiceName::new("feeds"))
+    };
+    let mut pool = pool();
+    assert_eq!(level(&pool), AdmissionLevel::OPEN);
+    pool.set_servers(at(0), []);
+    assert_eq!(level(&pool), AdmissionLevel::CLOSED);
+}
--- a/crates/protocol/src/load.rs
+++ b/crates/protocol/src/load.rs
@@ -13,10 +13,13 @@
 pub struct AdmissionLevel(#[n(0)] pub u16);
 
 const USER_LEVELS: u16 = 128;
+const CLASSES: u16 = 3;
 
 impl AdmissionLevel {
     /// Admits everything.
     pub const OPEN: AdmissionLevel = AdmissionLevel(0);
+    /// Admits nothing: there is no server that could run a call.
+    pub const CLOSED: AdmissionLevel = AdmissionLevel(CLASSES * USER_LEVELS);
 
     /// The level at which `priority` is the lowest that is admitted.
     pub fn of(priority: Priority) -> Self {
@@ -45,13 +48,16 @@
     }
 }
 
-/// `everything`, or the lowest class that is admitted and the lowest user
+/// `everything`, `nothing`, or the lowest class that is admitted and the lowest user
 /// priority inside it, such as `critical/95`.
 impl fmt::Display for AdmissionLevel {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         if *self == AdmissionLevel::OPEN {
             return formatter.write_str("everything");
         }
+        if *self >= AdmissionLevel::CLOSED {
+            return formatter.write_str("nothing");
+        }
         let class = match self.0 / USER_LEVELS {
             0 => PriorityClass::Sheddable,
             1 => PriorityClass::Normal,
