Connections that went silent are found by a probe on a new one, and not used again

Cause: a probe of a late attempt went out on a kept connection and asked only whether the node is alive. While new connections work it is, and the attempt waits on the silent one until its time is over (504 after 2 s). A silent server was tried on one kept connection each 0.3 s, each silent as well (served again after 4.6 s with twelve of them). Change: a probe opens a connection and names the request; the node says whether it has an attempt of it. If not, the connection is silent: unused ones to that node are closed, and a repeat, if allowed and paid for, goes out on a new one. A trial of a silent server closes the unused connections to it first. Before: two tests of silent_connections fail. Not changed: a request that can't be repeated still waits for its time. A change is known in time while connections to the store are silent (passed before, too).

--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -63,6 +63,8 @@
     /// One that was in use a moment ago, so that the other side hardly has
     /// forgotten it.
     Recent,
+    /// None: kept connections may be silent although new ones work.
+    New,
 }
 
 /// After so much rest the other side was found to have forgotten a connection.
@@ -126,6 +128,12 @@
         });
     }
 
+    /// Closes unused connections to `address`. What made one of them go silent may
+    /// have struck all, and each would cost a request its time.
+    pub fn close_idle(&self, address: SocketAddrV4) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Sends `request` to `address`, on a kept connection if `reuse` allows one,
     /// and waits for the head of its answer.
     pub async fn send(
@@ -203,10 +211,12 @@
         let mut all = self.idle.borrow_mut();
         let connections = all.get_mut(&address)?;
         let is_recent = connections.last()?.since.elapsed() < RECENT_USE;
-        if reuse == Reuse::Recent && !is_recent {
-            return None;
-        }
-        connections.pop()
+        let may_reuse = match reuse {
+            Reuse::Any => true,
+            Reuse::Recent => is_recent,
+            Reuse::New => false,
+        };
+        may_reuse.then(|| connections.pop()).flatten()
     }
 
     fn rest_limit(&self, address: SocketAddrV4) -> Duration {
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -1,7 +1,9 @@
 //! Attempts for the server beside this node.
 
 mod admission;
+pub mod in_progress;
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +51,10 @@
     pub patience: Duration,
     /// What it allows, and where it comes from.
     pub terms: Terms,
+    /// On which connections to another node it may be sent.
+    pub reuse: Reuse,
+    /// Whether its answer has begun to arrive.
+    pub answer_begun: Rc<Cell<bool>>,
 }
 
 /// How an attempt ended, with the server's answer if there is one.
@@ -173,6 +179,10 @@
         Reuse::Recent
     };
     let connections = &node.server_connections;
+    if node.is_own_server_silent() {
+        // It may be the connections that are silent: the trial goes out on a new one.
+        connections.close_idle(node.settings.server_address);
+    }
     let sending = connections.send(node.settings.server_address, attempt.request, reuse);
     let sent = note_overdue(node, &permit, attempt.tree.is_nested, sending).await;
     permit.end = RunEnd::Failed;
@@ -320,9 +330,11 @@
             peer_headers::SNAPSHOT_PATH => {
                 return snapshots::answer(node, request.headers(), arrived);
             }
-            peer_headers::PROBE_PATH => return probe::answer(node),
+            peer_headers::PROBE_PATH => return probe::answer(node, request.headers()),
             _ => {}
         }
+        let request_id = node.names.request_id_of(request.headers());
+        let _in_progress = node.attempts_in_progress.enter(request_id);
         let (tree, terms) = peer_headers::tree(request.headers());
         let outcome = match read_attempt(node, request).await {
             Some(attempt) => execute(node, attempt).await,
@@ -362,6 +374,8 @@
         ends: arrived + left.unwrap_or(DEFAULT_DEADLINE),
         patience: patience.unwrap_or_default(),
         request: Request::from_parts(head, body),
+        reuse: Reuse::Any,
+        answer_begun: Rc::default(),
     })
 }
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -28,6 +28,7 @@
 
 use crate::http::pool::Pool;
 use crate::http::server::ConnectionLimits;
+use crate::inbound::in_progress::AttemptsInProgress;
 use crate::logging::LineLimit;
 use crate::metrics::Metrics;
 use crate::network::{Network, SystemNetwork};
@@ -123,6 +124,8 @@
     pub server_connections: Pool,
     /// Connections to other nodes.
     pub peer_connections: Pool,
+    /// Attempts of other nodes that are worked on here.
+    pub attempts_in_progress: AttemptsInProgress,
     /// Counters.
     pub metrics: Rc<Metrics>,
     /// The log.
@@ -174,6 +177,7 @@
             state: RefCell::new(state),
             server_connections: Pool::new(network.clone(), SERVER_CONNECT_LIMIT),
             peer_connections: Pool::new(network.clone(), PEER_CONNECT_LIMIT),
+            attempts_in_progress: AttemptsInProgress::default(),
             metrics,
             log,
             line_limit: LineLimit::default(),
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -1,5 +1,6 @@
 //! The attempts of one request.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,13 +18,15 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::http::ProxyBody;
+use crate::http::pool::Reuse;
 use crate::inbound::{Attempt, AttemptOutcome};
 use crate::node::Node;
 use crate::outbound::answer::{finish, log_attempt};
 use crate::outbound::request::RoutedRequest;
 use crate::outbound::send::{outgoing_request, send};
+use crate::peer_headers;
 use crate::peer_headers::{Terms, TreePlace};
-use crate::{peer_headers, probe};
+use crate::probe::{self, Liveness};
 
 /// The part of the target latency that a request may spend in queues.
 const QUEUE_SHARE: f64 = 0.2;
@@ -45,7 +48,8 @@
 ) -> (&'static str, Response<ProxyBody>) {
     let ends = node.clock.instant(call.ends()).into();
     let mut sending: FuturesUnordered<Sending> = FuturesUnordered::new();
-    let mut watched = match start(node, request, &mut call, &mut sending) {
+    let mut reuse = Reuse::Any;
+    let mut watched = match start(node, request, &mut call, reuse, &mut sending) {
         Ok(watched) => watched,
         Err(answer) => return finish(node, request, answer),
     };
@@ -62,11 +66,16 @@
                 call.attempt_ended(&server.id, &outcome.end, is_other_in_progress, || pay_for_repeat(node, request))
             }
             _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
-            is_lost = watched.is_lost(node) => {
+            finding = watched.look(node, node.names.request_id_of(&request.head.headers)) => {
+                let is_lost = finding != Finding::InProgress;
                 let may_hedge = is_lost && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
                 if !may_hedge || !pay_for_hedge(node, request) {
                     continue;
                 }
+                if finding == Finding::ConnectionLost {
+                    // What struck this connection may have struck all that were open.
+                    reuse = Reuse::New;
+                }
                 call.hedge(&watched.server.id);
                 NextStep::Attempt
             }
@@ -75,7 +84,7 @@
             NextStep::Wait => continue,
             NextStep::Finish(answer) => answer,
             NextStep::Attempt if request.body.is_spent() => call.give_up(),
-            NextStep::Attempt => match start(node, request, &mut call, &mut sending) {
+            NextStep::Attempt => match start(node, request, &mut call, reuse, &mut sending) {
                 Ok(started) => {
                     watched = started;
                     continue;
@@ -88,6 +97,17 @@
     }
 }
 
+/// What is found of an attempt whose answer is late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Finding {
+    /// It may still be answered.
+    InProgress,
+    /// Its server loses answers, or doesn't answer.
+    ServerLost,
+    /// Its connection is silent.
+    ConnectionLost,
+}
+
 /// Watches whether a server that has an attempt falls silent.
 struct Watched {
     server: ServerInstance,
@@ -95,13 +115,14 @@
     check: Timestamp,
     silence: Duration,
     is_nested: bool,
+    answer_begun: Rc<Cell<bool>>,
 }
 
 impl Watched {
-    /// Resolves when it is time to look: true if the server loses answers, or has
-    /// answered nothing since the attempt was sent and its node doesn't answer a
-    /// probe.
-    async fn is_lost(&mut self, node: &Rc<Node>) -> bool {
+    /// Resolves when it is time to look. An attempt is lost if its server loses
+    /// answers, or has answered nothing since it was sent and its node doesn't answer a
+    /// probe, or has no such attempt.
+    async fn look(&mut self, node: &Rc<Node>, request_id: &str) -> Finding {
         sleep_until(node.clock.instant(self.check).into()).await;
         let now = node.now();
         let (loses_answers, is_quiet) = {
@@ -112,14 +133,32 @@
         };
         if loses_answers {
             self.check = now + self.silence;
-            return true;
+            return Finding::ServerLost;
         }
-        let is_silent = is_quiet && !probe::is_alive(node, &self.server).await;
+        let finding = match is_quiet {
+            true => self.probe(node, request_id).await,
+            false => Finding::InProgress,
+        };
         self.check = node.now() + self.silence;
-        if is_silent {
-            probe::set_aside(node, &self.server, "silent");
+        finding
+    }
+
+    async fn probe(&self, node: &Rc<Node>, request_id: &str) -> Finding {
+        match probe::ask(node, &self.server, Some(request_id)).await {
+            Liveness::Alive => Finding::InProgress,
+            Liveness::Silent => {
+                probe::set_aside(node, &self.server, "silent");
+                Finding::ServerLost
+            }
+            Liveness::AttemptNotThere if self.answer_begun.get() => Finding::InProgress,
+            Liveness::AttemptNotThere => {
+                let address = node.node_beside(&self.server);
+                info!(node.log, "connection silent"; "request" => request_id,
+                    "server" => self.server.id.as_str(), "node" => %address);
+                node.peer_connections.close_idle(address);
+                Finding::ConnectionLost
+            }
         }
-        is_silent
     }
 }
 
@@ -128,6 +167,7 @@
     node: &'a Rc<Node>,
     request: &mut RoutedRequest,
     call: &mut Call,
+    reuse: Reuse,
     sending: &mut FuturesUnordered<Sending<'a>>,
 ) -> Result<Watched, FinalAnswer> {
     let sent = node.now();
@@ -166,7 +206,10 @@
             may_go_elsewhere: choice.has_alternative && call.may_be_turned_away(),
             may_repeat: request.route.route.is_idempotent(),
         },
+        reuse,
+        answer_begun: Rc::default(),
     };
+    let answer_begun = attempt.answer_begun.clone();
     let pause = call.pause_before(&server.id);
     sending.push(Box::pin(async move {
         if !pause.is_zero() {
@@ -181,6 +224,7 @@
         check: sent + silence,
         silence,
         is_nested: request.tree.is_nested,
+        answer_begun,
     })
 }
 
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -11,7 +11,7 @@
 use crate::http::ProxyBody;
 use crate::http::body::{self, ReadBody};
 use crate::http::headers::remove_single_connection;
-use crate::http::pool::{Reuse, SendError};
+use crate::http::pool::SendError;
 use crate::inbound::{self, Attempt, AttemptOutcome, milliseconds_value};
 use crate::node::Node;
 use crate::outbound::request::RoutedRequest;
@@ -82,6 +82,7 @@
     mut attempt: Attempt,
 ) -> (AttemptOutcome, Option<ReportedLoad>) {
     let address = node.node_beside(server);
+    let answer_begun = attempt.answer_begun.clone();
     let asked = node.now();
     let headers = attempt.request.headers_mut();
     let left = attempt.ends.saturating_since(asked);
@@ -92,7 +93,7 @@
     snapshots::name_revision(node, headers);
     let answered = node
         .peer_connections
-        .send(address, attempt.request, Reuse::Any)
+        .send(address, attempt.request, attempt.reuse)
         .await;
     let (response, lease) = match answered {
         Ok(answered) => answered,
@@ -104,6 +105,7 @@
             return (AttemptOutcome::unknown(UnknownReason::AnswerLost), None);
         }
     };
+    answer_begun.set(true);
     let (mut head, incoming) = response.into_parts();
     snapshots::note_revision(node, &head.headers, address);
     snapshots::note_view(node, &head.headers, asked);
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -33,6 +33,9 @@
 pub const VIEW: HeaderName = HeaderName::from_static("lifthollow-view");
 /// Where the sender takes messages of other nodes.
 pub const NODE: HeaderName = HeaderName::from_static("lifthollow-node");
+/// In a probe: the identity of the request that the sender waits for. In its answer:
+/// [`IN_PROGRESS`], or [`NOT_HERE`].
+pub const WAITING_FOR: HeaderName = HeaderName::from_static("lifthollow-waiting-for");
 /// How the attempt ended.
 pub const OUTCOME: HeaderName = HeaderName::from_static("lifthollow-outcome");
 /// Running, waiting and allowed requests at the server, its admission level, and
@@ -50,6 +53,10 @@
     pub is_repeat: bool,
 }
 
+/// The word for a request that a probed node has an attempt of.
+pub const IN_PROGRESS: &str = "in-progress";
+/// The word for a request that a probed node has no attempt of.
+pub const NOT_HERE: &str = "not-here";
 /// The word for an attempt that the server answered.
 pub const ANSWERED: &str = "answered";
 const THOUSANDTHS: f64 = 1000.0;
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use lifthollow_state::mesh::ServerInstance;
 use slog::info;
 use tokio::time::{sleep, timeout};
@@ -20,9 +21,32 @@
 /// The largest answer that is read, bytes.
 const MAX_ANSWER: usize = 4096;
 
+/// What a probe finds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// The node or its server doesn't answer.
+    Silent,
+    /// Both do.
+    Alive,
+    /// Both do, and the node has no attempt of the request that was asked for: it
+    /// never arrived, or its answer went out on a connection that is silent.
+    AttemptNotThere,
+}
+
 /// The answer to a probe.
-pub fn answer(node: &Rc<Node>) -> Response<ProxyBody> {
+pub fn answer(node: &Rc<Node>, headers: &HeaderMap) -> Response<ProxyBody> {
     let mut response = Response::new(ProxyBody::empty());
+    if let Some(id) = headers.get(peer_headers::WAITING_FOR) {
+        let id = id.to_str().unwrap_or_default();
+        let word = match node.attempts_in_progress.contains(id) {
+            true => peer_headers::IN_PROGRESS,
+            false => peer_headers::NOT_HERE,
+        };
+        let value = HeaderValue::from_static(word);
+        response
+            .headers_mut()
+            .insert(peer_headers::WAITING_FOR, value);
+    }
     if !is_own_server_available(node) {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
@@ -33,10 +57,14 @@
     node.takes_attempts() && !node.is_own_server_silent()
 }
 
-/// Whether the node beside `server` answers, and finds its server alive.
-pub async fn is_alive(node: &Rc<Node>, server: &ServerInstance) -> bool {
+/// Asks the node beside `server`, on a new connection, whether it answers and finds
+/// its server alive, and whether it has an attempt of the request `waiting_for`.
+pub async fn ask(node: &Rc<Node>, server: &ServerInstance, waiting_for: Option<&str>) -> Liveness {
     if node.is_beside(server) {
-        return is_own_server_available(node);
+        return match is_own_server_available(node) {
+            true => Liveness::Alive,
+            false => Liveness::Silent,
+        };
     }
     let address = node.node_beside(server);
     let mut request = Request::new(ProxyBody::empty());
@@ -44,19 +72,33 @@
     let host = HeaderValue::try_from(address.to_string()).expect("an address is plain text");
     request.headers_mut().insert(HOST, host);
     snapshots::name_revision(node, request.headers_mut());
+    if let Some(id) = waiting_for.and_then(|id| HeaderValue::try_from(id).ok()) {
+        let headers = request.headers_mut();
+        headers.insert(peer_headers::WAITING_FOR, id);
+    }
     let exchange = async {
         let (response, lease) = node
             .peer_connections
-            .send(address, request, Reuse::Any)
+            .send(address, request, Reuse::New)
             .await
             .ok()?;
-        let status = response.status();
+        let liveness = liveness(&response);
         body::read(response.into_body(), MAX_ANSWER).await.ok()?;
         lease.keep();
-        Some(status == StatusCode::OK)
+        Some(liveness)
     };
     let answered = timeout(ANSWER_LIMIT, exchange).await;
-    matches!(answered, Ok(Some(true)))
+    answered.ok().flatten().unwrap_or(Liveness::Silent)
+}
+
+fn liveness(response: &Response<Incoming>) -> Liveness {
+    if response.status() != StatusCode::OK {
+        return Liveness::Silent;
+    }
+    match response.headers().get(peer_headers::WAITING_FOR) {
+        Some(word) if word == peer_headers::NOT_HERE => Liveness::AttemptNotThere,
+        _ => Liveness::Alive,
+    }
 }
 
 /// Sets `server` aside and probes it until it answers.
@@ -78,7 +120,7 @@
             return;
         };
         sleep(delay).await;
-        let is_alive = is_alive(&node, &server).await;
+        let is_alive = ask(&node, &server, None).await == Liveness::Alive;
         let now = node.now();
         let mut state = node.state.borrow_mut();
         state.servers.probed(now, &server.id, is_alive);
