Sight: nodes tell crashes of their servers from lost answers, and log what ran there by its content

Change: content fingerprints (xxh3, 128 bits) in lines about attempts; a look at the server's address after a lost answer; 'server crashed' with what ran there.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -75,6 +75,8 @@
     AnswerInvalid,
     /// The server or its node stayed silent.
     Silent,
+    /// The server crashed while it had the request, or a moment after.
+    ServerCrashed,
 }
 
 /// What the caller is told when no server's answer is passed on.
--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -14,6 +14,8 @@
 //! given. [`request_tree`] tells which request a nested call is made for, and
 //! [`nested_calls`] which servers it may go to.
 //!
+//! [`poison`] tells which requests crash the servers that run them.
+//!
 //! [`snapshot_store`] keeps what the node was told from outside, forward only.
 //! [`watchers`] tells which nodes ask the source for all, and [`view_freshness`]
 //! when the others must.
@@ -22,6 +24,7 @@
 pub mod call;
 pub mod loss_estimate;
 pub mod nested_calls;
+pub mod poison;
 pub mod request_tree;
 pub mod retry_budget;
 pub mod route_table;
--- /dev/null
+++ b/crates/coordination/tests/mesh_poison_runs.rs
@@ -0,0 +1,99 @@
+//! What makes two requests the same to a server, and what was at a server when it crashed.
+
+use std::time::Duration;
+
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::mesh::poison::content::{ContentFingerprint, RequestContent};
+use lifthollow_coordination::mesh::poison::server_runs::ServerRuns;
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::InstanceId;
+
+const START: Timestamp = Timestamp::from_micros(1_000_000);
+
+fn request() -> RequestContent<'static> {
+    RequestContent {
+        caller_service: "feeds",
+        method: "GET",
+        host: "shop.example",
+        target: "/read/x?page=2",
+        body_length: Some(4),
+    }
+}
+
+fn fingerprint(content: &RequestContent, body: &[&[u8]]) -> ContentFingerprint {
+    ContentFingerprint::of(content, body.iter().copied())
+}
+
+fn content(number: u128) -> ContentFingerprint {
+    ContentFingerprint(number)
+}
+
+#[test]
+fn the_same_content_has_the_same_fingerprint_however_its_body_arrives() {
+    let whole = fingerprint(&request(), &[b"boom"]);
+    assert_eq!(whole, fingerprint(&request(), &[b"bo", b"om"]));
+}
+
+#[test]
+fn whatever_a_server_is_given_tells_requests_apart() {
+    let same = fingerprint(&request(), &[b"boom"]);
+    let others = [
+        RequestContent {
+            caller_service: "media",
+            ..request()
+        },
+        RequestContent {
+            method: "POST",
+            ..request()
+        },
+        RequestContent {
+            host: "other.example",
+            ..request()
+        },
+        RequestContent {
+            target: "/read/x?page=3",
+            ..request()
+        },
+        RequestContent {
+            body_length: None,
+            ..request()
+        },
+        // The parts are told apart, too.
+        RequestContent {
+            method: "GETshop",
+            host: ".example",
+            ..request()
+        },
+    ];
+    for other in others {
+        assert_ne!(same, fingerprint(&other, &[b"boom"]), "{other:?}");
+    }
+    assert_ne!(same, fingerprint(&request(), &[b"calm"]));
+}
+
+#[test]
+fn a_crash_names_what_ran_there_once() {
+    let (one, other) = (InstanceId::new("one"), InstanceId::new("other"));
+    let mut runs = ServerRuns::default();
+    runs.started(InboundId(1), content(1), &one);
+    runs.started(InboundId(2), content(1), &one);
+    runs.started(InboundId(3), content(2), &one);
+    runs.started(InboundId(4), content(3), &other);
+    assert_eq!(runs.crashed(START, &one), [content(1), content(2)]);
+    assert_eq!(runs.crashed(START, &one), []);
+    assert_eq!(runs.crashed(START, &other), [content(3)]);
+}
+
+#[test]
+fn what_ended_without_a_good_answer_is_suspected_for_a_second() {
+    let server = InstanceId::new("one");
+    let crashes_after = |milliseconds: u64, is_served: bool| {
+        let mut runs = ServerRuns::default();
+        runs.started(InboundId(1), content(1), &server);
+        runs.ended(START, InboundId(1), is_served);
+        runs.crashed(START + Duration::from_millis(milliseconds), &server)
+    };
+    assert_eq!(crashes_after(115, false), [content(1)]);
+    assert_eq!(crashes_after(1001, false), []);
+    assert_eq!(crashes_after(0, true), []);
+}
--- a/crates/proxy/src/http/body.rs
+++ b/crates/proxy/src/http/body.rs
@@ -42,6 +42,28 @@
     pub fn empty() -> Self {
         ProxyBody::Whole(Bytes::new())
     }
+
+    /// The pieces that are here.
+    pub fn here(&self) -> impl Iterator<Item = &Bytes> {
+        let (whole, arrived) = match self {
+            ProxyBody::Whole(bytes) => (Some(bytes), None),
+            ProxyBody::Passing { arrived, .. } => (None, Some(arrived)),
+        };
+        whole.into_iter().chain(arrived.into_iter().flatten())
+    }
+}
+
+impl From<ReadBody> for ProxyBody {
+    fn from(read: ReadBody) -> Self {
+        match read {
+            ReadBody::Whole(bytes) => ProxyBody::Whole(bytes),
+            ReadBody::Larger { arrived, rest } => ProxyBody::Passing {
+                arrived,
+                rest,
+                guard: Box::new(()),
+            },
+        }
+    }
 }
 
 /// Reads `body`, up to `limit` bytes and the piece that exceeds it.
--- a/crates/proxy/src/http/headers.rs
+++ b/crates/proxy/src/http/headers.rs
@@ -1,10 +1,10 @@
-//! Headers that concern one connection only.
+//! Headers that concern one connection only, and the host that a request names.
 
-use hyper::HeaderMap;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::{HeaderMap, Uri};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -60,3 +60,9 @@
         .filter_map(|part| part.trim().strip_prefix("timeout="))
         .find_map(|seconds| seconds.trim().parse().ok())
 }
+
+/// The host that a request names; empty if it names none.
+pub fn host<'r>(headers: &'r HeaderMap, uri: &'r Uri) -> &'r str {
+    let named = headers.get(HOST).and_then(|host| host.to_str().ok());
+    named.or(uri.host()).unwrap_or_default()
+}
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -27,12 +27,12 @@
 }
 
 impl Permit {
-    fn new(node: &Rc<Node>, arriving: ArrivingAttempt) -> Self {
-        let run = node
-            .state
-            .borrow_mut()
-            .admission
-            .started(node.now(), &arriving);
+    fn new(node: &Rc<Node>, arriving: ArrivingAttempt, attempt: &Attempt) -> Self {
+        let mut state = node.state.borrow_mut();
+        let run = state.admission.started(node.now(), &arriving);
+        let runs = &mut state.server_runs;
+        runs.started(run, attempt.content, &attempt.server);
+        drop(state);
         Permit {
             node: node.clone(),
             arriving,
@@ -49,6 +49,8 @@
         let now = self.node.now();
         let ran_for = self.answered.then(|| now.saturating_since(self.started));
         let mut state = self.node.state.borrow_mut();
+        let is_served = self.end == RunEnd::Served;
+        state.server_runs.ended(now, self.run, is_served);
         let started = state
             .admission
             .finish(now, &self.arriving, self.run, self.end, ran_for);
@@ -106,8 +108,8 @@
         state.admission.arrive(now, &arriving, level_of)
     };
     match verdict {
-        Verdict::Run => Ok(Permit::new(node, arriving)),
-        Verdict::Wait(ticket) => wait(node, arriving, ticket, now).await,
+        Verdict::Run => Ok(Permit::new(node, arriving, attempt)),
+        Verdict::Wait(ticket) => wait(node, arriving, attempt, ticket, now).await,
         Verdict::Refuse {
             reason,
             retry_after,
@@ -125,6 +127,7 @@
 async fn wait(
     node: &Rc<Node>,
     arriving: ArrivingAttempt,
+    attempt: &Attempt,
     ticket: Ticket,
     now: Timestamp,
 ) -> Result<Permit, AttemptOutcome> {
@@ -143,7 +146,7 @@
         Ok(Ok(())) => {
             place.left = true;
             drop(place);
-            Ok(Permit::new(node, arriving))
+            Ok(Permit::new(node, arriving, attempt))
         }
         _ => {
             place.in_vain = true;
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -1,6 +1,7 @@
 //! Attempts for the server beside this node.
 
 mod admission;
+pub mod crash_detector;
 pub mod in_progress;
 
 use std::cell::Cell;
@@ -12,6 +13,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
@@ -27,7 +29,7 @@
 use crate::inbound::admission::{Permit, admit};
 use crate::node::Node;
 use crate::peer_headers::{Terms, TreePlace};
-use crate::{peer_headers, probe, snapshots};
+use crate::{peer_headers, probe, request_content, snapshots};
 
 /// Answers up to this size are taken in whole before any of it is passed on, so
 /// that one which breaks off can still be asked for elsewhere.
@@ -41,6 +43,8 @@
 pub struct Attempt {
     /// The request, as it goes to the server but for its deadline.
     pub request: Request<ProxyBody>,
+    /// What it asks of the server.
+    pub content: ContentFingerprint,
     /// The server that is meant.
     pub server: InstanceId,
     /// When the caller's node gives it up.
@@ -101,6 +105,7 @@
 /// What is said of an attempt that the server did not answer.
 struct LoggedAttempt {
     request_id: String,
+    content: ContentFingerprint,
     server: InstanceId,
     tree: TreePlace,
     zone: String,
@@ -112,6 +117,7 @@
         let id = node.names.request_id_of(attempt.request.headers());
         LoggedAttempt {
             request_id: id.to_owned(),
+            content: attempt.content,
             server: attempt.server.clone(),
             tree: attempt.tree,
             zone: attempt.terms.zone.clone(),
@@ -129,6 +135,7 @@
         let load = node.own_load(self.tree.is_nested, &self.zone);
         let took = node.now().saturating_since(self.arrived).as_millis() as u64;
         info!(node.log, "server did not answer"; "request" => &self.request_id,
+            "content" => %self.content,
             "server" => self.server.as_str(), "outcome" => outcome, "why" => why,
             "priority" => AdmissionLevel::of(self.tree.priority).0, "nested" => self.tree.is_nested,
             "running" => load.occupancy.running, "waiting" => load.occupancy.waiting,
@@ -185,15 +192,20 @@
         // (test `silent_connections`).
         connections.close_idle(node.settings.server_address);
     }
+    let server = attempt.server;
     let sending = connections.send(node.settings.server_address, attempt.request, reuse);
     let sent = note_overdue(node, &permit, attempt.tree.is_nested, sending).await;
     permit.end = RunEnd::Failed;
     let (response, lease) = match sent {
         Ok(answered) => answered,
-        Err(SendError::NotSent(_)) => {
+        Err(SendError::NotSent(error)) => {
+            crash_detector::note_refused(node, &server, &error);
             return AttemptOutcome::not_run(NotRunReason::ServerUnreachable);
         }
-        Err(SendError::Lost(error)) => return AttemptOutcome::unknown(lost_reason(&error)),
+        Err(SendError::Lost(error)) => {
+            let reason = lost_reason(node, &server, &error).await;
+            return AttemptOutcome::unknown(reason);
+        }
     };
     let is_failure = response.status().is_server_error();
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -226,7 +238,7 @@
     }
     let took = node.now().saturating_since(permit.started);
     node.metrics.server_duration.observe(took.as_secs_f64());
-    take_answer(response, lease, permit).await
+    take_answer(node, &server, response, lease, permit).await
 }
 
 /// Waits for `sending`, and takes note if the server is longer about it than
@@ -250,8 +262,10 @@
     sending.await
 }
 
-fn lost_reason(error: &hyper::Error) -> UnknownReason {
-    if error.is_parse() {
+async fn lost_reason(node: &Rc<Node>, server: &InstanceId, error: &hyper::Error) -> UnknownReason {
+    if crash_detector::has_crashed(node, server).await {
+        UnknownReason::ServerCrashed
+    } else if error.is_parse() {
         UnknownReason::AnswerInvalid
     } else {
         UnknownReason::AnswerLost
@@ -285,6 +299,8 @@
 }
 
 async fn take_answer(
+    node: &Rc<Node>,
+    server: &InstanceId,
     response: Response<Incoming>,
     lease: Lease,
     mut permit: Permit,
@@ -294,7 +310,8 @@
     let body = match body::read(incoming, MAX_HELD_ANSWER).await {
         Err(error) => {
             permit.end = RunEnd::Failed;
-            return AttemptOutcome::unknown(lost_reason(&error));
+            let reason = lost_reason(node, server, &error).await;
+            return AttemptOutcome::unknown(reason);
         }
         Ok(ReadBody::Whole(whole)) => {
             lease.keep();
@@ -360,16 +377,14 @@
     let server = InstanceId::new(server.to_str().ok()?);
     let left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let patience = peer_headers::milliseconds(&head.headers, &peer_headers::PATIENCE);
-    let body = match body::read(incoming?, MAX_HELD_ANSWER).await.ok()? {
-        ReadBody::Whole(whole) => ProxyBody::Whole(whole),
-        ReadBody::Larger { arrived, rest } => ProxyBody::Passing {
-            arrived,
-            rest,
-            guard: Box::new(()),
-        },
-    };
+    let body = body::read(incoming?, MAX_HELD_ANSWER).await.ok()?;
+    let body = ProxyBody::from(body);
     let (tree, terms) = peer_headers::tree(&head.headers);
+    let caller = head.headers.get(&node.names.caller_service);
+    let caller = caller.and_then(|caller| caller.to_str().ok());
+    let content = request_content::fingerprint(caller.unwrap_or_default(), &head, &body);
     Some(Attempt {
+        content,
         tree,
         terms,
         server,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_headers;
 pub mod probe;
 pub mod process;
+pub mod request_content;
 pub mod settings;
 pub mod snapshots;
 pub mod wire_names;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -38,6 +38,8 @@
     pub server_duration: Histogram,
     /// Attempts that were repeats.
     pub repeats: IntCounter,
+    /// Crashes of the server beside this node.
+    pub server_crashes: IntCounter,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Revision of the snapshot.
@@ -80,6 +82,10 @@
                 "Time that the server beside this node took to answer.",
             )?,
             repeats: IntCounter::new("lifthollow_repeats_total", "Attempts that were repeats.")?,
+            server_crashes: IntCounter::new(
+                "lifthollow_server_crashes_total",
+                "Crashes of the server beside this node.",
+            )?,
             configuration_version: IntGauge::new(
                 "lifthollow_configuration_version",
                 "Version of the configuration in force.",
@@ -115,6 +121,9 @@
         metrics
             .registry
             .register(Box::new(metrics.repeats.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.server_crashes.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.configuration_version.clone()))?;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,6 +11,7 @@
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::NotRunReason;
 use lifthollow_coordination::mesh::nested_calls;
+use lifthollow_coordination::mesh::poison::server_runs::ServerRuns;
 use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
@@ -28,6 +29,7 @@
 
 use crate::http::pool::Pool;
 use crate::http::server::ConnectionLimits;
+use crate::inbound::crash_detector::CrashDetector;
 use crate::inbound::in_progress::AttemptsInProgress;
 use crate::logging::LineLimit;
 use crate::metrics::Metrics;
@@ -73,6 +75,8 @@
     pub budgets: RetryBudgets,
     /// Admission to the server beside this node.
     pub admission: ServerAdmission,
+    /// What is at the server beside this node, in case that it crashes.
+    pub server_runs: ServerRuns,
     /// Attempts that wait in the queue.
     pub waiters: HashMap<Ticket, oneshot::Sender<()>>,
     /// Random numbers.
@@ -126,6 +130,8 @@
     pub peer_connections: Pool,
     /// Attempts of other nodes that are worked on here.
     pub attempts_in_progress: AttemptsInProgress,
+    /// Whether the server beside this node has crashed.
+    pub crash_detector: CrashDetector,
     /// Counters.
     pub metrics: Rc<Metrics>,
     /// The log.
@@ -165,6 +171,7 @@
             own_server: None,
             budgets: RetryBudgets::new(settings.retry_bound),
             admission: ServerAdmission::new(&settings.service, UNKNOWN_SLOTS),
+            server_runs: ServerRuns::default(),
             waiters: HashMap::new(),
             random,
         };
@@ -178,6 +185,7 @@
             server_connections: Pool::new(network.clone(), SERVER_CONNECT_LIMIT),
             peer_connections: Pool::new(network.clone(), PEER_CONNECT_LIMIT),
             attempts_in_progress: AttemptsInProgress::default(),
+            crash_detector: CrashDetector::default(),
             metrics,
             log,
             line_limit: LineLimit::default(),
@@ -290,6 +298,13 @@
         (!known.instance.is_ready()).then_some(NotRunReason::ServerDraining)
     }
 
+    /// Whether a server of which this node has heard is leaving.
+    pub fn is_leaving(&self, id: &InstanceId) -> bool {
+        let state = self.state.borrow();
+        let known = state.snapshots.snapshot().servers.get(id);
+        known.is_some_and(|known| !known.instance.is_ready())
+    }
+
     /// Whether the server beside this node has stopped answering.
     pub fn is_own_server_silent(&self) -> bool {
         self.state.borrow().admission.is_silent(self.now())
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -33,7 +33,8 @@
         let known = state.servers.known_load(now, service, purpose);
         drop(state);
         info!(node.log, "request not served"; "request" => node.names.request_id_of(&request.head.headers),
-            "outcome" => outcome, "why" => why, "route" => &request.route.route.name,
+            "content" => %request.content, "outcome" => outcome, "why" => why,
+            "route" => &request.route.route.name,
             "service" => service, "nested" => is_nested,
             "priority" => AdmissionLevel::of(request.tree.priority).0,
             "admission_level" => known.level.0, "level_age_ms" => known.age.as_millis() as u64,
@@ -110,7 +111,7 @@
     let now = node.now();
     let held = now.saturating_since(request.arrived).as_millis() as u64;
     info!(node.log, "attempt not answered"; "request" => node.names.request_id_of(&request.head.headers),
-        "server" => server.id.as_str(), "service" => &server.service, "outcome" => outcome,
-        "why" => why, "configuration" => request.route.version, "revision" => node.revision(),
+        "content" => %request.content, "server" => server.id.as_str(), "service" => &server.service,
+        "outcome" => outcome, "why" => why, "configuration" => request.route.version, "revision" => node.revision(),
         "held_ms" => held);
 }
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -193,6 +193,7 @@
     };
     let attempt = Attempt {
         request: outgoing_request(node, request, &server, body),
+        content: request.content,
         server: server.id.clone(),
         ends: call.ends(),
         tree: TreePlace {
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -21,13 +21,13 @@
 use rand::RngExt;
 
 use crate::http::ProxyBody;
-use crate::http::headers::remove_single_connection;
+use crate::http::headers::{self, remove_single_connection};
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::node::Node;
-use crate::peer_headers;
+use crate::{peer_headers, request_content};
 use answer::{final_response, finish, log_unrouted, status};
 use attempts::attempts;
-use request::{HeldBody, RoutedRequest, find_route, host, read_body, tree_place};
+use request::{HeldBody, RoutedRequest, find_route, read_body, tree_place};
 
 /// When callers may come back before there is a configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -56,7 +56,7 @@
     fn may_answer_early(&self, request: &Request<()>) -> bool {
         let state = self.0.state.borrow();
         let route = state.routes.as_ref().and_then(|routes| {
-            let host = host(request.headers(), request.uri());
+            let host = headers::host(request.headers(), request.uri());
             routes.find(host, request.uri().path())
         });
         route.is_some_and(|route| route.is_idempotent())
@@ -94,7 +94,7 @@
     let call = Call::new(arrived, &route.route, patience);
     let (tree, mut call_of_run) = tree_place(node, &head, &route, &call);
     let body = match incoming {
-        None => HeldBody::Whole(bytes::Bytes::new()),
+        None => ProxyBody::empty(),
         Some(incoming) => match read_body(node, &call, incoming).await {
             Ok(body) => body,
             Err(refused) => {
@@ -103,9 +103,11 @@
             }
         },
     };
+    let content = request_content::fingerprint(&node.settings.service, &head, &body);
     let mut request = RoutedRequest {
         head,
-        body,
+        body: HeldBody::from(body),
+        content,
         route,
         tree,
         arrived,
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -4,19 +4,20 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, StatusCode, Uri};
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::call::Call;
+use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
 use lifthollow_coordination::mesh::request_tree::priority_of_request;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::Route;
 use tokio::time::timeout_at;
 
 use crate::http::ProxyBody;
-use crate::http::body::{self, ReadBody};
+use crate::http::body;
+use crate::http::headers::host;
 use crate::node::Node;
 use crate::peer_headers::{self, TreePlace};
 
@@ -29,6 +30,8 @@
 pub(super) struct RoutedRequest {
     pub(super) head: Parts,
     pub(super) body: HeldBody,
+    /// What it asks of a server.
+    pub(super) content: ContentFingerprint,
     pub(super) route: Rc<RouteInForce>,
     pub(super) tree: TreePlace,
     pub(super) arrived: Timestamp,
@@ -46,6 +49,15 @@
     Once(Option<ProxyBody>),
 }
 
+impl From<ProxyBody> for HeldBody {
+    fn from(body: ProxyBody) -> Self {
+        match body {
+            ProxyBody::Whole(bytes) => HeldBody::Whole(bytes),
+            passing @ ProxyBody::Passing { .. } => HeldBody::Once(Some(passing)),
+        }
+    }
+}
+
 impl HeldBody {
     pub(super) fn take(&mut self) -> Option<ProxyBody> {
         match self {
@@ -136,16 +148,11 @@
     })
 }
 
-pub(super) fn host<'r>(headers: &'r HeaderMap, uri: &'r Uri) -> &'r str {
-    let named = headers.get(HOST).and_then(|host| host.to_str().ok());
-    named.or(uri.host()).unwrap_or_default()
-}
-
 pub(super) async fn read_body(
     node: &Rc<Node>,
     call: &Call,
     incoming: Incoming,
-) -> Result<HeldBody, StatusCode> {
+) -> Result<ProxyBody, StatusCode> {
     let limit = max_body_bytes(node);
     let length = hyper::body::Body::size_hint(&incoming).lower();
     if length > limit {
@@ -156,14 +163,7 @@
         .await
         .map_err(|_| StatusCode::REQUEST_TIMEOUT)?
         .map_err(|_| StatusCode::BAD_REQUEST)?;
-    Ok(match read {
-        ReadBody::Whole(bytes) => HeldBody::Whole(bytes),
-        ReadBody::Larger { arrived, rest } => HeldBody::Once(Some(ProxyBody::Passing {
-            arrived,
-            rest,
-            guard: Box::new(()),
-        })),
-    })
+    Ok(ProxyBody::from(read))
 }
 
 fn max_body_bytes(node: &Rc<Node>) -> u64 {
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -77,7 +77,8 @@
     ("server-refused", NotRunReason::ServerRefused),
 ];
 
-const UNKNOWN_REASONS: [(&str, UnknownReason); 3] = [
+const UNKNOWN_REASONS: [(&str, UnknownReason); 4] = [
+    ("server-crashed", UnknownReason::ServerCrashed),
     ("answer-lost", UnknownReason::AnswerLost),
     ("answer-invalid", UnknownReason::AnswerInvalid),
     ("silent", UnknownReason::Silent),
