Requests that crash their servers are known by their content, told between nodes, and blocked after three crashes

Cause: a request was known by the identity of its attempt only; nothing linked what ran at one crash to what ran at another. Ruled out: our own repeats alone (two crashes a try), servers that end for another reason (stand-ins crash for none).

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -64,6 +64,8 @@
     QueueTimeout,
     /// The server refused it.
     ServerRefused,
+    /// It crashes the servers that run it.
+    CrashesServers,
 }
 
 /// Why it isn't known whether an attempt has run.
@@ -108,6 +110,8 @@
     AllRefused(NotRunReason),
     /// Its time ran out before any server had taken it.
     OutOfTime,
+    /// It crashes the servers that run it.
+    CrashesServers,
 }
 
 /// What to do next.
@@ -275,6 +279,18 @@
         }
     }
 
+    /// What the caller is told if the request is found to crash servers, and may be tried
+    /// again after `retry_after`.
+    pub fn blocked(&self, retry_after: Duration) -> FinalAnswer {
+        if self.may_have_run {
+            return FinalAnswer::Unknown;
+        }
+        FinalAnswer::Refused {
+            retry_after,
+            reason: RefusalReason::CrashesServers,
+        }
+    }
+
     /// What the caller is told if its time is over. `in_progress` says that an
     /// attempt was on its way.
     pub fn timed_out(&self, in_progress: bool) -> FinalAnswer {
@@ -308,8 +324,11 @@
     fn may_continue(&self) -> bool {
         let allowed = self.idempotent || !self.may_have_run;
         let is_futile = self.last_refusal.is_some_and(|(reason, _)| {
-            // What it needs further down is the same for all servers.
-            reason == NotRunReason::DownstreamOverloaded
+            // What it needs further down, or does to them, is the same for all servers.
+            matches!(
+                reason,
+                NotRunReason::DownstreamOverloaded | NotRunReason::CrashesServers
+            )
         });
         let has_servers = self.asked.len() < self.max_servers || !self.refused_by.is_empty();
         allowed && !is_futile && has_servers && self.refused < MAX_REFUSED_ATTEMPTS
--- a/crates/coordination/src/mesh/poison/server_runs.rs
+++ b/crates/coordination/src/mesh/poison/server_runs.rs
@@ -36,6 +36,11 @@
         self.running.insert(run, Run { content, server });
     }
 
+    /// The request did not reach the server, or the server says that it did not run it.
+    pub fn not_run(&mut self, run: InboundId) {
+        self.running.remove(&run);
+    }
+
     /// A run has ended; `is_served` if the server gave a good answer. Returns what
     /// it ran.
     pub fn ended(
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -66,6 +66,12 @@
     /// All servers of the service.
     pub const ALL: Candidates = Candidates::AllBut(Vec::new());
 
+    /// The one server, if it is among them.
+    pub fn only(self, server: &InstanceId) -> Option<Candidates> {
+        let is_included = self.include(server);
+        is_included.then(|| Candidates::Only(vec![server.clone()]))
+    }
+
     fn include(&self, server: &InstanceId) -> bool {
         match self {
             Candidates::AllBut(excluded) => !excluded.contains(server),
--- /dev/null
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -0,0 +1,229 @@
+//! What follows from crashes and good runs, and how nodes join what they know.
+
+use std::time::Duration;
+
+use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
+use lifthollow_coordination::mesh::poison::recent_contents::RecentContents;
+use lifthollow_coordination::mesh::poison::suspects::{Suspects, Verdict, trial_server};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::InstanceId;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+const CONTENT: ContentFingerprint = ContentFingerprint(7);
+const FIRST_BLOCK: Duration = Duration::from_secs(30);
+
+fn at(seconds: f64) -> Timestamp {
+    Timestamp::from_micros((seconds * 1e6) as u64)
+}
+
+fn server(number: u32) -> InstanceId {
+    InstanceId::new(&format!("server-{number}"))
+}
+
+/// A node that saw `count` crashes with [`CONTENT`] aboard, a second apart.
+fn after_crashes(count: u32) -> Suspects {
+    let mut suspects = Suspects::default();
+    for number in 0..count {
+        suspects.note_crash(at(f64::from(number)), &[CONTENT], &server(number));
+    }
+    suspects
+}
+
+#[test]
+fn three_crashes_of_different_servers_prove_it() {
+    assert_eq!(
+        after_crashes(2).verdict(at(2.0), &CONTENT),
+        Verdict::Admitted
+    );
+    let blocked = after_crashes(3).verdict(at(2.0), &CONTENT);
+    assert_eq!(blocked, Verdict::Blocked(FIRST_BLOCK));
+    let mut told_twice = after_crashes(2);
+    assert!(!told_twice.note_crash(at(3.0), &[CONTENT], &server(1)));
+    assert_eq!(told_twice.verdict(at(3.0), &CONTENT), Verdict::Admitted);
+    let other = ContentFingerprint(8);
+    assert_eq!(after_crashes(3).verdict(at(2.0), &other), Verdict::Admitted);
+}
+
+#[test]
+fn a_good_run_clears_it_of_the_crashes_before() {
+    let mut suspects = after_crashes(3);
+    assert!(suspects.note_served(at(2.5), &CONTENT));
+    assert_eq!(suspects.verdict(at(2.5), &CONTENT), Verdict::Admitted);
+    assert_eq!(suspects.crashes(&CONTENT), 0);
+}
+
+#[test]
+fn a_good_run_a_moment_before_a_crash_speaks_against_it() {
+    let served_before_crash = |seconds: f64| {
+        let mut suspects = after_crashes(1);
+        suspects.note_served(at(10.0), &CONTENT);
+        suspects.note_crash(at(10.0 + seconds), &[CONTENT], &server(9));
+        suspects.crashes(&CONTENT)
+    };
+    assert_eq!(served_before_crash(0.9), 0);
+    assert_eq!(served_before_crash(1.1), 1);
+}
+
+#[test]
+fn a_block_ends_in_a_trial_and_lasts_longer_after_each_crash() {
+    let mut suspects = after_crashes(3);
+    assert_eq!(
+        suspects.verdict(at(31.9), &CONTENT),
+        Verdict::Blocked(Duration::from_millis(100))
+    );
+    assert_eq!(suspects.verdict(at(32.0), &CONTENT), Verdict::OnTrial);
+    suspects.note_crash(at(33.0), &[CONTENT], &server(10));
+    let five_minutes = Verdict::Blocked(Duration::from_secs(300));
+    assert_eq!(suspects.verdict(at(33.0), &CONTENT), five_minutes);
+    suspects.note_crash(at(400.0), &[CONTENT], &server(11));
+    let an_hour = Verdict::Blocked(Duration::from_secs(3600));
+    assert_eq!(suspects.verdict(at(400.0), &CONTENT), an_hour);
+}
+
+#[test]
+fn what_does_not_come_again_is_forgotten() {
+    let mut suspected = after_crashes(2);
+    suspected.forget_old(at(1.0 + 599.0));
+    assert_eq!(suspected.counts(), (1, 0));
+    suspected.forget_old(at(1.0 + 601.0));
+    assert_eq!(suspected.counts(), (0, 0));
+    assert_eq!(suspected.digest(), 0);
+    let mut proven = after_crashes(3);
+    proven.forget_old(at(2.0 + 3629.0));
+    assert_eq!(proven.counts(), (1, 1));
+    proven.forget_old(at(2.0 + 3631.0));
+    assert_eq!(proven.counts(), (0, 0));
+}
+
+#[test]
+fn one_trial_runs_at_a_time() {
+    let mut suspects = after_crashes(3);
+    assert!(suspects.begin_trial(at(40.0), &CONTENT));
+    assert!(!suspects.begin_trial(at(41.9), &CONTENT));
+    assert!(suspects.begin_trial(at(42.0), &CONTENT));
+}
+
+#[test]
+fn all_nodes_name_the_same_server_for_a_trial_and_never_the_last_one() {
+    let servers: Vec<InstanceId> = (0..5).map(server).collect();
+    let reversed: Vec<InstanceId> = servers.iter().rev().cloned().collect();
+    assert_eq!(
+        trial_server(&CONTENT, &servers),
+        trial_server(&CONTENT, &reversed)
+    );
+    assert!(trial_server(&CONTENT, &servers).is_some());
+    assert_eq!(trial_server(&CONTENT, &servers[..1]), None);
+    assert_eq!(trial_server(&CONTENT, &[]), None);
+}
+
+#[test]
+fn changes_are_told_once() {
+    let mut suspects = after_crashes(3);
+    let changes = suspects.take_changes(at(2.0));
+    assert_eq!(changes.len(), 1);
+    assert!(changes[0].is_proven);
+    assert_eq!(changes[0].servers, [server(0), server(1), server(2)]);
+    assert_eq!(suspects.take_changes(at(2.0)), []);
+    suspects.note_served(at(3.0), &CONTENT);
+    assert!(!suspects.take_changes(at(3.0))[0].is_proven);
+}
+
+#[test]
+fn a_flood_of_different_contents_is_bounded_and_drops_no_proof() {
+    let mut suspects = after_crashes(3);
+    for crash in 0..100 {
+        let aboard: Vec<_> = (0..140)
+            .map(|run| ContentFingerprint(1000 + crash * 140 + run))
+            .collect();
+        suspects.note_crash(at(10.0), &aboard, &server(100 + crash as u32));
+    }
+    assert_eq!(suspects.counts(), (1024, 1));
+    assert!(matches!(
+        suspects.verdict(at(11.0), &CONTENT),
+        Verdict::Blocked(_)
+    ));
+}
+
+#[test]
+fn what_ran_well_is_remembered_for_a_second_or_two() {
+    let mut recent = RecentContents::default();
+    recent.note(at(100.0), CONTENT);
+    assert!(recent.contains(at(101.0), &CONTENT));
+    assert!(!recent.contains(at(102.1), &CONTENT));
+    assert!(!recent.contains(at(102.1), &ContentFingerprint(8)));
+}
+
+/// The moment when what a node knows is told, on its own clock, and on that of who asks:
+/// the question, and the time that it and the answer take.
+#[derive(Clone, Debug)]
+struct Hop {
+    clock_offset: u32,
+    question_ms: u16,
+    answer_ms: u16,
+}
+
+impl Arbitrary for Hop {
+    fn arbitrary(random: &mut Gen) -> Self {
+        Hop {
+            clock_offset: u32::arbitrary(random) % 100_000,
+            question_ms: u16::arbitrary(random) % 3000,
+            answer_ms: u16::arbitrary(random) % 3000,
+        }
+    }
+}
+
+quickcheck! {
+    /// Whatever waited where, a block that is passed on does not grow longer, also by nodes
+    /// that started after the crashes.
+    fn a_block_does_not_last_longer_for_being_passed_on(hops: Vec<Hop>) -> bool {
+        // The time since the third crash, and the clock of the node that tells.
+        let mut elapsed = Duration::ZERO;
+        let mut clock = at(2.0);
+        let mut knows = after_crashes(3);
+        for hop in hops.iter().take(5) {
+            let asked = Timestamp::from_micros(u64::from(hop.clock_offset) * 1000);
+            let question = Duration::from_millis(hop.question_ms.into());
+            let answer = Duration::from_millis(hop.answer_ms.into());
+            elapsed += question + answer;
+            clock = clock + question;
+            let reports = knows.reports(clock);
+            clock = asked + question + answer;
+            let mut next = Suspects::default();
+            next.join(clock, asked, reports);
+            knows = next;
+        }
+        let left = FIRST_BLOCK.saturating_sub(elapsed);
+        match knows.verdict(clock, &CONTENT) {
+            Verdict::Blocked(told) => told <= left,
+            Verdict::OnTrial => true,
+            Verdict::Admitted => false,
+        }
+    }
+
+    /// Nodes that saw different things know the same once they have asked each other,
+    /// in whatever order.
+    fn nodes_that_ask_each_other_end_with_the_same(events: Vec<(u8, u8, u8, bool)>, first: bool) -> bool {
+        let mut nodes = [Suspects::default(), Suspects::default()];
+        for (index, (node, content, by, is_served)) in events.iter().enumerate() {
+            let now = at(index as f64 * 0.7);
+            let node = &mut nodes[usize::from(node % 2)];
+            let content = ContentFingerprint((content % 4).into());
+            if *is_served {
+                node.note_served(now, &content);
+            } else {
+                node.note_crash(now, &[content], &server((by % 8).into()));
+            }
+        }
+        let now = at(events.len() as f64);
+        let [mut one, mut other] = nodes;
+        if first {
+            one.join(now, now, other.reports(now));
+            other.join(now, now, one.reports(now));
+        } else {
+            other.join(now, now, one.reports(now));
+            one.join(now, now, other.reports(now));
+        }
+        (0..4).map(ContentFingerprint).all(|content| one.crashes(&content) == other.crashes(&content))
+            && one.digest() == other.digest()
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`answer`] says how an attempt ended, [`load`] what a server reports about
 //! its own load with every answer, [`control`] the datagrams between control
 //! threads, [`frame`] how calls cross between nodes,
-//! [`claim`] how a node claims an idempotency key and [`roster`] at which nodes.
+//! [`claim`] how a node claims an idempotency key and [`roster`] at which nodes,
+//! [`suspects`] which requests may crash servers.
 
 pub mod answer;
 pub mod claim;
@@ -12,6 +13,7 @@
 pub mod load;
 pub mod operators;
 pub mod roster;
+pub mod suspects;
 
 pub use answer::{AttemptResult, RefusalReason};
 pub use claim::{
--- a/crates/proxy/src/http/body.rs
+++ b/crates/proxy/src/http/body.rs
@@ -1,8 +1,10 @@
 //! Bodies that are held as a whole or passed through piece by piece.
 
 use std::any::Any;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
@@ -21,6 +23,8 @@
         rest: Incoming,
         /// What has to live until the body has passed.
         guard: Box<dyn Any>,
+        /// Set once all of it has passed.
+        is_complete: Rc<Cell<bool>>,
     },
 }
 
@@ -61,6 +65,7 @@
                 arrived,
                 rest,
                 guard: Box::new(()),
+                is_complete: Rc::default(),
             },
         }
     }
@@ -114,10 +119,19 @@
                 let bytes = std::mem::take(bytes);
                 Poll::Ready(Some(Ok(Frame::data(bytes))))
             }
-            ProxyBody::Passing { arrived, rest, .. } => match arrived.pop_front() {
-                Some(piece) => Poll::Ready(Some(Ok(Frame::data(piece)))),
-                None => Pin::new(rest).poll_frame(context),
-            },
+            ProxyBody::Passing {
+                arrived,
+                rest,
+                is_complete,
+                ..
+            } => {
+                let frame = match arrived.pop_front() {
+                    Some(piece) => Poll::Ready(Some(Ok(Frame::data(piece)))),
+                    None => Pin::new(&mut *rest).poll_frame(context),
+                };
+                is_complete.set(arrived.is_empty() && rest.is_end_stream());
+                frame
+            }
         }
     }
 
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -1,5 +1,6 @@
 //! Places in the queue and slots at the server, freed when they are dropped.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use lifthollow_coordination::inbound::InboundId;
@@ -14,6 +15,7 @@
 
 use crate::inbound::{Attempt, AttemptOutcome};
 use crate::node::Node;
+use crate::suspects;
 
 /// One request at the server. Dropping it frees its slot.
 pub(super) struct Permit {
@@ -24,15 +26,17 @@
     pub(super) answered: bool,
     /// How the run has ended so far.
     pub(super) end: RunEnd,
+    /// Whether all of the answer has come.
+    pub(super) is_complete: Rc<Cell<bool>>,
 }
 
 impl Permit {
-    fn new(node: &Rc<Node>, arriving: ArrivingAttempt, attempt: &Attempt) -> Self {
-        let mut state = node.state.borrow_mut();
-        let run = state.admission.started(node.now(), &arriving);
-        let runs = &mut state.server_runs;
-        runs.started(run, attempt.content, &attempt.server);
-        drop(state);
+    fn new(node: &Rc<Node>, arriving: ArrivingAttempt) -> Self {
+        let run = node
+            .state
+            .borrow_mut()
+            .admission
+            .started(node.now(), &arriving);
         Permit {
             node: node.clone(),
             arriving,
@@ -40,6 +44,7 @@
             started: node.now(),
             answered: false,
             end: RunEnd::Abandoned,
+            is_complete: Rc::default(),
         }
     }
 }
@@ -49,8 +54,11 @@
         let now = self.node.now();
         let ran_for = self.answered.then(|| now.saturating_since(self.started));
         let mut state = self.node.state.borrow_mut();
-        let is_served = self.end == RunEnd::Served;
-        state.server_runs.ended(now, self.run, is_served);
+        let is_served = self.end == RunEnd::Served && self.is_complete.get();
+        let content = state.server_runs.ended(now, self.run, is_served);
+        if let Some(content) = content.filter(|_| is_served) {
+            suspects::note_served(&mut state, now, content);
+        }
         let started = state
             .admission
             .finish(now, &self.arriving, self.run, self.end, ran_for);
@@ -108,8 +116,8 @@
         state.admission.arrive(now, &arriving, level_of)
     };
     match verdict {
-        Verdict::Run => Ok(Permit::new(node, arriving, attempt)),
-        Verdict::Wait(ticket) => wait(node, arriving, attempt, ticket, now).await,
+        Verdict::Run => Ok(Permit::new(node, arriving)),
+        Verdict::Wait(ticket) => wait(node, arriving, ticket, now).await,
         Verdict::Refuse {
             reason,
             retry_after,
@@ -127,7 +135,6 @@
 async fn wait(
     node: &Rc<Node>,
     arriving: ArrivingAttempt,
-    attempt: &Attempt,
     ticket: Ticket,
     now: Timestamp,
 ) -> Result<Permit, AttemptOutcome> {
@@ -146,7 +153,7 @@
         Ok(Ok(())) => {
             place.left = true;
             drop(place);
-            Ok(Permit::new(node, arriving, attempt))
+            Ok(Permit::new(node, arriving))
         }
         _ => {
             place.in_vain = true;
--- a/crates/proxy/src/inbound/crash_detector.rs
+++ b/crates/proxy/src/inbound/crash_detector.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
+use crate::suspects;
 
 /// How long a look may take. The server is on the same machine: its system refuses
 /// or takes a connection within a millisecond.
@@ -129,6 +130,7 @@
     node.metrics.server_crashes.inc();
     info!(node.log, "server crashed"; "server" => server.as_str(), "runs" => contents.len(),
         "contents" => named(&contents), "revision" => node.revision());
+    suspects::note_own_crash(node, server, &contents);
 }
 
 fn named(contents: &[ContentFingerprint]) -> String {
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -29,7 +29,7 @@
 use crate::inbound::admission::{Permit, admit};
 use crate::node::Node;
 use crate::peer_headers::{Terms, TreePlace};
-use crate::{peer_headers, probe, request_content, snapshots};
+use crate::{peer_headers, probe, request_content, snapshots, suspects};
 
 /// Answers up to this size are taken in whole before any of it is passed on, so
 /// that one which breaks off can still be asked for elsewhere.
@@ -146,15 +146,18 @@
 }
 
 async fn admit_and_run(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
-    if let Some(reason) = refusal(node, &attempt) {
-        return AttemptOutcome::not_run(reason);
+    if let Some(refused) = refusal(node, &attempt) {
+        return refused;
     }
     let permit = match admit(node, &attempt).await {
         Ok(permit) => permit,
         Err(refused) => return refused,
     };
-    if let Some(reason) = refusal(node, &attempt) {
-        return AttemptOutcome::not_run(reason);
+    if let Some(refused) = refusal(node, &attempt) {
+        return refused;
+    }
+    if let Some(refused) = refuse_poison(node, &attempt) {
+        return refused;
     }
     // The caller's node gives up first, and knows best what to tell.
     let ends = node.clock.instant(attempt.ends + GIVE_UP_MARGIN).into();
@@ -166,11 +169,26 @@
 
 /// Whether the attempt can't be for the server beside this node, or comes too
 /// late for it.
-fn refusal(node: &Rc<Node>, attempt: &Attempt) -> Option<NotRunReason> {
-    if !node.takes_attempts() {
-        return Some(NotRunReason::NodeLeaving);
-    }
-    node.refusal_for(&attempt.server)
+fn refusal(node: &Rc<Node>, attempt: &Attempt) -> Option<AttemptOutcome> {
+    let reason = match node.takes_attempts() {
+        false => Some(NotRunReason::NodeLeaving),
+        true => node.refusal_for(&attempt.server),
+    };
+    reason.map(AttemptOutcome::not_run)
+}
+
+/// Whether the attempt would crash the server. It is asked right before it runs, since
+/// that may be found out while it waits.
+fn refuse_poison(node: &Rc<Node>, attempt: &Attempt) -> Option<AttemptOutcome> {
+    let time = suspects::refused_for(node, &attempt.server, &attempt.content)?;
+    Some(AttemptOutcome {
+        end: AttemptEnd::NotRun {
+            offered: false,
+            reason: NotRunReason::CrashesServers,
+            retry_after: Some(time),
+        },
+        response: None,
+    })
 }
 
 async fn run(node: &Rc<Node>, mut attempt: Attempt, mut permit: Permit) -> AttemptOutcome {
@@ -193,12 +211,17 @@
         connections.close_idle(node.settings.server_address);
     }
     let server = attempt.server;
+    node.state
+        .borrow_mut()
+        .server_runs
+        .started(permit.run, attempt.content, &server);
     let sending = connections.send(node.settings.server_address, attempt.request, reuse);
     let sent = note_overdue(node, &permit, attempt.tree.is_nested, sending).await;
     permit.end = RunEnd::Failed;
     let (response, lease) = match sent {
         Ok(answered) => answered,
         Err(SendError::NotSent(error)) => {
+            node.state.borrow_mut().server_runs.not_run(permit.run);
             crash_detector::note_refused(node, &server, &error);
             return AttemptOutcome::not_run(NotRunReason::ServerUnreachable);
         }
@@ -218,6 +241,7 @@
         return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
     }
     if let Some(end) = server_refusal(node, response.status(), response.headers()) {
+        node.state.borrow_mut().server_runs.not_run(permit.run);
         if is_misdirected {
             // The server that was meant is not there: it has failed nothing.
             permit.end = RunEnd::Abandoned;
@@ -315,11 +339,13 @@
         }
         Ok(ReadBody::Whole(whole)) => {
             lease.keep();
+            permit.is_complete.set(true);
             ProxyBody::Whole(whole)
         }
         Ok(ReadBody::Larger { arrived, rest }) => ProxyBody::Passing {
             arrived,
             rest,
+            is_complete: permit.is_complete.clone(),
             guard: Box::new((lease, permit)),
         },
     };
@@ -341,7 +367,12 @@
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
         let arrived = node.now();
-        node.last_request.set(Some(arrived));
+        if request.uri().path() != peer_headers::SUSPECTS_PATH {
+            // Such a question needs no fresh view. Each node asks it at its start, and
+            // idle watchers would ask the store 7 times in 3 s for it, where 6 are allowed
+            // (test `watching_takes_few_calls`).
+            node.last_request.set(Some(arrived));
+        }
         if let Some(sender) = peer_headers::sender(request.headers()) {
             snapshots::note_revision(node, request.headers(), sender);
         }
@@ -349,6 +380,7 @@
             peer_headers::SNAPSHOT_PATH => {
                 return snapshots::answer(node, request.headers(), arrived);
             }
+            peer_headers::SUSPECTS_PATH => return suspects::answer(node),
             peer_headers::PROBE_PATH => return probe::answer(node, request.headers()),
             _ => {}
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`node`]: the state that both share;
 //! - [`probe`]: whether a server that fell silent can be trusted again;
 //! - [`snapshots`]: what comes from outside, and from other nodes in its place;
+//! - [`suspects`]: requests that crash servers, and what nodes tell each other of them;
 //! - [`http`]: bodies and what HTTP says of connections; [`network`]: connections;
 //! - [`process`]: listeners, signals, start and stop.
 //!
@@ -29,6 +30,7 @@
 pub mod request_content;
 pub mod settings;
 pub mod snapshots;
+pub mod suspects;
 pub mod wire_names;
 
 pub use node::{Node, Surroundings};
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -40,6 +40,8 @@
     pub repeats: IntCounter,
     /// Crashes of the server beside this node.
     pub server_crashes: IntCounter,
+    /// Contents of requests that may crash servers: suspected, proven.
+    pub suspects: IntGaugeVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Revision of the snapshot.
@@ -106,6 +108,12 @@
                 "Load at the server beside this node.",
                 "what",
             )?,
+            suspects: gauges(
+                &registry,
+                "lifthollow_suspects",
+                "Contents of requests that may crash servers, by what is known.",
+                "standing",
+            )?,
             connections: gauges(
                 &registry,
                 "lifthollow_connections_opened",
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,7 +11,9 @@
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::NotRunReason;
 use lifthollow_coordination::mesh::nested_calls;
+use lifthollow_coordination::mesh::poison::recent_contents::RecentContents;
 use lifthollow_coordination::mesh::poison::server_runs::ServerRuns;
+use lifthollow_coordination::mesh::poison::suspects::Suspects;
 use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
@@ -35,6 +37,7 @@
 use crate::metrics::Metrics;
 use crate::network::{Network, SystemNetwork};
 use crate::settings::ProxySettings;
+use crate::suspects::Learning;
 use crate::wire_names::WireNames;
 use lifthollow_transport::clock::Clock;
 
@@ -77,6 +80,10 @@
     pub admission: ServerAdmission,
     /// What is at the server beside this node, in case that it crashes.
     pub server_runs: ServerRuns,
+    /// What the server beside this node ran well a moment ago.
+    pub served_lately: RecentContents,
+    /// Requests that may crash servers.
+    pub suspects: Suspects,
     /// Attempts that wait in the queue.
     pub waiters: HashMap<Ticket, oneshot::Sender<()>>,
     /// Random numbers.
@@ -132,6 +139,8 @@
     pub attempts_in_progress: AttemptsInProgress,
     /// Whether the server beside this node has crashed.
     pub crash_detector: CrashDetector,
+    /// How far this node is with learning which requests crash servers.
+    pub learning: Learning,
     /// Counters.
     pub metrics: Rc<Metrics>,
     /// The log.
@@ -172,6 +181,8 @@
             budgets: RetryBudgets::new(settings.retry_bound),
             admission: ServerAdmission::new(&settings.service, UNKNOWN_SLOTS),
             server_runs: ServerRuns::default(),
+            served_lately: RecentContents::default(),
+            suspects: Suspects::default(),
             waiters: HashMap::new(),
             random,
         };
@@ -186,6 +197,7 @@
             peer_connections: Pool::new(network.clone(), PEER_CONNECT_LIMIT),
             attempts_in_progress: AttemptsInProgress::default(),
             crash_detector: CrashDetector::default(),
+            learning: Learning::default(),
             metrics,
             log,
             line_limit: LineLimit::default(),
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -54,6 +54,7 @@
                 RefusalReason::NoServer => "no-server",
                 RefusalReason::Overloaded => "overloaded",
                 RefusalReason::OutOfTime => "out-of-time",
+                RefusalReason::CrashesServers => peer_headers::CRASHES_SERVERS,
                 RefusalReason::AllRefused(reason) => peer_headers::not_run_word(*reason),
             };
             ("refused", why)
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -8,10 +8,13 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
-use lifthollow_coordination::mesh::call::{AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason};
+use lifthollow_coordination::mesh::call::{
+    AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, UnknownReason,
+};
 use lifthollow_coordination::mesh::nested_calls;
+use lifthollow_coordination::mesh::poison::suspicion::PROOF;
 use lifthollow_coordination::mesh::retry_budget::{Repeated, RetryBudgets};
-use lifthollow_coordination::mesh::server_selection::{Choice, Wanted};
+use lifthollow_coordination::mesh::server_selection::{Candidates, Choice, Wanted};
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::ServerInstance;
 use slog::info;
@@ -26,6 +29,7 @@
 use crate::outbound::send::{outgoing_request, send};
 use crate::peer_headers::{self, Terms, TreePlace};
 use crate::probe::{self, Liveness};
+use crate::suspects::{self, Permission};
 
 /// The part of the target latency that a request may spend in queues.
 const QUEUE_SHARE: f64 = 0.2;
@@ -60,14 +64,19 @@
                     return ("answered", response);
                 }
                 note_failure(node, &server, &outcome.end);
+                note_crash(node, request, &server, &outcome.end);
                 log_attempt(node, request, &server, &outcome.end);
                 let is_other_in_progress = !sending.is_empty();
-                call.attempt_ended(&server.id, &outcome.end, is_other_in_progress, || pay_for_repeat(node, request))
+                call.attempt_ended(&server.id, &outcome.end, is_other_in_progress, || may_repeat(node, request))
             }
             _ = sleep_until(ends) => NextStep::Finish(call.timed_out(true)),
             finding = watched.look(node, node.names.request_id_of(&request.head.headers)) => {
                 let is_lost = finding != Finding::InProgress;
-                let may_hedge = is_lost && sending.len() == 1 && call.may_hedge() && !request.body.is_spent();
+                let may_hedge = is_lost
+                    && sending.len() == 1
+                    && call.may_hedge()
+                    && !request.body.is_spent()
+                    && crashes(node, request) == 0;
                 if !may_hedge || !pay_for_hedge(node, request) {
                     continue;
                 }
@@ -173,7 +182,11 @@
     if sent >= call.ends() {
         return Err(call.timed_out(false));
     }
-    let choice = choose_server(node, request, call).ok_or_else(|| call.give_up())?;
+    let permission = suspects::permission(node, &request.route.service, &request.content);
+    if let Permission::Blocked(time) = permission {
+        return Err(call.blocked(time));
+    }
+    let choice = choose_server(node, request, call, &permission).ok_or_else(|| call.give_up())?;
     let server = choice.server;
     let body = request.body.take().ok_or_else(|| call.give_up())?;
     let silence = {
@@ -241,22 +254,56 @@
     }
 }
 
-fn choose_server(node: &Rc<Node>, request: &RoutedRequest, call: &Call) -> Option<Choice> {
+fn choose_server(
+    node: &Rc<Node>,
+    request: &RoutedRequest,
+    call: &Call,
+    permission: &Permission,
+) -> Option<Choice> {
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     let service = &request.route.service;
     let now = node.now();
     let purpose = nested_calls::purpose(&state.budgets, now, service, request.tree.is_nested);
-    call.candidates().find_map(|candidates| {
-        let wanted = Wanted {
-            candidates: &candidates,
-            may_repeat: call.may_repeat(),
-            purpose,
-        };
-        state
-            .servers
-            .choose(now, service, wanted, &mut state.random)
-    })
+    let permitted = |candidates: Candidates| match permission {
+        Permission::Only(server) => candidates.only(server),
+        Permission::Anywhere | Permission::Blocked(_) => Some(candidates),
+    };
+    call.candidates()
+        .filter_map(permitted)
+        .find_map(|candidates| {
+            let wanted = Wanted {
+                candidates: &candidates,
+                may_repeat: call.may_repeat(),
+                purpose,
+            };
+            state
+                .servers
+                .choose(now, service, wanted, &mut state.random)
+        })
+}
+
+/// The crashes that the request's content was aboard of.
+fn crashes(node: &Rc<Node>, request: &RoutedRequest) -> usize {
+    node.state.borrow().suspects.crashes(&request.content)
+}
+
+/// Whether another attempt may be sent although a server may have run the request.
+///
+/// One that was aboard of two crashes is not sent again by us: if it is the cause, its
+/// third run proves that, and should be its caller's next try and not one of many repeats.
+fn may_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
+    crashes(node, request) + 1 < PROOF && pay_for_repeat(node, request)
+}
+
+/// A crash under this request speaks against its content, at this node at once.
+fn note_crash(node: &Rc<Node>, request: &RoutedRequest, server: &ServerInstance, end: &AttemptEnd) {
+    let crashed = AttemptEnd::Unknown {
+        reason: UnknownReason::ServerCrashed,
+    };
+    if *end == crashed {
+        suspects::note_crash_of(node, &server.id, request.content);
+    }
 }
 
 fn pay_for_repeat(node: &Rc<Node>, request: &RoutedRequest) -> bool {
@@ -309,6 +356,7 @@
         | NotRunReason::QueueFull
         | NotRunReason::QueueTimeout
         | NotRunReason::DownstreamOverloaded
+        | NotRunReason::CrashesServers
         | NotRunReason::ServerRefused => {}
         NotRunReason::ServerDraining | NotRunReason::WrongInstance => {
             let now = node.now();
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -121,6 +121,7 @@
             arrived,
             rest,
             guard: Box::new(lease),
+            is_complete: Rc::default(),
         },
     };
     if end != AttemptEnd::Answered {
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -19,6 +19,8 @@
 pub const PREFIX: &str = "lifthollow-";
 /// Path at which a node gives its snapshot.
 pub const SNAPSHOT_PATH: &str = "/lifthollow/snapshot";
+/// Path at which a node tells which requests may crash servers.
+pub const SUSPECTS_PATH: &str = "/lifthollow/suspects";
 /// Path at which a node says whether it and its server answer.
 pub const PROBE_PATH: &str = "/lifthollow/probe";
 /// The attempt's tree (place in the order of shedding, nested, repeat) and its
@@ -31,6 +33,9 @@
 /// In answers: how long ago that revision was known to be the newest, and how long
 /// the question was held, milliseconds.
 pub const VIEW: HeaderName = HeaderName::from_static("lifthollow-view");
+/// Digest of what the sender knows of requests that may crash servers; not there if it
+/// knows nothing.
+pub const SUSPECTS: HeaderName = HeaderName::from_static("lifthollow-suspects");
 /// Where the sender takes messages of other nodes.
 pub const NODE: HeaderName = HeaderName::from_static("lifthollow-node");
 /// In a probe: the identity of the request that the sender waits for. In its answer:
@@ -57,6 +62,8 @@
 pub const IN_PROGRESS: &str = "in-progress";
 /// The word for a request that a probed node has no attempt of.
 pub const NOT_HERE: &str = "not-here";
+/// The word for a request that crashes the servers that run it.
+pub const CRASHES_SERVERS: &str = "crashes-servers";
 /// The word for an attempt that the server answered.
 pub const ANSWERED: &str = "answered";
 const THOUSANDTHS: f64 = 1000.0;
@@ -64,7 +71,8 @@
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
 
-const NOT_RUN_REASONS: [(&str, NotRunReason); 10] = [
+const NOT_RUN_REASONS: [(&str, NotRunReason); 11] = [
+    (CRASHES_SERVERS, NotRunReason::CrashesServers),
     ("downstream-overloaded", NotRunReason::DownstreamOverloaded),
     ("node-unreachable", NotRunReason::NodeUnreachable),
     ("node-leaving", NotRunReason::NodeLeaving),
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -18,6 +18,7 @@
 use crate::inbound::Inbound;
 use crate::node::{Node, Phase};
 use crate::outbound::Outbound;
+use crate::suspects;
 
 /// Time between housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
@@ -165,6 +166,7 @@
         }
         note_gauges(&node);
         note_server_health(&node);
+        suspects::keep_house(&node);
         let mut state = node.state.borrow_mut();
         let now = node.now();
         state.admission.observe(now);
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -22,7 +22,7 @@
 use crate::http::body::{self, ReadBody};
 use crate::http::pool::Reuse;
 use crate::node::Node;
-use crate::peer_headers;
+use crate::{peer_headers, suspects};
 
 /// A node that watches the source waits this long for it before it asks another
 /// node.
@@ -37,8 +37,9 @@
 /// The largest snapshot that is taken in, bytes.
 const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
 
+/// Why what another node knows could not be fetched.
 #[derive(Debug, Error)]
-enum FetchError {
+pub(crate) enum FetchError {
     #[error("{0}")]
     Send(#[from] crate::http::pool::SendError),
     #[error("{0}")]
@@ -71,6 +72,7 @@
     }
     drop(state);
     log_applied(node, "source", &applied);
+    suspects::ask_at_start(node);
 }
 
 /// Takes in a whole snapshot, from the source or another node.
@@ -81,6 +83,7 @@
     node.refresh(&mut state);
     drop(state);
     log_applied(node, from, &applied);
+    suspects::ask_at_start(node);
 }
 
 fn log_applied(node: &Rc<Node>, from: &str, applied: &[Applied]) {
@@ -114,11 +117,12 @@
     response
 }
 
-/// Tells another node which revision this one has, and where to ask for it.
+/// Tells another node which revision this one has and what it knows of requests that
+/// crash servers, and where to ask for both.
 pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
     let revision = HeaderValue::from(node.revision());
     headers.insert(peer_headers::REVISION, revision);
-    headers.insert(peer_headers::NODE, node.own_address.clone());
+    suspects::name_digest(node, headers);
 }
 
 /// Tells another node, with the answer to a question that arrived at `arrived`, which
@@ -132,8 +136,10 @@
     }
 }
 
-/// Takes note of the revision that another node names.
+/// Takes note of the revision that another node names, and of what it knows of requests
+/// that crash servers.
 pub fn note_revision(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
+    suspects::note_digest(node, headers, from);
     let Some(theirs) = peer_headers::revision(headers) else {
         return;
     };
@@ -208,7 +214,10 @@
 
 async fn fetch_update(node: &Rc<Node>, from: SocketAddrV4, limit: Duration) {
     let asked = node.now();
-    match fetch(node, from, limit).await {
+    let mut named = HeaderMap::new();
+    name_revision(node, &mut named);
+    let fetched = fetch(node, from, peer_headers::SNAPSHOT_PATH, named, limit).await;
+    match fetched.and_then(with_revision) {
         Ok((update, headers)) => {
             take_update(node, &from.to_string(), update);
             note_view(node, &headers, asked);
@@ -233,28 +242,36 @@
         .with_label_values(&["node"])
         .inc_by(applied.len() as u64);
     log_applied(node, from, &applied);
+    suspects::ask_at_start(node);
 }
 
-async fn fetch(
+fn with_revision(answer: (Update, HeaderMap)) -> Result<(Update, HeaderMap), FetchError> {
+    match peer_headers::revision(&answer.1) {
+        Some(_) => Ok(answer),
+        None => Err(FetchError::Unnamed),
+    }
+}
+
+/// Fetches what the node at `from` has at `path`, with the headers of its answer. The
+/// question has the headers `named`.
+pub(crate) async fn fetch<T: for<'b> minicbor::Decode<'b, ()>>(
     node: &Rc<Node>,
     from: SocketAddrV4,
+    path: &'static str,
+    named: HeaderMap,
     limit: Duration,
-) -> Result<(Update, HeaderMap), FetchError> {
+) -> Result<(T, HeaderMap), FetchError> {
     let mut request = Request::new(ProxyBody::empty());
-    *request.uri_mut() = hyper::Uri::from_static(peer_headers::SNAPSHOT_PATH);
+    *request.uri_mut() = hyper::Uri::from_static(path);
     let host = HeaderValue::try_from(from.to_string()).expect("an address is plain text");
-    let headers = request.headers_mut();
-    headers.insert(HOST, host);
-    name_revision(node, headers);
+    *request.headers_mut() = named;
+    request.headers_mut().insert(HOST, host);
     let exchange = async {
         let (response, lease) = node
             .peer_connections
             .send(from, request, Reuse::Any)
             .await?;
         let (head, incoming) = response.into_parts();
-        if peer_headers::revision(&head.headers).is_none() {
-            return Err(FetchError::Unnamed);
-        }
         match body::read(incoming, MAX_SNAPSHOT).await? {
             ReadBody::Larger { .. } => Err(FetchError::TooLarge),
             ReadBody::Whole(bytes) => {
--- /dev/null
+++ b/crates/proxy/src/suspects.rs
@@ -0,0 +1,289 @@
+//! Requests that may crash servers: what this node saw of them, told to other nodes.
+//!
+//! Each message between nodes names a digest of what its sender knows, if it knows
+//! anything; a node that knows something else fetches the whole. News of a crash is also
+//! told to a few nodes at once, and by them to others, so that it spreads where no
+//! requests are under way.
+
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Response};
+use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
+use lifthollow_coordination::mesh::poison::suspects::{Verdict, trial_server};
+use lifthollow_protocol::suspects::SuspectReports;
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::InstanceId;
+use rand::seq::IteratorRandom;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::http::ProxyBody;
+use crate::node::{Node, TrafficState};
+use crate::peer_headers;
+use crate::snapshots::{self, FetchError};
+
+/// How many nodes are told of a crash at once. Each that hears of it first tells as many
+/// others: of 300 nodes all but some 6% are reached so, the rest with their next message.
+const FAN_OUT: usize = 3;
+/// The longest time that a node may take to tell what it knows.
+const FETCH_LIMIT: Duration = Duration::from_millis(500);
+/// Time between two fetches that differing digests cause.
+const FETCH_PAUSE: Duration = Duration::from_millis(20);
+/// What another node knows is not fetched again for this time if it brought nothing:
+/// the nodes forget at different moments.
+const FRUITLESS_PAUSE: Duration = Duration::from_secs(5);
+
+/// How far this node is with learning from others.
+#[derive(Default)]
+pub struct Learning {
+    is_fetching: Cell<bool>,
+    has_asked_at_start: Cell<bool>,
+    /// A digest that brought nothing new, and when.
+    fruitless: Cell<Option<(u64, Timestamp)>>,
+}
+
+/// The server beside this node crashed with these contents aboard.
+pub(crate) fn note_own_crash(
+    node: &Rc<Node>,
+    server: &InstanceId,
+    contents: &[ContentFingerprint],
+) {
+    let now = node.now();
+    let is_new = {
+        let mut state = node.state.borrow_mut();
+        let is_new = state.suspects.note_crash(now, contents, server);
+        clear_what_runs_well(&mut state, now, contents);
+        is_new
+    };
+    log_changes(node, "own");
+    if is_new {
+        tell(node);
+    }
+}
+
+/// Another node told that a server crashed under a request of this one.
+pub(crate) fn note_crash_of(node: &Rc<Node>, server: &InstanceId, content: ContentFingerprint) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    state.suspects.note_crash(now, &[content], server);
+    clear_what_runs_well(&mut state, now, &[content]);
+    drop(state);
+    log_changes(node, "attempt");
+}
+
+/// A run of `content` at the server beside this node ended well.
+pub(crate) fn note_served(state: &mut TrafficState, now: Timestamp, content: ContentFingerprint) {
+    state.served_lately.note(now, content);
+    state.suspects.note_served(now, &content);
+}
+
+fn clear_what_runs_well(state: &mut TrafficState, now: Timestamp, contents: &[ContentFingerprint]) {
+    for content in contents {
+        if state.served_lately.contains(now, content) {
+            state.suspects.note_served(now, content);
+        }
+    }
+}
+
+/// Whether a request may run, and where: see [`Permission`].
+pub(crate) fn permission(
+    node: &Rc<Node>,
+    service: &str,
+    content: &ContentFingerprint,
+) -> Permission {
+    let state = node.state.borrow();
+    match state.suspects.verdict(node.now(), content) {
+        Verdict::Admitted => Permission::Anywhere,
+        Verdict::Blocked(time) => Permission::Blocked(time),
+        Verdict::OnTrial => {
+            let servers = state.snapshots.servers_in_force().into_iter();
+            let ready = servers.filter(|server| server.service == service && server.is_ready());
+            let ready: Vec<InstanceId> = ready.map(|server| server.id).collect();
+            match trial_server(content, &ready) {
+                Some(server) => Permission::Only(server.clone()),
+                None => Permission::Blocked(NO_TRIAL_PAUSE),
+            }
+        }
+    }
+}
+
+/// When a request may be tried that can't be now, as its service has one server.
+const NO_TRIAL_PAUSE: Duration = Duration::from_secs(30);
+
+/// Where a request may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Permission {
+    /// At every server of its service.
+    Anywhere,
+    /// At this one, to find out whether it still crashes servers.
+    Only(InstanceId),
+    /// Nowhere, for this time.
+    Blocked(Duration),
+}
+
+/// Whether an attempt may run at the server beside this node; if not, for how long.
+pub(crate) fn refused_for(
+    node: &Rc<Node>,
+    server: &InstanceId,
+    content: &ContentFingerprint,
+) -> Option<Duration> {
+    match permission(node, &node.settings.service, content) {
+        Permission::Anywhere => None,
+        Permission::Blocked(time) => Some(time),
+        Permission::Only(other) if other != *server => Some(TRIAL_ELSEWHERE_PAUSE),
+        Permission::Only(_) => {
+            let now = node.now();
+            let mut state = node.state.borrow_mut();
+            let may_run = state.suspects.begin_trial(now, content);
+            drop(state);
+            if may_run {
+                info!(node.log, "content tried"; "content" => %content, "server" => server.as_str());
+            }
+            (!may_run).then_some(TRIAL_ELSEWHERE_PAUSE)
+        }
+    }
+}
+
+/// When a request may come back that is being tried already: its trial is over then.
+const TRIAL_ELSEWHERE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Names to another node what this one knows, if it knows anything, and where to ask
+/// for it.
+pub(crate) fn name_digest(node: &Rc<Node>, headers: &mut HeaderMap) {
+    headers.insert(peer_headers::NODE, node.own_address.clone());
+    let digest = node.state.borrow().suspects.digest();
+    if digest != 0 {
+        headers.insert(peer_headers::SUSPECTS, HeaderValue::from(digest));
+    }
+}
+
+/// Takes note of the digest that the node at `from` names.
+pub(crate) fn note_digest(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
+    let Some(theirs) = peer_headers::number::<u64>(headers, &peer_headers::SUSPECTS) else {
+        return;
+    };
+    let learning = &node.learning;
+    if theirs == node.state.borrow().suspects.digest() || is_fruitless(node, theirs) {
+        return;
+    }
+    if !learning.is_fetching.replace(true) {
+        tokio::task::spawn_local(learn(node.clone(), theirs, from));
+    }
+}
+
+fn is_fruitless(node: &Rc<Node>, digest: u64) -> bool {
+    let known = node.learning.fruitless.get();
+    known.is_some_and(|(known, at)| {
+        known == digest && node.now().saturating_since(at) < FRUITLESS_PAUSE
+    })
+}
+
+async fn learn(node: Rc<Node>, theirs: u64, from: SocketAddrV4) {
+    let before = node.state.borrow().suspects.digest();
+    exchange(&node, from).await;
+    if node.state.borrow().suspects.digest() == before {
+        node.learning.fruitless.set(Some((theirs, node.now())));
+    }
+    sleep(FETCH_PAUSE).await;
+    node.learning.is_fetching.set(false);
+}
+
+/// Asks another node for what it knows; the question names what this one knows, so that
+/// the other may ask in return.
+async fn exchange(node: &Rc<Node>, with: SocketAddrV4) {
+    let asked = node.now();
+    let path = peer_headers::SUSPECTS_PATH;
+    let mut named = HeaderMap::new();
+    name_digest(node, &mut named);
+    let fetched: Result<(SuspectReports, HeaderMap), FetchError> =
+        snapshots::fetch(node, with, path, named, FETCH_LIMIT).await;
+    match fetched {
+        Ok((reports, _)) => join(node, with, asked, reports),
+        Err(error) => {
+            warn!(node.log, "suspects not fetched"; "from" => %with, "error" => %error);
+        }
+    }
+}
+
+fn join(node: &Rc<Node>, from: SocketAddrV4, asked: Timestamp, reports: SuspectReports) {
+    let is_new = {
+        let mut state = node.state.borrow_mut();
+        let now = node.now();
+        let is_new = state.suspects.join(now, asked, reports);
+        let contents = state.suspects.contents();
+        clear_what_runs_well(&mut state, now, &contents);
+        is_new
+    };
+    log_changes(node, &from.to_string());
+    if is_new {
+        tell(node);
+    }
+}
+
+/// The answer to a node that asks what this one knows.
+pub(crate) fn answer(node: &Rc<Node>) -> Response<ProxyBody> {
+    let reports = node.state.borrow().suspects.reports(node.now());
+    let bytes = minicbor::to_vec(&reports).expect("writing to memory does not fail");
+    let mut response = Response::new(ProxyBody::Whole(bytes.into()));
+    name_digest(node, response.headers_mut());
+    response
+}
+
+/// Asks a few nodes what they know, once this node has heard of any: a node that starts
+/// knows nothing, and what crashed servers before still does.
+pub(crate) fn ask_at_start(node: &Rc<Node>) {
+    let others = drawn_nodes(node);
+    if !others.is_empty() && !node.learning.has_asked_at_start.replace(true) {
+        exchange_with(node, others);
+    }
+}
+
+fn tell(node: &Rc<Node>) {
+    exchange_with(node, drawn_nodes(node));
+}
+
+fn exchange_with(node: &Rc<Node>, others: Vec<SocketAddrV4>) {
+    for other in others {
+        let node = node.clone();
+        tokio::task::spawn_local(async move { exchange(&node, other).await });
+    }
+}
+
+fn drawn_nodes(node: &Rc<Node>) -> Vec<SocketAddrV4> {
+    let mut state = node.state.borrow_mut();
+    let servers = state.snapshots.servers_in_force().into_iter();
+    let others = servers.filter(|server| !node.is_beside(server));
+    let addresses = others.map(|server| node.node_beside(&server));
+    addresses.sample(&mut state.random, FAN_OUT)
+}
+
+/// Forgets what is over, and tells the gauges what is left.
+pub(crate) fn keep_house(node: &Rc<Node>) {
+    let mut state = node.state.borrow_mut();
+    state.suspects.forget_old(node.now());
+    let (suspected, proven) = state.suspects.counts();
+    drop(state);
+    let gauge = &node.metrics.suspects;
+    let suspected_only = (suspected - proven) as i64;
+    gauge.with_label_values(&["suspected"]).set(suspected_only);
+    gauge.with_label_values(&["proven"]).set(proven as i64);
+    log_changes(node, "own");
+}
+
+fn log_changes(node: &Rc<Node>, from: &str) {
+    let changes = node.state.borrow_mut().suspects.take_changes(node.now());
+    for change in changes {
+        let servers: Vec<&str> = change.servers.iter().map(InstanceId::as_str).collect();
+        let servers = servers.join(" ");
+        let message = match change.is_proven {
+            true => "content blocked",
+            false => "content admitted again",
+        };
+        info!(node.log, "{}", message; "content" => %change.content, "crashed" => servers,
+            "blocked_ms" => change.blocked_for.as_millis() as u64, "from" => from);
+    }
+}
