Copies under way when a content is proven don't lengthen its block; nodes log what they learn of crashes

Cause: the block's length followed the number of crashes, so five copies under way gave an hour at once, and a wrong block would have lasted as long. Found with 50 such requests a second: five crashes at first, no trial at 30 s (test a_block_ends_in_one_trial_of_all_nodes failed). Change: lengths follow the times at which it was let run.

--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -13,7 +13,10 @@
 /// A good run counts against crashes from so long before it was told, and later: what
 /// runs well everywhere is also aboard when a rack of servers loses power at once.
 const GOOD_RUN_COVERS: Duration = Duration::from_secs(1);
-/// How long a proven content is blocked, by the crashes beyond the proof. The first time is
+/// Crashes that are closer together than this come of one time at which the content was let
+/// run: of copies that were under way when it was proven.
+const ONE_WAVE: Duration = Duration::from_secs(10);
+/// How long a proven content is blocked, by the times at which it was let run. The first is
 /// long enough for servers to be back and warm; then one run is tried, so that a wrong
 /// block ends. Trials that crash their server become rare: three in the first 66 minutes.
 const BLOCKED_FOR: [Duration; 4] = [
@@ -127,8 +130,25 @@
     }
 
     fn block_length(&self) -> Duration {
-        let beyond = self.counted().saturating_sub(PROOF);
-        BLOCKED_FOR[beyond.min(BLOCKED_FOR.len() - 1)]
+        BLOCKED_FOR[self.trials().min(BLOCKED_FOR.len() - 1)]
+    }
+
+    /// The times at which the content crashed servers after it had been proven.
+    fn trials(&self) -> usize {
+        let mut crashes: Vec<Moment> = self.counted_crashes().collect();
+        crashes.sort_unstable();
+        let Some(first) = crashes.get(PROOF - 1) else {
+            return 0;
+        };
+        let mut last = *first;
+        let mut trials = 0;
+        for at in crashes.into_iter().skip(PROOF) {
+            if at > last.plus(ONE_WAVE) {
+                trials += 1;
+            }
+            last = at;
+        }
+        trials
     }
 
     fn counted_crashes(&self) -> impl Iterator<Item = Moment> {
--- a/crates/coordination/tests/mesh_poison_suspects.rs
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -72,6 +72,9 @@
         Verdict::Blocked(Duration::from_millis(100))
     );
     assert_eq!(suspects.verdict(at(32.0), &CONTENT), Verdict::OnTrial);
+    // Copies that were under way don't make it longer.
+    suspects.note_crash(at(2.5), &[CONTENT], &server(9));
+    assert_eq!(suspects.verdict(at(32.5), &CONTENT), Verdict::OnTrial);
     suspects.note_crash(at(33.0), &[CONTENT], &server(10));
     let five_minutes = Verdict::Blocked(Duration::from_secs(300));
     assert_eq!(suspects.verdict(at(33.0), &CONTENT), five_minutes);
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -220,6 +220,9 @@
     };
     log_changes(node, &from.to_string());
     if is_new {
+        let (suspected, proven) = node.state.borrow().suspects.counts();
+        info!(node.log, "crashes learned"; "from" => %from, "suspects" => suspected,
+            "proven" => proven);
         tell(node);
     }
 }
