Crashes under requests of two services' machines count together; nodes that start ask others until one answers

Cause: the caller's service was part of a content, so each of several callers' services had to prove it anew. Change: evidence is kept by caller; with two callers at least, and no good run for any, it counts for all. One caller's crashes alone block that caller's requests only.

--- a/crates/coordination/src/mesh/poison/content.rs
+++ b/crates/coordination/src/mesh/poison/content.rs
@@ -2,14 +2,13 @@
 
 use std::fmt;
 
+use lifthollow_state::ServiceName;
 use xxhash_rust::xxh3::Xxh3Default;
 
 /// What a server is given of a request, but for what differs from one attempt to
 /// the next.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContent<'a> {
-    /// The service on whose machine the request started.
-    pub caller_service: &'a str,
     /// Its method.
     pub method: &'a str,
     /// The host that it names.
@@ -33,13 +32,7 @@
     /// The fingerprint of `content` with a body that begins with `body`.
     pub fn of<'b>(content: &RequestContent, body: impl Iterator<Item = &'b [u8]>) -> Self {
         let mut hasher = Xxh3Default::new();
-        let parts = [
-            content.caller_service,
-            content.method,
-            content.host,
-            content.target,
-        ];
-        for part in parts {
+        for part in [content.method, content.host, content.target] {
             hasher.update(part.as_bytes());
             hasher.update(&SEPARATOR);
         }
@@ -56,3 +49,19 @@
         write!(formatter, "{:032x}", self.0)
     }
 }
+
+/// A content, and the service on whose machine its request started. Servers are told that
+/// service, so what it asks may be another matter for each; or the same for all.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallerContent {
+    /// What is asked.
+    pub content: ContentFingerprint,
+    /// The service on whose machine the request started.
+    pub caller: ServiceName,
+}
+
+impl fmt::Display for CallerContent {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.content, self.caller)
+    }
+}
--- a/crates/coordination/src/mesh/poison/server_runs.rs
+++ b/crates/coordination/src/mesh/poison/server_runs.rs
@@ -7,7 +7,7 @@
 use lifthollow_state::mesh::InstanceId;
 
 use crate::inbound::InboundId;
-use crate::mesh::poison::content::ContentFingerprint;
+use crate::mesh::poison::content::CallerContent;
 
 /// A run without a good answer is suspected of a crash that comes this much later.
 /// A server may break an answer off, or lose its caller, and crash under that run
@@ -16,7 +16,7 @@
 
 #[derive(Clone, Debug)]
 struct Run {
-    content: ContentFingerprint,
+    content: CallerContent,
     server: InstanceId,
 }
 
@@ -31,7 +31,7 @@
 
 impl ServerRuns {
     /// A request with this content is given to `server`.
-    pub fn started(&mut self, run: InboundId, content: ContentFingerprint, server: &InstanceId) {
+    pub fn started(&mut self, run: InboundId, content: CallerContent, server: &InstanceId) {
         let server = server.clone();
         self.running.insert(run, Run { content, server });
     }
@@ -48,10 +48,10 @@
         now: Timestamp,
         run: InboundId,
         is_served: bool,
-    ) -> Option<ContentFingerprint> {
+    ) -> Option<CallerContent> {
         let run = self.running.remove(&run)?;
         self.forget_old(now);
-        let content = run.content;
+        let content = run.content.clone();
         if !is_served {
             self.unserved.push_back((now, run));
         }
@@ -60,12 +60,12 @@
 
     /// `server` has crashed: the contents that may have been the cause, each once.
     /// They are not named again.
-    pub fn crashed(&mut self, now: Timestamp, server: &InstanceId) -> Vec<ContentFingerprint> {
+    pub fn crashed(&mut self, now: Timestamp, server: &InstanceId) -> Vec<CallerContent> {
         self.forget_old(now);
         let running = self.running.values();
         let unserved = self.unserved.iter().map(|(_, run)| run);
         let aboard = running.chain(unserved).filter(|run| run.server == *server);
-        let contents: HashSet<_> = aboard.map(|run| run.content).collect();
+        let contents: HashSet<_> = aboard.map(|run| run.content.clone()).collect();
         self.running.retain(|_, run| run.server != *server);
         self.unserved.retain(|(_, run)| run.server != *server);
         let mut contents: Vec<_> = contents.into_iter().collect();
--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -6,17 +6,16 @@
 //! nodes that are in touch end with the same.
 
 use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 use std::hash::Hasher;
 use std::time::Duration;
 
 use lifthollow_protocol::suspects::{CrashReport, SuspectReport, SuspectReports};
-use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::InstanceId;
+use lifthollow_state::{ServiceName, Timestamp};
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::mesh::poison::content::ContentFingerprint;
-use crate::mesh::poison::suspicion::{Moment, Suspicion};
+use crate::mesh::poison::content::{CallerContent, ContentFingerprint};
+use crate::mesh::poison::suspicion::{Evidence, Moment, Suspicion};
 
 /// At most so many contents are kept, about 200 bytes each. A crash names those that ran
 /// there, 140 at the largest servers seen. The ones with the fewest crashes go first.
@@ -41,8 +40,9 @@
 pub struct Change {
     /// The content.
     pub content: ContentFingerprint,
-    /// Whether it is proven now to crash servers.
-    pub is_proven: bool,
+    /// The callers whose requests are proven now to crash servers; empty if there are none
+    /// any more.
+    pub proven_callers: Vec<ServiceName>,
     /// The servers that crashed with it aboard.
     pub servers: Vec<InstanceId>,
     /// How long it is blocked.
@@ -53,8 +53,8 @@
 struct Suspect {
     suspicion: Suspicion,
     last_trial: Option<Timestamp>,
-    /// Whether it was proven when changes were last asked for.
-    was_proven: bool,
+    /// The callers for whom it was proven when changes were last asked for.
+    told_proven: Vec<ServiceName>,
 }
 
 /// All that a node knows.
@@ -69,52 +69,49 @@
     pub fn note_crash(
         &mut self,
         now: Timestamp,
-        contents: &[ContentFingerprint],
+        aboard: &[CallerContent],
         server: &InstanceId,
     ) -> bool {
         let at = Moment::before(now, Duration::ZERO);
         let mut is_new = false;
-        for content in contents {
+        for CallerContent { content, caller } in aboard {
             let suspect = self.suspects.entry(*content).or_default();
-            is_new |= suspect.suspicion.note_crash(server, at);
+            let evidence = suspect.suspicion.evidence_mut(caller);
+            is_new |= evidence.note_crash(server, at);
         }
         self.bound(now);
         is_new
     }
 
-    /// A server ran `content` well. True if that clears it of crashes.
-    pub fn note_served(&mut self, now: Timestamp, content: &ContentFingerprint) -> bool {
-        let Some(suspect) = self.suspects.get_mut(content) else {
-            return false;
+    /// A server ran `request` well.
+    pub fn note_served(&mut self, now: Timestamp, request: &CallerContent) {
+        let Some(suspect) = self.suspects.get_mut(&request.content) else {
+            return;
         };
         let at = Moment::before(now, Duration::ZERO);
-        let before = digest(content, &suspect.suspicion);
-        let is_cleared = suspect.suspicion.note_served(at);
-        let after = digest(content, &suspect.suspicion);
+        let before = digest(&request.content, &suspect.suspicion);
+        let evidence = suspect.suspicion.evidence_mut(&request.caller);
+        evidence.note_served(at);
+        let after = digest(&request.content, &suspect.suspicion);
         self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
-        is_cleared
     }
 
-    /// What may be done with a request of this content.
-    pub fn verdict(&self, now: Timestamp, content: &ContentFingerprint) -> Verdict {
-        let Some(suspect) = self.suspects.get(content) else {
-            return Verdict::Admitted;
-        };
-        if !suspect.suspicion.is_proven() {
-            return Verdict::Admitted;
-        }
-        let left = suspect.suspicion.blocked_for(now);
-        if left.is_zero() {
-            Verdict::OnTrial
-        } else {
-            Verdict::Blocked(left)
+    /// What may be done with a request.
+    pub fn verdict(&self, now: Timestamp, request: &CallerContent) -> Verdict {
+        let suspect = self.suspects.get(&request.content);
+        let blocked =
+            suspect.and_then(|suspect| suspect.suspicion.blocked_for(&request.caller, now));
+        match blocked {
+            None => Verdict::Admitted,
+            Some(Duration::ZERO) => Verdict::OnTrial,
+            Some(left) => Verdict::Blocked(left),
         }
     }
 
-    /// Crashes that `content` was aboard of, and that no good run speaks against.
+    /// The servers that crashed with `content` aboard, as far as no good run speaks against it.
     pub fn crashes(&self, content: &ContentFingerprint) -> usize {
         let suspect = self.suspects.get(content);
-        suspect.map_or(0, |suspect| suspect.suspicion.counted())
+        suspect.map_or(0, |suspect| suspect.suspicion.servers().len())
     }
 
     /// A trial of `content` asks to run at this node's server. False if one has run a
@@ -136,62 +133,71 @@
         self.digest
     }
 
-    /// All contents that are suspected or were.
-    pub fn contents(&self) -> Vec<ContentFingerprint> {
-        self.suspects.keys().copied().collect()
+    /// All that is suspected or was.
+    pub fn requests(&self) -> Vec<CallerContent> {
+        let suspects = self.suspects.iter();
+        let requests = suspects.flat_map(|(content, suspect)| {
+            let callers = suspect.suspicion.evidence().map(|(caller, _)| caller);
+            callers.map(|caller| CallerContent {
+                content: *content,
+                caller: caller.clone(),
+            })
+        });
+        requests.collect()
     }
 
     /// How many contents are suspected, and how many of them are proven.
     pub fn counts(&self) -> (usize, usize) {
         let suspects = self.suspects.values();
-        let proven = suspects.filter(|suspect| suspect.suspicion.is_proven());
+        let proven = suspects.filter(|suspect| !suspect.suspicion.proven_callers().is_empty());
         (self.suspects.len(), proven.count())
     }
 
     /// All that is known, for another node.
     pub fn reports(&self, now: Timestamp) -> SuspectReports {
         let suspects = self.suspects.iter();
-        let suspects = suspects.map(|(content, suspect)| report(now, *content, suspect));
+        let reports = suspects.flat_map(|(content, suspect)| {
+            let evidence = suspect.suspicion.evidence();
+            evidence.map(|(caller, evidence)| report(now, *content, caller, evidence))
+        });
         SuspectReports {
-            suspects: suspects.collect(),
+            suspects: reports.collect(),
         }
     }
 
     /// Joins what another node answered to a question of `asked`. True if it tells of a
     /// crash that was not known.
     pub fn join(&mut self, now: Timestamp, asked: Timestamp, reports: SuspectReports) -> bool {
-        let mut is_new = false;
+        let mut news = Vec::new();
         for report in reports.suspects {
-            is_new |= self.join_one(now, asked, report);
+            let content = ContentFingerprint(u128::from_be_bytes(report.content));
+            if self.join_one(asked, content, report) {
+                news.push(content);
+            }
         }
         self.bound(now);
-        is_new
+        // What is over by now is no news.
+        news.iter()
+            .any(|content| self.suspects.contains_key(content))
     }
 
-    fn join_one(&mut self, now: Timestamp, asked: Timestamp, report: SuspectReport) -> bool {
+    fn join_one(
+        &mut self,
+        asked: Timestamp,
+        content: ContentFingerprint,
+        report: SuspectReport,
+    ) -> bool {
         // From the question on: an age may be told too great, and never too small.
         let moment = |age_ms| Moment::before(asked, Duration::from_millis(age_ms));
-        let mut told = Suspicion::default();
+        let caller = ServiceName::new(&report.caller);
+        let known = self.suspects.entry(content).or_default();
+        let known = known.suspicion.evidence_mut(&caller);
+        let mut is_new = false;
         for crash in &report.crashes {
-            told.note_crash(&crash.server, moment(crash.age_ms));
+            is_new |= known.note_crash(&crash.server, moment(crash.age_ms));
         }
         if let Some(served) = report.served_ms {
-            told.note_served(moment(served));
-        }
-        if told.is_over(now) {
-            return false;
-        }
-        let content = ContentFingerprint(u128::from_be_bytes(report.content));
-        let known = match self.suspects.entry(content) {
-            Entry::Occupied(known) => &mut known.into_mut().suspicion,
-            Entry::Vacant(place) => &mut place.insert(Suspect::default()).suspicion,
-        };
-        let mut is_new = false;
-        for (server, at) in told.crashes() {
-            is_new |= known.note_crash(server, at);
-        }
-        if let Some(served) = told.served() {
-            known.note_served(served);
+            known.note_served(moment(served));
         }
         is_new
     }
@@ -210,18 +216,22 @@
     pub fn take_changes(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
         for (content, suspect) in &mut self.suspects {
-            let is_proven = suspect.suspicion.is_proven();
-            if suspect.was_proven == is_proven {
+            let suspicion = &suspect.suspicion;
+            let proven: Vec<ServiceName> =
+                suspicion.proven_callers().into_iter().cloned().collect();
+            if suspect.told_proven == proven {
                 continue;
             }
-            suspect.was_proven = is_proven;
-            let crashes = suspect.suspicion.crashes();
+            let blocks = proven
+                .iter()
+                .filter_map(|caller| suspicion.blocked_for(caller, now));
             changes.push(Change {
                 content: *content,
-                is_proven,
-                servers: crashes.map(|(server, _)| server.clone()).collect(),
-                blocked_for: suspect.suspicion.blocked_for(now),
+                servers: suspicion.servers().into_iter().cloned().collect(),
+                blocked_for: blocks.max().unwrap_or_default(),
+                proven_callers: proven.clone(),
             });
+            suspect.told_proven = proven;
         }
         changes
     }
@@ -235,13 +245,14 @@
     }
 
     fn drop_least_suspected(&mut self) {
-        let last_crash = |suspicion: &Suspicion| suspicion.crashes().map(|(_, at)| at).max();
         let mut order: Vec<_> = self
             .suspects
             .iter()
             .map(|(content, suspect)| {
                 let suspicion = &suspect.suspicion;
-                (suspicion.counted(), last_crash(suspicion), *content)
+                let crashes = suspicion.evidence().flat_map(|(_, by)| by.crashes());
+                let last = crashes.map(|(_, at)| at).max();
+                (suspicion.servers().len(), last, *content)
             })
             .collect();
         order.sort_unstable();
@@ -262,28 +273,37 @@
 fn digest(content: &ContentFingerprint, suspicion: &Suspicion) -> u64 {
     let mut hasher = Xxh3Default::new();
     hasher.update(&content.0.to_be_bytes());
-    hasher.update(&(suspicion.counted() as u64).to_be_bytes());
-    for (server, _) in suspicion.crashes() {
-        hasher.update(server.as_str().as_bytes());
+    for (caller, evidence) in suspicion.evidence() {
+        hasher.update(caller.as_str().as_bytes());
+        hasher.update(&(evidence.counted().count() as u64).to_be_bytes());
+        for (server, _) in evidence.crashes() {
+            hasher.update(server.as_str().as_bytes());
+        }
     }
     hasher.finish()
 }
 
-fn report(now: Timestamp, content: ContentFingerprint, suspect: &Suspect) -> SuspectReport {
+fn report(
+    now: Timestamp,
+    content: ContentFingerprint,
+    caller: &ServiceName,
+    evidence: &Evidence,
+) -> SuspectReport {
     let age_ms = |at: Moment| {
         let age = at.age(now);
         u64::try_from(age.as_micros().div_ceil(1000)).unwrap_or(u64::MAX)
     };
-    let crashes = suspect.suspicion.crashes();
+    let crashes = evidence.crashes();
     SuspectReport {
         content: content.0.to_be_bytes(),
+        caller: caller.as_str().to_owned(),
         crashes: crashes
             .map(|(server, at)| CrashReport {
                 server: server.clone(),
                 age_ms: age_ms(at),
             })
             .collect(),
-        served_ms: suspect.suspicion.served().map(age_ms),
+        served_ms: evidence.served().map(age_ms),
     }
 }
 
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -1,10 +1,10 @@
-//! The evidence against one content.
+//! The evidence against one content, by the service of its callers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::InstanceId;
+use lifthollow_state::{ServiceName, Timestamp};
 
 /// Crashes of so many servers, without a good run since the first, prove that a content
 /// is their cause. With two, a request that shared one server with the cause and was
@@ -59,18 +59,19 @@
     }
 }
 
-/// The crashes that a content was aboard of, and when it was last run well.
+/// The crashes that a content was aboard of with requests of one service's machines,
+/// and when such a request was last run well.
 ///
 /// Two nodes' knowledge is joined by taking the later of each moment, so that the
 /// order in which news arrives makes no difference.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Suspicion {
+pub struct Evidence {
     crashes: BTreeMap<InstanceId, Moment>,
     served: Option<Moment>,
 }
 
-impl Suspicion {
-    /// The content was aboard when `server` crashed at `at`. True if that is news.
+impl Evidence {
+    /// It was aboard when `server` crashed at `at`. True if that is news.
     pub fn note_crash(&mut self, server: &InstanceId, at: Moment) -> bool {
         match self.crashes.get_mut(server) {
             Some(known) => {
@@ -84,19 +85,12 @@
         }
     }
 
-    /// A server ran the content well at `at`. True if that clears it of a crash.
-    pub fn note_served(&mut self, at: Moment) -> bool {
-        let before = self.counted();
+    /// A server ran it well at `at`.
+    pub fn note_served(&mut self, at: Moment) {
         self.served = self.served.max(Some(at));
-        self.counted() < before
-    }
-
-    /// The crashes that no good run speaks against.
-    pub fn counted(&self) -> usize {
-        self.counted_crashes().count()
     }
 
-    /// The servers that crashed with the content aboard, each with the moment.
+    /// The servers that crashed with it aboard, each with the moment.
     pub fn crashes(&self) -> impl Iterator<Item = (&InstanceId, Moment)> {
         self.crashes.iter().map(|(server, at)| (server, *at))
     }
@@ -106,54 +100,112 @@
         self.served
     }
 
-    /// Whether the content is proven to crash servers.
-    pub fn is_proven(&self) -> bool {
-        self.counted() >= PROOF
+    /// The crashes that no good run speaks against.
+    pub fn counted(&self) -> impl Iterator<Item = (&InstanceId, Moment)> {
+        let covered = self.served.map(|served| served.plus(GOOD_RUN_COVERS));
+        self.crashes()
+            .filter(move |(_, at)| covered.is_none_or(|covered| *at > covered))
+    }
+}
+
+/// All that is known of a content.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Suspicion {
+    by_caller: BTreeMap<ServiceName, Evidence>,
+}
+
+impl Suspicion {
+    /// What is known of it for requests of `caller`'s machines.
+    pub fn evidence_mut(&mut self, caller: &ServiceName) -> &mut Evidence {
+        self.by_caller.entry(caller.clone()).or_default()
+    }
+
+    /// What is known of it, by caller.
+    pub fn evidence(&self) -> impl Iterator<Item = (&ServiceName, &Evidence)> {
+        self.by_caller.iter()
+    }
+
+    /// The servers whose crashes speak against it, whoever called.
+    pub fn servers(&self) -> BTreeSet<&InstanceId> {
+        self.counted().map(|(server, _)| server).collect()
     }
 
-    /// How long a proven content is still blocked; zero once it may be tried.
-    pub fn blocked_for(&self, now: Timestamp) -> Duration {
-        let last = self.counted_crashes().max();
-        last.map_or(Duration::ZERO, |last| {
-            last.left_of(self.block_length(), now)
-        })
+    /// The callers whose requests are proven to crash servers.
+    pub fn proven_callers(&self) -> Vec<&ServiceName> {
+        let callers = self.by_caller.keys();
+        callers
+            .filter(|caller| self.proof(caller).is_some())
+            .collect()
+    }
+
+    /// How long it is still blocked for requests of `caller`'s machines; zero once it may be
+    /// tried, and none if it isn't proven.
+    pub fn blocked_for(&self, caller: &ServiceName, now: Timestamp) -> Option<Duration> {
+        let crashes = self.proof(caller)?;
+        let last = crashes.last()?;
+        Some(last.left_of(block_length(&crashes), now))
     }
 
     /// Whether it can be forgotten.
     pub fn is_over(&self, now: Timestamp) -> bool {
-        let kept = match self.is_proven() {
-            true => self.block_length() + REMEMBERED_AFTER_BLOCK,
-            false => SUSPECTED_FOR,
-        };
-        let last = self.crashes.values().max();
+        let proofs = self
+            .by_caller
+            .keys()
+            .filter_map(|caller| self.proof(caller));
+        let longest = proofs.map(|crashes| block_length(&crashes)).max();
+        let kept = longest.map_or(SUSPECTED_FOR, |block| block + REMEMBERED_AFTER_BLOCK);
+        let all = self.by_caller.values().flat_map(Evidence::crashes);
+        let last = all.map(|(_, at)| at).max();
         last.is_none_or(|last| last.age(now) > kept)
     }
 
-    fn block_length(&self) -> Duration {
-        BLOCKED_FOR[self.trials().min(BLOCKED_FOR.len() - 1)]
+    /// The crashes that prove that it crashes servers when `caller`'s machines ask for it,
+    /// oldest first. Those of all callers count together if they are of two at least, so that
+    /// the caller can't be what matters, and it ran well for none meanwhile. Without that, each
+    /// of five services' machines cost three crashes and 7 late arrivals came (test
+    /// `a_request_that_comes_from_many_services_is_known_as_one`).
+    fn proof(&self, caller: &ServiceName) -> Option<Vec<Moment>> {
+        if self.is_proven_for_all() {
+            let together: BTreeMap<_, _> = self.counted().collect();
+            return Some(in_order(together.into_values()));
+        }
+        let own = self.by_caller.get(caller)?.counted();
+        let own = in_order(own.map(|(_, at)| at));
+        (own.len() >= PROOF).then_some(own)
     }
 
-    /// The times at which the content crashed servers after it had been proven.
-    fn trials(&self) -> usize {
-        let mut crashes: Vec<Moment> = self.counted_crashes().collect();
-        crashes.sort_unstable();
-        let Some(first) = crashes.get(PROOF - 1) else {
-            return 0;
-        };
-        let mut last = *first;
-        let mut trials = 0;
-        for at in crashes.into_iter().skip(PROOF) {
-            if at > last.plus(ONE_WAVE) {
-                trials += 1;
-            }
-            last = at;
+    fn is_proven_for_all(&self) -> bool {
+        let callers = self.by_caller.values();
+        let crashing = callers.filter(|evidence| evidence.counted().next().is_some());
+        if crashing.count() < 2 || self.servers().len() < PROOF {
+            return false;
         }
-        trials
+        let first = self.counted().map(|(_, at)| at).min();
+        let served = self.by_caller.values().filter_map(Evidence::served).max();
+        let covered = served.map(|served| served.plus(GOOD_RUN_COVERS));
+        first > covered
     }
 
-    fn counted_crashes(&self) -> impl Iterator<Item = Moment> {
-        let covered = self.served.map(|served| served.plus(GOOD_RUN_COVERS));
-        let crashes = self.crashes.values().copied();
-        crashes.filter(move |at| covered.is_none_or(|covered| *at > covered))
+    fn counted(&self) -> impl Iterator<Item = (&InstanceId, Moment)> {
+        self.by_caller.values().flat_map(Evidence::counted)
     }
 }
+
+fn in_order(moments: impl Iterator<Item = Moment>) -> Vec<Moment> {
+    let mut moments: Vec<Moment> = moments.collect();
+    moments.sort_unstable();
+    moments
+}
+
+fn block_length(crashes: &[Moment]) -> Duration {
+    BLOCKED_FOR[trials(crashes).min(BLOCKED_FOR.len() - 1)]
+}
+
+/// The times at which a content crashed servers after it had been proven by the first of
+/// these crashes, which are in order.
+fn trials(crashes: &[Moment]) -> usize {
+    let pairs = crashes.windows(2).skip(PROOF - 1);
+    pairs
+        .filter(|pair| pair[1] > pair[0].plus(ONE_WAVE))
+        .count()
+}
--- a/crates/protocol/src/suspects.rs
+++ b/crates/protocol/src/suspects.rs
@@ -14,12 +14,15 @@
     pub age_ms: u64,
 }
 
-/// What a node knows of one content.
+/// What a node knows of one content from machines of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct SuspectReport {
     /// Its fingerprint.
     #[cbor(n(0), with = "minicbor::bytes")]
     pub content: [u8; 16],
+    /// The service on whose machines its requests started.
+    #[n(3)]
+    pub caller: String,
     /// The crashes that it was aboard of.
     #[n(1)]
     pub crashes: Vec<CrashReport>,
@@ -31,7 +34,7 @@
 /// All that a node knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct SuspectReports {
-    /// One for each content.
+    /// One for each content and caller's service.
     #[n(0)]
     pub suspects: Vec<SuspectReport>,
 }
--- a/crates/proxy/src/inbound/crash_detector.rs
+++ b/crates/proxy/src/inbound/crash_detector.rs
@@ -8,7 +8,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
-use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
+use lifthollow_coordination::mesh::poison::content::CallerContent;
 use lifthollow_state::mesh::InstanceId;
 use slog::info;
 use tokio::time::{sleep, timeout};
@@ -133,7 +133,7 @@
     suspects::note_own_crash(node, server, &contents);
 }
 
-fn named(contents: &[ContentFingerprint]) -> String {
+fn named(contents: &[CallerContent]) -> String {
     let named = contents.iter().take(NAMED_CONTENTS);
     let named: Vec<String> = named.map(ToString::to_string).collect();
     named.join(" ")
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -13,7 +13,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
-use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
+use lifthollow_coordination::mesh::poison::content::CallerContent;
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
@@ -44,7 +44,7 @@
     /// The request, as it goes to the server but for its deadline.
     pub request: Request<ProxyBody>,
     /// What it asks of the server.
-    pub content: ContentFingerprint,
+    pub content: CallerContent,
     /// The server that is meant.
     pub server: InstanceId,
     /// When the caller's node gives it up.
@@ -105,7 +105,7 @@
 /// What is said of an attempt that the server did not answer.
 struct LoggedAttempt {
     request_id: String,
-    content: ContentFingerprint,
+    content: CallerContent,
     server: InstanceId,
     tree: TreePlace,
     zone: String,
@@ -117,7 +117,7 @@
         let id = node.names.request_id_of(attempt.request.headers());
         LoggedAttempt {
             request_id: id.to_owned(),
-            content: attempt.content,
+            content: attempt.content.clone(),
             server: attempt.server.clone(),
             tree: attempt.tree,
             zone: attempt.terms.zone.clone(),
@@ -414,7 +414,7 @@
     let (tree, terms) = peer_headers::tree(&head.headers);
     let caller = head.headers.get(&node.names.caller_service);
     let caller = caller.and_then(|caller| caller.to_str().ok());
-    let content = request_content::fingerprint(caller.unwrap_or_default(), &head, &body);
+    let content = request_content::caller_content(caller.unwrap_or_default(), &head, &body);
     Some(Attempt {
         content,
         tree,
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -206,7 +206,7 @@
     };
     let attempt = Attempt {
         request: outgoing_request(node, request, &server, body),
-        content: request.content,
+        content: request.content.clone(),
         server: server.id.clone(),
         ends: call.ends(),
         tree: TreePlace {
@@ -285,7 +285,10 @@
 
 /// The crashes that the request's content was aboard of.
 fn crashes(node: &Rc<Node>, request: &RoutedRequest) -> usize {
-    node.state.borrow().suspects.crashes(&request.content)
+    node.state
+        .borrow()
+        .suspects
+        .crashes(&request.content.content)
 }
 
 /// Whether another attempt may be sent although a server may have run the request.
@@ -302,7 +305,7 @@
         reason: UnknownReason::ServerCrashed,
     };
     if *end == crashed {
-        suspects::note_crash_of(node, &server.id, request.content);
+        suspects::note_crash_of(node, &server.id, &request.content);
     }
 }
 
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -103,7 +103,7 @@
             }
         },
     };
-    let content = request_content::fingerprint(&node.settings.service, &head, &body);
+    let content = request_content::caller_content(&node.settings.service, &head, &body);
     let mut request = RoutedRequest {
         head,
         body: HeldBody::from(body),
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::call::Call;
-use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
+use lifthollow_coordination::mesh::poison::content::CallerContent;
 use lifthollow_coordination::mesh::request_tree::priority_of_request;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::Route;
@@ -31,7 +31,7 @@
     pub(super) head: Parts,
     pub(super) body: HeldBody,
     /// What it asks of a server.
-    pub(super) content: ContentFingerprint,
+    pub(super) content: CallerContent,
     pub(super) route: Rc<RouteInForce>,
     pub(super) tree: TreePlace,
     pub(super) arrived: Timestamp,
--- a/crates/proxy/src/request_content.rs
+++ b/crates/proxy/src/request_content.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::http::request::Parts;
-use lifthollow_coordination::mesh::poison::content::{ContentFingerprint, RequestContent};
+use lifthollow_coordination::mesh::poison::content::{
+    CallerContent, ContentFingerprint, RequestContent,
+};
+use lifthollow_state::ServiceName;
 
 use crate::http::ProxyBody;
 use crate::http::headers::host;
@@ -13,18 +16,20 @@
 /// the same.
 const COMPARED_BODY: usize = 256 * 1024;
 
-/// The fingerprint of a request from a machine of `caller_service`, the same at its
+/// What a request from a machine of the service `caller` asks. It is the same at its
 /// caller's node and at its server's.
-pub fn fingerprint(caller_service: &str, head: &Parts, body: &ProxyBody) -> ContentFingerprint {
+pub fn caller_content(caller: &str, head: &Parts, body: &ProxyBody) -> CallerContent {
     let target = head.uri.path_and_query();
     let content = RequestContent {
-        caller_service,
         method: head.method.as_str(),
         host: host(&head.headers, &head.uri),
         target: target.map_or("/", |target| target.as_str()),
         body_length: body.size_hint().exact(),
     };
-    ContentFingerprint::of(&content, beginning(body))
+    CallerContent {
+        content: ContentFingerprint::of(&content, beginning(body)),
+        caller: ServiceName::new(caller),
+    }
 }
 
 fn beginning(body: &ProxyBody) -> impl Iterator<Item = &[u8]> {
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects.rs
@@ -10,9 +10,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response};
-use lifthollow_coordination::mesh::poison::content::ContentFingerprint;
+use lifthollow_coordination::mesh::poison::content::CallerContent;
 use lifthollow_coordination::mesh::poison::suspects::{Verdict, trial_server};
 use lifthollow_protocol::suspects::SuspectReports;
 use lifthollow_state::Timestamp;
@@ -37,6 +38,12 @@
 /// the nodes forget at different moments.
 const FRUITLESS_PAUSE: Duration = Duration::from_secs(5);
 
+/// How often a node that starts asks a few others, until one of them answers. Many may
+/// start at the same time.
+const ASKED_AT_START: usize = 10;
+/// Time between these questions.
+const START_PAUSE: Duration = Duration::from_millis(300);
+
 /// How far this node is with learning from others.
 #[derive(Default)]
 pub struct Learning {
@@ -47,11 +54,7 @@
 }
 
 /// The server beside this node crashed with these contents aboard.
-pub(crate) fn note_own_crash(
-    node: &Rc<Node>,
-    server: &InstanceId,
-    contents: &[ContentFingerprint],
-) {
+pub(crate) fn note_own_crash(node: &Rc<Node>, server: &InstanceId, contents: &[CallerContent]) {
     let now = node.now();
     let is_new = {
         let mut state = node.state.borrow_mut();
@@ -66,22 +69,23 @@
 }
 
 /// Another node told that a server crashed under a request of this one.
-pub(crate) fn note_crash_of(node: &Rc<Node>, server: &InstanceId, content: ContentFingerprint) {
+pub(crate) fn note_crash_of(node: &Rc<Node>, server: &InstanceId, content: &CallerContent) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    state.suspects.note_crash(now, &[content], server);
-    clear_what_runs_well(&mut state, now, &[content]);
+    let aboard = std::slice::from_ref(content);
+    state.suspects.note_crash(now, aboard, server);
+    clear_what_runs_well(&mut state, now, aboard);
     drop(state);
     log_changes(node, "attempt");
 }
 
 /// A run of `content` at the server beside this node ended well.
-pub(crate) fn note_served(state: &mut TrafficState, now: Timestamp, content: ContentFingerprint) {
-    state.served_lately.note(now, content);
+pub(crate) fn note_served(state: &mut TrafficState, now: Timestamp, content: CallerContent) {
     state.suspects.note_served(now, &content);
+    state.served_lately.note(now, content);
 }
 
-fn clear_what_runs_well(state: &mut TrafficState, now: Timestamp, contents: &[ContentFingerprint]) {
+fn clear_what_runs_well(state: &mut TrafficState, now: Timestamp, contents: &[CallerContent]) {
     for content in contents {
         if state.served_lately.contains(now, content) {
             state.suspects.note_served(now, content);
@@ -90,11 +94,7 @@
 }
 
 /// Whether a request may run, and where: see [`Permission`].
-pub(crate) fn permission(
-    node: &Rc<Node>,
-    service: &str,
-    content: &ContentFingerprint,
-) -> Permission {
+pub(crate) fn permission(node: &Rc<Node>, service: &str, content: &CallerContent) -> Permission {
     let state = node.state.borrow();
     match state.suspects.verdict(node.now(), content) {
         Verdict::Admitted => Permission::Anywhere,
@@ -103,7 +103,7 @@
             let servers = state.snapshots.servers_in_force().into_iter();
             let ready = servers.filter(|server| server.service == service && server.is_ready());
             let ready: Vec<InstanceId> = ready.map(|server| server.id).collect();
-            match trial_server(content, &ready) {
+            match trial_server(&content.content, &ready) {
                 Some(server) => Permission::Only(server.clone()),
                 None => Permission::Blocked(NO_TRIAL_PAUSE),
             }
@@ -129,7 +129,7 @@
 pub(crate) fn refused_for(
     node: &Rc<Node>,
     server: &InstanceId,
-    content: &ContentFingerprint,
+    content: &CallerContent,
 ) -> Option<Duration> {
     match permission(node, &node.settings.service, content) {
         Permission::Anywhere => None,
@@ -138,7 +138,7 @@
         Permission::Only(_) => {
             let now = node.now();
             let mut state = node.state.borrow_mut();
-            let may_run = state.suspects.begin_trial(now, content);
+            let may_run = state.suspects.begin_trial(now, &content.content);
             drop(state);
             if may_run {
                 info!(node.log, "content tried"; "content" => %content, "server" => server.as_str());
@@ -193,8 +193,8 @@
 }
 
 /// Asks another node for what it knows; the question names what this one knows, so that
-/// the other may ask in return.
-async fn exchange(node: &Rc<Node>, with: SocketAddrV4) {
+/// the other may ask in return. False if it doesn't answer.
+async fn exchange(node: &Rc<Node>, with: SocketAddrV4) -> bool {
     let asked = node.now();
     let path = peer_headers::SUSPECTS_PATH;
     let mut named = HeaderMap::new();
@@ -202,9 +202,13 @@
     let fetched: Result<(SuspectReports, HeaderMap), FetchError> =
         snapshots::fetch(node, with, path, named, FETCH_LIMIT).await;
     match fetched {
-        Ok((reports, _)) => join(node, with, asked, reports),
+        Ok((reports, _)) => {
+            join(node, with, asked, reports);
+            true
+        }
         Err(error) => {
             warn!(node.log, "suspects not fetched"; "from" => %with, "error" => %error);
+            false
         }
     }
 }
@@ -214,8 +218,8 @@
         let mut state = node.state.borrow_mut();
         let now = node.now();
         let is_new = state.suspects.join(now, asked, reports);
-        let contents = state.suspects.contents();
-        clear_what_runs_well(&mut state, now, &contents);
+        let known = state.suspects.requests();
+        clear_what_runs_well(&mut state, now, &known);
         is_new
     };
     log_changes(node, &from.to_string());
@@ -239,18 +243,26 @@
 /// Asks a few nodes what they know, once this node has heard of any: a node that starts
 /// knows nothing, and what crashed servers before still does.
 pub(crate) fn ask_at_start(node: &Rc<Node>) {
-    let others = drawn_nodes(node);
-    if !others.is_empty() && !node.learning.has_asked_at_start.replace(true) {
-        exchange_with(node, others);
+    let knows_others = !drawn_nodes(node).is_empty();
+    if knows_others && !node.learning.has_asked_at_start.replace(true) {
+        tokio::task::spawn_local(ask_until_answered(node.clone()));
     }
 }
 
-fn tell(node: &Rc<Node>) {
-    exchange_with(node, drawn_nodes(node));
+async fn ask_until_answered(node: Rc<Node>) {
+    for _ in 0..ASKED_AT_START {
+        let asked = drawn_nodes(&node).into_iter();
+        let asked = asked.map(|other| exchange(&node, other));
+        let answered = join_all(asked).await;
+        if answered.contains(&true) {
+            return;
+        }
+        sleep(START_PAUSE).await;
+    }
 }
 
-fn exchange_with(node: &Rc<Node>, others: Vec<SocketAddrV4>) {
-    for other in others {
+fn tell(node: &Rc<Node>) {
+    for other in drawn_nodes(node) {
         let node = node.clone();
         tokio::task::spawn_local(async move { exchange(&node, other).await });
     }
@@ -280,13 +292,17 @@
 fn log_changes(node: &Rc<Node>, from: &str) {
     let changes = node.state.borrow_mut().suspects.take_changes(node.now());
     for change in changes {
-        let servers: Vec<&str> = change.servers.iter().map(InstanceId::as_str).collect();
-        let servers = servers.join(" ");
-        let message = match change.is_proven {
-            true => "content blocked",
-            false => "content admitted again",
+        let message = match change.proven_callers.is_empty() {
+            false => "content blocked",
+            true => "content admitted again",
         };
-        info!(node.log, "{}", message; "content" => %change.content, "crashed" => servers,
+        info!(node.log, "{}", message; "content" => %change.content,
+            "callers" => joined(&change.proven_callers), "crashed" => joined(&change.servers),
             "blocked_ms" => change.blocked_for.as_millis() as u64, "from" => from);
     }
 }
+
+fn joined<T: ToString>(items: &[T]) -> String {
+    let texts: Vec<String> = items.iter().map(ToString::to_string).collect();
+    texts.join(" ")
+}
