--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -96,6 +96,8 @@
     pub network: Rc<dyn Network>,
     /// The source of everything random.
     pub random: SmallRng,
+    /// The time.
+    pub clock: Clock,
 }
 
 impl Surroundings {
@@ -104,6 +106,7 @@
         Surroundings {
             network: Rc::new(SystemNetwork),
             random: SmallRng::from_rng(&mut rand::rng()),
+            clock: Clock::start(),
         }
     }
 }
@@ -125,7 +128,7 @@
     pub settings: ProxySettings,
     /// What callers and servers call their headers.
     pub names: WireNames,
-    /// The monotonic clock.
+    /// The time.
     pub clock: Clock,
     /// Where connections come from and go to.
     pub network: Rc<dyn Network>,
@@ -191,7 +194,7 @@
             own_address: own_address.expect("an address is plain text"),
             settings,
             names,
-            clock: Clock::start(),
+            clock: surroundings.clock,
             state: RefCell::new(state),
             server_connections: Pool::new(network.clone(), SERVER_CONNECT_LIMIT),
             peer_connections: Pool::new(network.clone(), PEER_CONNECT_LIMIT),
