Timestamps count the time since boot: a suspension makes no view, deadline or connection younger

Cause: ages were counted by the steady clock, which stands still while a machine is suspended: the class of fault of docs/incidents/old-views.md. Change: one constant in transport::clock; connections' rest is counted by the same clock.

--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -11,9 +11,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use lifthollow_state::Timestamp;
+use lifthollow_transport::clock::Clock;
 use thiserror::Error;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::http::ProxyBody;
 use crate::http::headers::keep_alive_seconds;
@@ -51,8 +53,8 @@
 
 struct IdleConnection {
     connection: Connection,
-    since: Instant,
-    until: Instant,
+    since: Timestamp,
+    until: Timestamp,
 }
 
 /// Which kept connections a request may be sent on.
@@ -70,7 +72,7 @@
 /// After so much rest the other side was found to have forgotten a connection.
 struct RestLimit {
     limit: Duration,
-    learned: Instant,
+    learned: Timestamp,
 }
 
 impl Drop for Connection {
@@ -86,6 +88,7 @@
     rest_limits: Rc<RefCell<HashMap<SocketAddrV4, RestLimit>>>,
     opened: Rc<Cell<u64>>,
     network: Rc<dyn Network>,
+    clock: Clock,
     connect_limit: Duration,
 }
 
@@ -100,13 +103,14 @@
 
 impl Pool {
     /// A pool without connections, that opens them through `network` and waits for
-    /// a new one for `connect_limit`.
-    pub fn new(network: Rc<dyn Network>, connect_limit: Duration) -> Self {
+    /// a new one for `connect_limit`. How long they rest is read from `clock`.
+    pub fn new(network: Rc<dyn Network>, clock: Clock, connect_limit: Duration) -> Self {
         Pool {
             idle: Rc::default(),
             rest_limits: Rc::default(),
             opened: Rc::default(),
             network,
+            clock,
             connect_limit,
         }
     }
@@ -118,7 +122,7 @@
 
     /// Closes unused connections whose time is over.
     pub fn close_expired(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         self.rest_limits
             .borrow_mut()
             .retain(|_, limit| now - limit.learned < REST_LIMIT_VALIDITY);
@@ -147,7 +151,7 @@
                 Some((connection, rested)) => (connection, Some(rested)),
                 None => (self.open(address).await?, None),
             };
-            let sent = Instant::now();
+            let sent = self.clock.now();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let lease = self.lease(address, connection, &response);
@@ -160,7 +164,7 @@
                         return Err(SendError::NotSent(error));
                     }
                     None => {
-                        if sent.elapsed() <= FORGOTTEN_WITHIN {
+                        if self.clock.now() - sent <= FORGOTTEN_WITHIN {
                             self.note_forgotten(address, rested);
                         }
                         return Err(SendError::Lost(error.into_error()));
@@ -195,7 +199,7 @@
     ) -> Option<(Connection, Duration)> {
         loop {
             let candidate = self.pop_idle(address, reuse)?;
-            let now = Instant::now();
+            let now = self.clock.now();
             let rested = now - candidate.since;
             if candidate.until <= now || rested >= self.rest_limit(address) {
                 continue;
@@ -210,7 +214,7 @@
     fn pop_idle(&self, address: SocketAddrV4, reuse: Reuse) -> Option<IdleConnection> {
         let mut all = self.idle.borrow_mut();
         let connections = all.get_mut(&address)?;
-        let is_recent = connections.last()?.since.elapsed() < RECENT_USE;
+        let is_recent = self.clock.now() - connections.last()?.since < RECENT_USE;
         let may_reuse = match reuse {
             Reuse::Any => true,
             Reuse::Recent => is_recent,
@@ -233,7 +237,7 @@
         };
         let shorter = rested.mul_f64(REST_LIMIT_FACTOR).max(RECENT_USE);
         let limit = shorter.min(self.rest_limit(address));
-        let learned = Instant::now();
+        let learned = self.clock.now();
         let known = RestLimit { limit, learned };
         self.rest_limits.borrow_mut().insert(address, known);
     }
@@ -263,7 +267,7 @@
         if self.connection.sender.is_closed() || self.keep.is_zero() {
             return;
         }
-        let now = Instant::now();
+        let now = self.pool.clock.now();
         let idle = IdleConnection {
             connection: self.connection,
             since: now,
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -172,6 +172,7 @@
         log: Logger,
     ) -> Rc<Self> {
         let network = surroundings.network;
+        let clock = surroundings.clock;
         let random = surroundings.random;
         let state = TrafficState {
             snapshots: SnapshotStore::default(),
@@ -194,10 +195,10 @@
             own_address: own_address.expect("an address is plain text"),
             settings,
             names,
-            clock: surroundings.clock,
+            clock,
             state: RefCell::new(state),
-            server_connections: Pool::new(network.clone(), SERVER_CONNECT_LIMIT),
-            peer_connections: Pool::new(network.clone(), PEER_CONNECT_LIMIT),
+            server_connections: Pool::new(network.clone(), clock, SERVER_CONNECT_LIMIT),
+            peer_connections: Pool::new(network.clone(), clock, PEER_CONNECT_LIMIT),
             attempts_in_progress: AttemptsInProgress::default(),
             crash_detector: CrashDetector::default(),
             learning: Learning::default(),
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -10,6 +10,10 @@
 use lifthollow_state::Timestamp;
 use rustix::time::{ClockId, clock_gettime};
 
+/// The clock that timestamps count. With the steady clock a view counted as 1.2 s old after a
+/// suspension of 2 s (simulated nodes, test `suspended_machines`).
+const COUNTED: ClockId = ClockId::Boottime;
+
 /// Reads the time. Copies share one origin.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -62,13 +66,13 @@
     fn of(source: Source) -> Self {
         Clock {
             source,
-            origin: source.steady(),
+            origin: source.read(),
         }
     }
 
     /// The time now.
     pub fn now(&self) -> Timestamp {
-        let passed = self.source.steady().saturating_sub(self.origin);
+        let passed = self.source.read().saturating_sub(self.origin);
         Timestamp::from_micros(passed.as_micros() as u64)
     }
 
@@ -85,23 +89,24 @@
 }
 
 impl Source {
-    /// The steady clock, from an arbitrary origin.
-    fn steady(self) -> Duration {
+    /// The time that is counted, from an arbitrary origin.
+    fn read(self) -> Duration {
         match self {
-            Source::System => read(ClockId::Monotonic),
+            Source::System => {
+                let time = clock_gettime(COUNTED);
+                Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+            }
             Source::Simulated { suspension, start } => {
                 let passed = instant_now().saturating_duration_since(start);
-                passed.saturating_sub(suspension.total())
+                match COUNTED {
+                    ClockId::Boottime => passed,
+                    _ => passed.saturating_sub(suspension.total()),
+                }
             }
         }
     }
 }
 
-fn read(clock: ClockId) -> Duration {
-    let time = clock_gettime(clock);
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-}
-
 fn instant_now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
