--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -46,6 +47,12 @@
 
     /// What a caller may send and how long it may take.
     fn connection_limits(&self) -> ConnectionLimits;
+
+    /// The system refused to accept a connection, for want of descriptors as a rule.
+    fn accept_refused(&self, error: &io::Error);
+
+    /// The system accepts connections again, after `refused` refusals.
+    fn accept_resumed(&self, refused: u32);
 }
 
 /// Bounds of one connection.
@@ -105,15 +112,25 @@
     closing: watch::Receiver<bool>,
 ) {
     let mut stop = closing.clone();
+    let mut refused = 0;
     loop {
         tokio::select! {
             _ = stop.wait_for(|closing| *closing) => break,
             accepted = listener.accept() => match accepted {
                 Ok(stream) => {
+                    if refused > 0 {
+                        handler.accept_resumed(std::mem::take(&mut refused));
+                    }
                     let connection = serve(stream, handler.clone(), in_progress.clone(), closing.clone());
                     tokio::task::spawn_local(connection);
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                Err(error) => {
+                    if refused == 0 {
+                        handler.accept_refused(&error);
+                    }
+                    refused += 1;
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             },
         }
     }
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -5,6 +5,7 @@
 pub mod in_progress;
 
 use std::cell::Cell;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -399,6 +400,14 @@
     fn connection_limits(&self) -> ConnectionLimits {
         self.0.connection_limits()
     }
+
+    fn accept_refused(&self, error: &io::Error) {
+        self.0.note_accept_refused("inbound", error);
+    }
+
+    fn accept_resumed(&self, refused: u32) {
+        self.0.note_accept_resumed("inbound", refused);
+    }
 }
 
 async fn read_attempt(node: &Rc<Node>, request: Request<Option<Incoming>>) -> Option<Attempt> {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,30 +1,15 @@
 //! Counters and latency histograms, served as Prometheus text.
 
-use std::rc::Rc;
-use std::time::Duration;
-
 use anyhow::Result;
-use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
-use hyper::{Request, Response};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
 };
 
-use crate::http::ProxyBody;
-use crate::http::server::{ConnectionLimits, Handler};
-
 /// Upper bounds of the buckets of durations, seconds.
 const DURATION_BUCKETS: [f64; 12] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
 ];
-/// Bounds of a connection that asks for metrics.
-const LIMITS: ConnectionLimits = ConnectionLimits {
-    max_header_bytes: 8192,
-    idle_timeout: Duration::from_secs(10),
-};
-
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -144,7 +129,8 @@
         Ok(metrics)
     }
 
-    fn text(&self) -> Result<Vec<u8>> {
+    /// All figures as Prometheus text.
+    pub fn text(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
@@ -169,17 +155,3 @@
     registry.register(Box::new(histogram.clone()))?;
     Ok(histogram)
 }
-
-impl Handler for Metrics {
-    async fn handle(self: Rc<Self>, _request: Request<Option<Incoming>>) -> Response<ProxyBody> {
-        let text = self.text().unwrap_or_default();
-        let mut response = Response::new(ProxyBody::Whole(text.into()));
-        let format = hyper::header::HeaderValue::from_static(prometheus::TEXT_FORMAT);
-        response.headers_mut().insert(CONTENT_TYPE, format);
-        response
-    }
-
-    fn connection_limits(&self) -> ConnectionLimits {
-        LIMITS
-    }
-}
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,7 +27,7 @@
 use lifthollow_state::{ServiceName, Timestamp};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use slog::Logger;
+use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 
 use crate::http::pool::Pool;
@@ -282,6 +283,17 @@
         state.routes.as_ref().map(|routes| routes.version())
     }
 
+    /// The system refused to accept a connection, for want of descriptors as a rule. Callers
+    /// wait until one is free.
+    pub fn note_accept_refused(&self, port: &str, error: &io::Error) {
+        warn!(self.log, "connections not accepted"; "port" => port, "error" => %error);
+    }
+
+    /// The system accepts connections again, after `refused` refusals.
+    pub fn note_accept_resumed(&self, port: &str, refused: u32) {
+        info!(self.log, "connections accepted again"; "port" => port, "refused" => refused);
+    }
+
     /// Whether a line about a request may be written now.
     pub fn may_log(&self) -> bool {
         self.line_limit.allows(self.now())
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -10,6 +10,7 @@
 mod request;
 mod send;
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,6 +66,14 @@
     fn connection_limits(&self) -> ConnectionLimits {
         self.0.connection_limits()
     }
+
+    fn accept_refused(&self, error: &io::Error) {
+        self.0.note_accept_refused("outbound", error);
+    }
+
+    fn accept_resumed(&self, refused: u32) {
+        self.0.note_accept_resumed("outbound", refused);
+    }
 }
 
 async fn serve(
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -1,13 +1,15 @@
 //! Start, listeners, signals and stop of a process.
 
+use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use slog::info;
+use slog::{info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -31,8 +33,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Time between looks at what is still in progress while stopping.
 const STOP_POLL: Duration = Duration::from_millis(20);
-/// Bounds of a connection that asks for readiness.
-const READINESS_LIMITS: ConnectionLimits = ConnectionLimits {
+/// Bounds of a connection that asks for readiness or metrics.
+const OPERATORS_LIMITS: ConnectionLimits = ConnectionLimits {
     max_header_bytes: 8192,
     idle_timeout: Duration::from_secs(10),
 };
@@ -105,7 +107,7 @@
         let listener = listen("metrics", address)?;
         spawn_local(server::run(
             listener,
-            node.metrics.clone(),
+            Rc::new(MetricsPort(node.clone())),
             others,
             closing.clone(),
         ));
@@ -228,6 +230,47 @@
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
-        READINESS_LIMITS
+        OPERATORS_LIMITS
+    }
+
+    fn accept_refused(&self, error: &io::Error) {
+        self.0.note_accept_refused("readiness", error);
+    }
+
+    fn accept_resumed(&self, refused: u32) {
+        self.0.note_accept_resumed("readiness", refused);
+    }
+}
+
+/// The port at which the process tells its own figures.
+struct MetricsPort(Rc<Node>);
+
+impl Handler for MetricsPort {
+    async fn handle(self: Rc<Self>, _request: Request<Option<Incoming>>) -> Response<ProxyBody> {
+        let text = match self.0.metrics.text() {
+            Ok(text) => text,
+            Err(error) => {
+                warn!(self.0.log, "metrics not told"; "error" => format!("{error:#}"));
+                let mut response = Response::new(ProxyBody::empty());
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                return response;
+            }
+        };
+        let mut response = Response::new(ProxyBody::Whole(text.into()));
+        let format = HeaderValue::from_static(prometheus::TEXT_FORMAT);
+        response.headers_mut().insert(CONTENT_TYPE, format);
+        response
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        OPERATORS_LIMITS
+    }
+
+    fn accept_refused(&self, error: &io::Error) {
+        self.0.note_accept_refused("metrics", error);
+    }
+
+    fn accept_resumed(&self, refused: u32) {
+        self.0.note_accept_resumed("metrics", refused);
     }
 }
