--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -9,7 +9,7 @@
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{InstanceId, Route};
 
-use crate::mesh::server_selection::Candidates;
+use crate::mesh::server_wanted::Candidates;
 
 /// A caller that is refused is asked to come back after this time if nobody
 /// named another.
--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -5,7 +5,7 @@
 //! 1. [`route_table`]: which route takes it;
 //! 2. [`weighted_split`]: which of the route's services;
 //! 3. [`call`]: whether there is another attempt, and what the caller is told;
-//! 4. [`server_selection`]: which server gets the attempt (`server_suitability`);
+//! 4. [`server_selection`]: which server gets the attempt ([`server_wanted`], `server_suitability`);
 //! 5. [`retry_budget`]: whether a repeat may be spent on it ([`sent_counts`]);
 //! 6. [`server_admission`]: at the server's node, whether it runs, waits
 //!    ([`admission_queue`]) or is refused.
@@ -25,6 +25,7 @@
 pub mod loss_estimate;
 pub mod nested_calls;
 pub mod poison;
+pub mod reported_load;
 pub mod request_tree;
 pub mod retry_budget;
 pub mod route_table;
@@ -34,6 +35,7 @@
 mod server_record;
 pub mod server_selection;
 mod server_suitability;
+pub mod server_wanted;
 pub mod snapshot_store;
 pub mod view_freshness;
 pub mod watchers;
--- a/crates/coordination/src/mesh/nested_calls.rs
+++ b/crates/coordination/src/mesh/nested_calls.rs
@@ -8,7 +8,8 @@
 use lifthollow_state::{ServiceName, Timestamp};
 
 use crate::mesh::retry_budget::{Repeated, RetryBudgets};
-use crate::mesh::server_selection::{Purpose, ServerPool};
+use crate::mesh::server_selection::ServerPool;
+use crate::mesh::server_wanted::Purpose;
 
 /// For whom an attempt at `service` is made, and whether it could be repeated.
 pub fn purpose(budgets: &RetryBudgets, now: Timestamp, service: &str, is_nested: bool) -> Purpose {
--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -22,7 +22,7 @@
 const MAX_SUSPECTS: usize = 1024;
 /// A node lets one trial of a content run in this time. A server may crash a moment after it
 /// has broken off its answer.
-const TRIAL_PAUSE: Duration = Duration::from_secs(2);
+pub const TRIAL_PAUSE: Duration = Duration::from_secs(2);
 
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/coordination/src/mesh/server_record.rs
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -9,7 +9,7 @@
 use crate::latency::LatencyEstimate;
 use crate::mesh::admission_queue::Occupancy;
 use crate::mesh::loss_estimate::LossEstimate;
-use crate::mesh::server_selection::ReportedLoad;
+use crate::mesh::reported_load::ReportedLoad;
 
 /// A load report loses half its weight in this time.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -15,9 +15,10 @@
 use rand::{Rng, RngExt};
 
 use crate::latency::LatencyEstimate;
-use crate::mesh::admission_queue::Occupancy;
+use crate::mesh::reported_load::ReportedLoad;
 use crate::mesh::server_record::{ServerRecord, Standing};
 use crate::mesh::server_suitability::{Suitability, is_failing};
+use crate::mesh::server_wanted::{Purpose, Wanted};
 
 /// Random part of the comparison, so that nodes that know the same don't all
 /// choose the same server.
@@ -53,85 +54,6 @@
     pub set_aside: usize,
 }
 
-/// The servers of a service that an attempt may go to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Candidates {
-    /// All but these.
-    AllBut(Vec<InstanceId>),
-    /// None but these.
-    Only(Vec<InstanceId>),
-}
-
-impl Candidates {
-    /// All servers of the service.
-    pub const ALL: Candidates = Candidates::AllBut(Vec::new());
-
-    /// The one server, if it is among them.
-    pub fn only(self, server: &InstanceId) -> Option<Candidates> {
-        let is_included = self.include(server);
-        is_included.then(|| Candidates::Only(vec![server.clone()]))
-    }
-
-    fn include(&self, server: &InstanceId) -> bool {
-        match self {
-            Candidates::AllBut(excluded) => !excluded.contains(server),
-            Candidates::Only(included) => included.contains(server),
-        }
-    }
-}
-
-/// What an attempt needs of a server.
-#[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
-    /// Servers that it may go to.
-    pub candidates: &'a Candidates,
-    /// Whether it can be asked for again if the answer is lost.
-    pub may_repeat: bool,
-    /// For whom it is made.
-    pub purpose: Purpose,
-}
-
-/// For whom an attempt is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Purpose {
-    /// For a caller.
-    Request,
-    /// For a run on another server, which fails if any of its calls does.
-    NestedCall {
-        /// Whether a repeat could be paid for if the attempt failed.
-        can_be_repeated: bool,
-    },
-}
-
-impl Purpose {
-    fn is_nested(self) -> bool {
-        matches!(self, Purpose::NestedCall { .. })
-    }
-
-    /// Whether the work that was done for the request is lost with the attempt.
-    fn must_succeed(self) -> bool {
-        matches!(
-            self,
-            Purpose::NestedCall {
-                can_be_repeated: false
-            }
-        )
-    }
-}
-
-/// What a server's node tells of its load with an answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ReportedLoad {
-    /// Requests there.
-    pub occupancy: Occupancy,
-    /// The lowest level that gets through there and further down.
-    pub level: AdmissionLevel,
-    /// Whether the level is that of nested calls.
-    pub is_nested: bool,
-    /// The share of requests from the asking node's zone that the server fails.
-    pub failure_share: f64,
-}
-
 /// The server that an attempt should go to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -7,10 +7,10 @@
     AttemptEnd, Call, FinalAnswer, NextStep, NotRunReason, RefusalReason, UnknownReason,
 };
 use lifthollow_coordination::mesh::nested_calls;
+use lifthollow_coordination::mesh::reported_load::ReportedLoad;
 use lifthollow_coordination::mesh::retry_budget::{FleetRetryBound, RetryBudgets};
-use lifthollow_coordination::mesh::server_selection::{
-    Candidates, Purpose, ReportedLoad, ServerPool, Wanted,
-};
+use lifthollow_coordination::mesh::server_selection::ServerPool;
+use lifthollow_coordination::mesh::server_wanted::{Candidates, Purpose, Wanted};
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::ServiceName;
 use lifthollow_state::mesh::RequestKind;
--- /dev/null
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -0,0 +1,121 @@
+//! Attempts of other nodes, and what else they ask.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use lifthollow_coordination::mesh::call::NotRunReason;
+use lifthollow_state::mesh::InstanceId;
+
+use crate::http::body;
+use crate::http::pool::Reuse;
+use crate::http::server::{ConnectionLimits, Handler};
+use crate::http::{ProxyBody, headers};
+use crate::inbound::{Attempt, AttemptOutcome, execute};
+use crate::node::Node;
+use crate::suspects::exchange;
+use crate::{peer_headers, probe, request_content, snapshots};
+
+/// Bodies up to this size are taken in whole before they go to the server.
+const MAX_HELD_REQUEST: usize = 256 * 1024;
+/// What a request without a deadline gets.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// The port for other nodes.
+pub struct Inbound(pub Rc<Node>);
+
+impl Handler for Inbound {
+    async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
+        let node = &self.0;
+        let arrived = node.now();
+        if request.uri().path() != peer_headers::SUSPECTS_PATH {
+            // Such a question needs no fresh view. Each node asks it at its start, and
+            // idle watchers would ask the store 7 times in 3 s for it, where 6 are allowed
+            // (test `watching_takes_few_calls`).
+            node.last_request.set(Some(arrived));
+        }
+        if let Some(sender) = peer_headers::sender(request.headers()) {
+            snapshots::note_revision(node, request.headers(), sender);
+        }
+        match request.uri().path() {
+            peer_headers::SNAPSHOT_PATH => {
+                return snapshots::answer(node, request.headers(), arrived);
+            }
+            peer_headers::SUSPECTS_PATH => return exchange::answer(node),
+            peer_headers::PROBE_PATH => return probe::answer(node, request.headers()),
+            _ => {}
+        }
+        let request_id = node.names.request_id_of(request.headers());
+        let _in_progress = node.attempts_in_progress.enter(request_id);
+        let (tree, terms) = peer_headers::tree(request.headers());
+        let outcome = match read_attempt(node, request).await {
+            Some(attempt) => execute(node, attempt).await,
+            None => AttemptOutcome::not_run(NotRunReason::WrongInstance),
+        };
+        let mut response = answer(node, outcome, tree.is_nested, &terms.zone);
+        snapshots::name_view(node, response.headers_mut(), arrived);
+        response
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        self.0.connection_limits()
+    }
+
+    fn accept_refused(&self, error: &io::Error) {
+        self.0.note_accept_refused("inbound", error);
+    }
+
+    fn accept_resumed(&self, refused: u32) {
+        self.0.note_accept_resumed("inbound", refused);
+    }
+}
+
+async fn read_attempt(node: &Rc<Node>, request: Request<Option<Incoming>>) -> Option<Attempt> {
+    let arrived = node.now();
+    let (mut head, incoming) = request.into_parts();
+    headers::remove_single_connection(&mut head.headers);
+    let server = head.headers.get(&node.names.expected_instance)?;
+    let server = InstanceId::new(server.to_str().ok()?);
+    let left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
+    let patience = peer_headers::milliseconds(&head.headers, &peer_headers::PATIENCE);
+    let body = body::read(incoming?, MAX_HELD_REQUEST).await.ok()?;
+    let body = ProxyBody::from(body);
+    let (tree, terms) = peer_headers::tree(&head.headers);
+    let caller = head.headers.get(&node.names.caller_service);
+    let caller = caller.and_then(|caller| caller.to_str().ok());
+    let content = request_content::caller_content(caller.unwrap_or_default(), &head, &body);
+    Some(Attempt {
+        content,
+        tree,
+        terms,
+        server,
+        ends: arrived + left.unwrap_or(DEFAULT_DEADLINE),
+        patience: patience.unwrap_or_default(),
+        request: Request::from_parts(head, body),
+        reuse: Reuse::Any,
+        answer_begun: Rc::default(),
+    })
+}
+
+fn answer(
+    node: &Rc<Node>,
+    outcome: AttemptOutcome,
+    is_nested: bool,
+    zone: &str,
+) -> Response<ProxyBody> {
+    let mut response = outcome.response.unwrap_or_else(|| {
+        let mut empty = Response::new(ProxyBody::empty());
+        *empty.status_mut() = StatusCode::BAD_GATEWAY;
+        empty
+    });
+    let load = node.own_load(is_nested, zone);
+    let headers = response.headers_mut();
+    headers.insert(
+        peer_headers::OUTCOME,
+        peer_headers::outcome_value(&outcome.end),
+    );
+    headers.insert(peer_headers::LOAD, peer_headers::load_value(&load));
+    response
+}
--- /dev/null
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -0,0 +1,194 @@
+//! An attempt at the server beside this node, and what its answer says.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Response, StatusCode};
+use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_coordination::mesh::server_health::RunEnd;
+use lifthollow_state::mesh::InstanceId;
+use tokio::time::timeout;
+
+use crate::http::ProxyBody;
+use crate::http::body::{self, ReadBody};
+use crate::http::headers::remove_single_connection;
+use crate::http::pool::{Lease, Reuse, SendError};
+use crate::inbound::admission::Permit;
+use crate::inbound::{Attempt, AttemptOutcome, crash_detector, milliseconds_value};
+use crate::node::Node;
+use crate::peer_headers;
+
+/// Answers up to this size are taken in whole before any of it is passed on, so
+/// that one which breaks off can still be asked for elsewhere.
+const MAX_HELD_ANSWER: usize = 256 * 1024;
+
+/// Sends an admitted attempt to the server, and takes its answer.
+pub(super) async fn run(
+    node: &Rc<Node>,
+    mut attempt: Attempt,
+    mut permit: Permit,
+) -> AttemptOutcome {
+    let names = &node.names;
+    let left = attempt.ends.saturating_since(node.now());
+    let headers = attempt.request.headers_mut();
+    peer_headers::strip(headers);
+    headers.insert(&names.deadline_ms, milliseconds_value(left));
+    let id = headers.get(&names.request_id).cloned();
+    let reuse = if attempt.terms.may_repeat {
+        Reuse::Any
+    } else {
+        Reuse::Recent
+    };
+    let connections = &node.server_connections;
+    if node.is_own_server_silent() {
+        // It may be the connections that are silent. With twelve such, tried one by
+        // one, a server was served again after 4.6 s; on a new one, within 1.5 s
+        // (test `silent_connections`).
+        connections.close_idle(node.settings.server_address);
+    }
+    let server = attempt.server;
+    node.state
+        .borrow_mut()
+        .server_runs
+        .started(permit.run, attempt.content, &server);
+    let sending = connections.send(node.settings.server_address, attempt.request, reuse);
+    let sent = note_overdue(node, &permit, attempt.tree.is_nested, sending).await;
+    permit.end = RunEnd::Failed;
+    let (response, lease) = match sent {
+        Ok(answered) => answered,
+        Err(SendError::NotSent(error)) => {
+            node.state.borrow_mut().server_runs.not_run(permit.run);
+            crash_detector::note_refused(node, &server, &error);
+            return AttemptOutcome::not_run(NotRunReason::ServerUnreachable);
+        }
+        Err(SendError::Lost(error)) => {
+            let reason = lost_reason(node, &server, &error).await;
+            return AttemptOutcome::unknown(reason);
+        }
+    };
+    let is_failure = response.status().is_server_error();
+    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    node.state.borrow_mut().admission.answered(
+        node.now(),
+        permit.run,
+        !is_failure && !is_misdirected,
+    );
+    if response.headers().get(&names.request_id) != id.as_ref() {
+        return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+    }
+    if let Some(end) = server_refusal(node, response.status(), response.headers()) {
+        node.state.borrow_mut().server_runs.not_run(permit.run);
+        if is_misdirected {
+            // The server that was meant is not there: it has failed nothing.
+            permit.end = RunEnd::Abandoned;
+        }
+        finish_reading(response, lease).await;
+        return AttemptOutcome {
+            end,
+            response: None,
+        };
+    }
+    let is_signed = response.headers().contains_key(&names.signature);
+    if response.status().is_success() && !is_signed {
+        return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+    }
+    permit.answered = true;
+    if !is_failure {
+        permit.end = RunEnd::Served;
+    }
+    let took = node.now().saturating_since(permit.started);
+    node.metrics.server_duration.observe(took.as_secs_f64());
+    take_answer(node, &server, response, lease, permit).await
+}
+
+/// Waits for `sending`, and takes note if the server is longer about it than
+/// about almost all other runs.
+async fn note_overdue<T>(
+    node: &Rc<Node>,
+    permit: &Permit,
+    is_nested: bool,
+    sending: impl Future<Output = T>,
+) -> T {
+    let limit = node.state.borrow().admission.overdue_after(is_nested);
+    let Some(limit) = limit else {
+        return sending.await;
+    };
+    let mut sending = pin!(sending);
+    if let Ok(sent) = timeout(limit, sending.as_mut()).await {
+        return sent;
+    }
+    let now = node.now();
+    node.state.borrow_mut().admission.overdue(now, permit.run);
+    sending.await
+}
+
+async fn lost_reason(node: &Rc<Node>, server: &InstanceId, error: &hyper::Error) -> UnknownReason {
+    if crash_detector::has_crashed(node, server).await {
+        UnknownReason::ServerCrashed
+    } else if error.is_parse() {
+        UnknownReason::AnswerInvalid
+    } else {
+        UnknownReason::AnswerLost
+    }
+}
+
+/// What a server's answer says if it says that the request was not run.
+fn server_refusal(node: &Rc<Node>, status: StatusCode, headers: &HeaderMap) -> Option<AttemptEnd> {
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected && !headers.contains_key(&node.names.not_run) {
+        return None;
+    }
+    let reason = if is_misdirected {
+        NotRunReason::WrongInstance
+    } else {
+        NotRunReason::ServerRefused
+    };
+    let seconds: Option<f64> = peer_headers::number(headers, &node.names.retry_after);
+    let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Some(AttemptEnd::NotRun {
+        offered: true,
+        reason,
+        retry_after,
+    })
+}
+
+async fn finish_reading(response: Response<Incoming>, lease: Lease) {
+    if let Ok(ReadBody::Whole(_)) = body::read(response.into_body(), MAX_HELD_ANSWER).await {
+        lease.keep();
+    }
+}
+
+async fn take_answer(
+    node: &Rc<Node>,
+    server: &InstanceId,
+    response: Response<Incoming>,
+    lease: Lease,
+    mut permit: Permit,
+) -> AttemptOutcome {
+    let (mut head, incoming) = response.into_parts();
+    remove_single_connection(&mut head.headers);
+    let body = match body::read(incoming, MAX_HELD_ANSWER).await {
+        Err(error) => {
+            permit.end = RunEnd::Failed;
+            let reason = lost_reason(node, server, &error).await;
+            return AttemptOutcome::unknown(reason);
+        }
+        Ok(ReadBody::Whole(whole)) => {
+            lease.keep();
+            permit.is_complete.set(true);
+            ProxyBody::Whole(whole)
+        }
+        Ok(ReadBody::Larger { arrived, rest }) => ProxyBody::Passing {
+            arrived,
+            rest,
+            is_complete: permit.is_complete.clone(),
+            guard: Box::new((lease, permit)),
+        },
+    };
+    AttemptOutcome {
+        end: AttemptEnd::Answered,
+        response: Some(Response::from_parts(head, body)),
+    }
+}
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -14,7 +14,8 @@
 use lifthollow_coordination::mesh::nested_calls;
 use lifthollow_coordination::mesh::poison::suspicion::PROOF;
 use lifthollow_coordination::mesh::retry_budget::{Repeated, RetryBudgets};
-use lifthollow_coordination::mesh::server_selection::{Candidates, Choice, Wanted};
+use lifthollow_coordination::mesh::server_selection::Choice;
+use lifthollow_coordination::mesh::server_wanted::{Candidates, Wanted};
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::ServerInstance;
 use slog::info;
@@ -29,7 +30,8 @@
 use crate::outbound::send::{outgoing_request, send};
 use crate::peer_headers::{self, Terms, TreePlace};
 use crate::probe::{self, Liveness};
-use crate::suspects::{self, Permission};
+use crate::suspects;
+use crate::suspects::permission::{self, Permission};
 
 /// The part of the target latency that a request may spend in queues.
 const QUEUE_SHARE: f64 = 0.2;
@@ -182,7 +184,7 @@
     if sent >= call.ends() {
         return Err(call.timed_out(false));
     }
-    let permission = suspects::permission(node, &request.route.service, &request.content);
+    let permission = permission::permission(node, &request.route.service, &request.content);
     if let Permission::Blocked(time) = permission {
         return Err(call.blocked(time));
     }
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{Call, FinalAnswer, RefusalReason};
-use lifthollow_coordination::mesh::server_selection::Purpose;
+use lifthollow_coordination::mesh::server_wanted::Purpose;
 use lifthollow_state::Timestamp;
 use rand::RngExt;
 
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -5,7 +5,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
-use lifthollow_coordination::mesh::server_selection::ReportedLoad;
+use lifthollow_coordination::mesh::reported_load::ReportedLoad;
 use lifthollow_state::mesh::ServerInstance;
 
 use crate::http::ProxyBody;
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use lifthollow_coordination::mesh::admission_queue::Occupancy;
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
-use lifthollow_coordination::mesh::server_selection::ReportedLoad;
+use lifthollow_coordination::mesh::reported_load::ReportedLoad;
 use lifthollow_coordination::mesh::view_freshness::NamedAge;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Priority;
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -22,7 +22,8 @@
 use crate::http::body::{self, ReadBody};
 use crate::http::pool::Reuse;
 use crate::node::Node;
-use crate::{peer_headers, suspects};
+use crate::peer_headers;
+use crate::suspects::exchange;
 
 /// A node that watches the source waits this long for it before it asks another
 /// node.
@@ -72,7 +73,7 @@
     }
     drop(state);
     log_applied(node, "source", &applied);
-    suspects::ask_at_start(node);
+    exchange::ask_at_start(node);
 }
 
 /// Takes in a whole snapshot, from the source or another node.
@@ -83,7 +84,7 @@
     node.refresh(&mut state);
     drop(state);
     log_applied(node, from, &applied);
-    suspects::ask_at_start(node);
+    exchange::ask_at_start(node);
 }
 
 fn log_applied(node: &Rc<Node>, from: &str, applied: &[Applied]) {
@@ -122,7 +123,7 @@
 pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
     let revision = HeaderValue::from(node.revision());
     headers.insert(peer_headers::REVISION, revision);
-    suspects::name_digest(node, headers);
+    exchange::name_digest(node, headers);
 }
 
 /// Tells another node, with the answer to a question that arrived at `arrived`, which
@@ -139,7 +140,7 @@
 /// Takes note of the revision that another node names, and of what it knows of requests
 /// that crash servers.
 pub fn note_revision(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
-    suspects::note_digest(node, headers, from);
+    exchange::note_digest(node, headers, from);
     let Some(theirs) = peer_headers::revision(headers) else {
         return;
     };
@@ -242,7 +243,7 @@
         .with_label_values(&["node"])
         .inc_by(applied.len() as u64);
     log_applied(node, from, &applied);
-    suspects::ask_at_start(node);
+    exchange::ask_at_start(node);
 }
 
 fn with_revision(answer: (Update, HeaderMap)) -> Result<(Update, HeaderMap), FetchError> {
--- a/crates/proxy/src/suspects.rs
+++ b/crates/proxy/src/suspects/exchange.rs
@@ -1,4 +1,4 @@
-//! Requests that may crash servers: what this node saw of them, told to other nodes.
+//! How nodes tell each other which requests may crash servers.
 //!
 //! Each message between nodes names a digest of what its sender knows, if it knows
 //! anything; a node that knows something else fetches the whole. News of a crash is also
@@ -13,22 +13,20 @@
 use futures_util::future::join_all;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response};
-use lifthollow_coordination::mesh::poison::content::CallerContent;
-use lifthollow_coordination::mesh::poison::suspects::{Verdict, trial_server};
 use lifthollow_protocol::suspects::SuspectReports;
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::InstanceId;
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
 use tokio::time::sleep;
 
 use crate::http::ProxyBody;
-use crate::node::{Node, TrafficState};
+use crate::node::Node;
 use crate::peer_headers;
 use crate::snapshots::{self, FetchError};
+use crate::suspects::{clear_what_runs_well, log_changes};
 
 /// How many nodes are told of a crash at once. Each that hears of it first tells as many
-/// others: of 300 nodes all but some 6% are reached so, the rest with their next message.
+/// others: of 300 nodes all but some 5% are reached so (1/e³ are not), the rest with their next message.
 const FAN_OUT: usize = 3;
 /// The longest time that a node may take to tell what it knows.
 const FETCH_LIMIT: Duration = Duration::from_millis(500);
@@ -53,104 +51,6 @@
     fruitless: Cell<Option<(u64, Timestamp)>>,
 }
 
-/// The server beside this node crashed with these contents aboard.
-pub(crate) fn note_own_crash(node: &Rc<Node>, server: &InstanceId, contents: &[CallerContent]) {
-    let now = node.now();
-    let is_new = {
-        let mut state = node.state.borrow_mut();
-        let is_new = state.suspects.note_crash(now, contents, server);
-        clear_what_runs_well(&mut state, now, contents);
-        is_new
-    };
-    log_changes(node, "own");
-    if is_new {
-        tell(node);
-    }
-}
-
-/// Another node told that a server crashed under a request of this one.
-pub(crate) fn note_crash_of(node: &Rc<Node>, server: &InstanceId, content: &CallerContent) {
-    let now = node.now();
-    let mut state = node.state.borrow_mut();
-    let aboard = std::slice::from_ref(content);
-    state.suspects.note_crash(now, aboard, server);
-    clear_what_runs_well(&mut state, now, aboard);
-    drop(state);
-    log_changes(node, "attempt");
-}
-
-/// A run of `content` at the server beside this node ended well.
-pub(crate) fn note_served(state: &mut TrafficState, now: Timestamp, content: CallerContent) {
-    state.suspects.note_served(now, &content);
-    state.served_lately.note(now, content);
-}
-
-fn clear_what_runs_well(state: &mut TrafficState, now: Timestamp, contents: &[CallerContent]) {
-    for content in contents {
-        if state.served_lately.contains(now, content) {
-            state.suspects.note_served(now, content);
-        }
-    }
-}
-
-/// Whether a request may run, and where: see [`Permission`].
-pub(crate) fn permission(node: &Rc<Node>, service: &str, content: &CallerContent) -> Permission {
-    let state = node.state.borrow();
-    match state.suspects.verdict(node.now(), content) {
-        Verdict::Admitted => Permission::Anywhere,
-        Verdict::Blocked(time) => Permission::Blocked(time),
-        Verdict::OnTrial => {
-            let servers = state.snapshots.servers_in_force().into_iter();
-            let ready = servers.filter(|server| server.service == service && server.is_ready());
-            let ready: Vec<InstanceId> = ready.map(|server| server.id).collect();
-            match trial_server(&content.content, &ready) {
-                Some(server) => Permission::Only(server.clone()),
-                None => Permission::Blocked(NO_TRIAL_PAUSE),
-            }
-        }
-    }
-}
-
-/// When a request may be tried that can't be now, as its service has one server.
-const NO_TRIAL_PAUSE: Duration = Duration::from_secs(30);
-
-/// Where a request may run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Permission {
-    /// At every server of its service.
-    Anywhere,
-    /// At this one, to find out whether it still crashes servers.
-    Only(InstanceId),
-    /// Nowhere, for this time.
-    Blocked(Duration),
-}
-
-/// Whether an attempt may run at the server beside this node; if not, for how long.
-pub(crate) fn refused_for(
-    node: &Rc<Node>,
-    server: &InstanceId,
-    content: &CallerContent,
-) -> Option<Duration> {
-    match permission(node, &node.settings.service, content) {
-        Permission::Anywhere => None,
-        Permission::Blocked(time) => Some(time),
-        Permission::Only(other) if other != *server => Some(TRIAL_ELSEWHERE_PAUSE),
-        Permission::Only(_) => {
-            let now = node.now();
-            let mut state = node.state.borrow_mut();
-            let may_run = state.suspects.begin_trial(now, &content.content);
-            drop(state);
-            if may_run {
-                info!(node.log, "content tried"; "content" => %content, "server" => server.as_str());
-            }
-            (!may_run).then_some(TRIAL_ELSEWHERE_PAUSE)
-        }
-    }
-}
-
-/// When a request may come back that is being tried already: its trial is over then.
-const TRIAL_ELSEWHERE_PAUSE: Duration = Duration::from_secs(2);
-
 /// Names to another node what this one knows, if it knows anything, and where to ask
 /// for it.
 pub(crate) fn name_digest(node: &Rc<Node>, headers: &mut HeaderMap) {
@@ -261,7 +161,7 @@
     }
 }
 
-fn tell(node: &Rc<Node>) {
+pub(super) fn tell(node: &Rc<Node>) {
     for other in drawn_nodes(node) {
         let node = node.clone();
         tokio::task::spawn_local(async move { exchange(&node, other).await });
@@ -275,34 +175,3 @@
     let addresses = others.map(|server| node.node_beside(&server));
     addresses.sample(&mut state.random, FAN_OUT)
 }
-
-/// Forgets what is over, and tells the gauges what is left.
-pub(crate) fn keep_house(node: &Rc<Node>) {
-    let mut state = node.state.borrow_mut();
-    state.suspects.forget_old(node.now());
-    let (suspected, proven) = state.suspects.counts();
-    drop(state);
-    let gauge = &node.metrics.suspects;
-    let suspected_only = (suspected - proven) as i64;
-    gauge.with_label_values(&["suspected"]).set(suspected_only);
-    gauge.with_label_values(&["proven"]).set(proven as i64);
-    log_changes(node, "own");
-}
-
-fn log_changes(node: &Rc<Node>, from: &str) {
-    let changes = node.state.borrow_mut().suspects.take_changes(node.now());
-    for change in changes {
-        let message = match change.proven_callers.is_empty() {
-            false => "content blocked",
-            true => "content admitted again",
-        };
-        info!(node.log, "{}", message; "content" => %change.content,
-            "callers" => joined(&change.proven_callers), "crashed" => joined(&change.servers),
-            "blocked_ms" => change.blocked_for.as_millis() as u64, "from" => from);
-    }
-}
-
-fn joined<T: ToString>(items: &[T]) -> String {
-    let texts: Vec<String> = items.iter().map(ToString::to_string).collect();
-    texts.join(" ")
-}
