--- a/crates/coordination/tests/mesh_poison_suspects.rs
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -80,6 +80,24 @@
     assert_eq!(served_before_crash(1.1), 1);
 }
 
+/// While a request crashes all servers as soon as they are back, whatever else is asked often
+/// is aboard of the crashes, and nothing runs well. It ran well a few seconds before.
+#[test]
+fn what_ran_well_before_an_outbreak_is_not_blocked_with_its_cause() {
+    let mut suspects = Suspects::default();
+    let hot = request(8);
+    for crash in 0..6 {
+        let aboard = [poison(), hot.clone()];
+        suspects.note_crash(at(20.0 + f64::from(crash) * 0.9), &aboard, &server(crash));
+        suspects.note_served(at(19.0), &hot);
+    }
+    assert!(matches!(
+        suspects.verdict(at(25.0), &poison()),
+        Verdict::Blocked(_)
+    ));
+    assert_eq!(suspects.verdict(at(25.0), &hot), Verdict::Admitted);
+}
+
 #[test]
 fn a_block_ends_in_a_trial_and_lasts_longer_after_each_crash() {
     let mut suspects = after_crashes(3);
