--- /dev/null
+++ b/crates/coordination/tests/mesh_poison_chance.rs
@@ -0,0 +1,255 @@
+//! How often a request that harms nobody is blocked, and how many servers one that crashes them
+//! ends, by the rate at which servers crash for other causes and by what runs side by side.
+//!
+//! One service of eight servers, one node's knowledge for all (news spreads within milliseconds).
+//! `cargo test -p lifthollow-coordination --test mesh_poison_chance -- --nocapture` prints the table
+//! that `docs/design/poison-requests.md` shows.
+
+use std::time::Duration;
+
+use lifthollow_coordination::inbound::InboundId;
+use lifthollow_coordination::mesh::poison::content::{CallerContent, ContentFingerprint};
+use lifthollow_coordination::mesh::poison::recent_contents::RecentContents;
+use lifthollow_coordination::mesh::poison::server_runs::ServerRuns;
+use lifthollow_coordination::mesh::poison::suspects::{Suspects, Verdict};
+use lifthollow_state::mesh::InstanceId;
+use lifthollow_state::{ServiceName, Timestamp};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVERS: usize = 8;
+const STEP: Duration = Duration::from_millis(10);
+const LENGTH: Duration = Duration::from_secs(600);
+/// How long a run takes.
+const RUN_TIME: Duration = Duration::from_millis(500);
+/// How long a request that crashes its server runs.
+const POISON_TIME: Duration = Duration::from_millis(40);
+/// How long a crashed server is away.
+const DOWN_FOR: Duration = Duration::from_secs(3);
+/// A request that was lost is sent again so often, by its caller's node and by its caller.
+const TRIES: u32 = 4;
+/// Half of the requests are for one of so many contents, the others for one of their own.
+const HOT_CONTENTS: u128 = 20;
+/// Time between two of the request that crashes servers.
+const POISON_PAUSE: Duration = Duration::from_millis(100);
+const POISON: u128 = u128::MAX;
+
+struct Run {
+    id: InboundId,
+    content: u128,
+    server: usize,
+    ends: Timestamp,
+    tries: u32,
+}
+
+struct Server {
+    id: InstanceId,
+    runs: ServerRuns,
+    back: Timestamp,
+}
+
+struct Fleet {
+    random: ChaCha8Rng,
+    now: Timestamp,
+    servers: Vec<Server>,
+    running: Vec<Run>,
+    lost: Vec<(u128, u32)>,
+    suspects: Suspects,
+    served: RecentContents,
+    starts: u64,
+    sent: u64,
+    refused: u64,
+    crashes: u64,
+}
+
+fn request(content: u128) -> CallerContent {
+    CallerContent {
+        content: ContentFingerprint(content),
+        caller: ServiceName::new("feeds"),
+    }
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: Timestamp::from_micros(60_000_000),
+            servers: Vec::new(),
+            running: Vec::new(),
+            lost: Vec::new(),
+            suspects: Suspects::default(),
+            served: RecentContents::default(),
+            starts: 0,
+            sent: 0,
+            refused: 0,
+            crashes: 0,
+        };
+        for _ in 0..SERVERS {
+            let server = fleet.new_server();
+            fleet.servers.push(server);
+        }
+        fleet
+    }
+
+    fn new_server(&mut self) -> Server {
+        self.starts += 1;
+        Server {
+            id: InstanceId::new(&format!("server-{}", self.starts)),
+            runs: ServerRuns::default(),
+            back: self.now,
+        }
+    }
+
+    fn send(&mut self, content: u128, tries: u32) {
+        let verdict = self.suspects.verdict(self.now, &request(content));
+        if verdict != Verdict::Admitted {
+            self.refused += u64::from(content != POISON);
+            return;
+        }
+        let up: Vec<usize> = (0..SERVERS)
+            .filter(|one| self.servers[*one].back <= self.now)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let server = up[self.random.random_range(0..up.len())];
+        self.sent += 1;
+        let id = InboundId(self.sent);
+        let target = &mut self.servers[server];
+        target.runs.started(id, request(content), &target.id);
+        let takes = if content == POISON {
+            POISON_TIME
+        } else {
+            RUN_TIME
+        };
+        self.running.push(Run {
+            id,
+            content,
+            server,
+            ends: self.now + takes,
+            tries,
+        });
+    }
+
+    fn crash(&mut self, server: usize) {
+        let now = self.now;
+        let target = &mut self.servers[server];
+        let aboard = target.runs.crashed(now, &target.id);
+        self.crashes += 1;
+        self.suspects
+            .note_crash(now, &aboard, &self.servers[server].id);
+        for content in &aboard {
+            if let Some(served) = self.served.last(now, content) {
+                self.suspects.note_served(served, content);
+            }
+        }
+        let (lost, kept) = self
+            .running
+            .drain(..)
+            .partition(|run: &Run| run.server == server);
+        self.running = kept;
+        self.lost.extend(
+            lost.into_iter()
+                .map(|run: Run| (run.content, run.tries + 1)),
+        );
+        self.servers[server] = self.new_server();
+        self.servers[server].back = now + DOWN_FOR;
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for (content, tries) in std::mem::take(&mut self.lost) {
+            // A request that crashes servers is sent again by us once, and comes again anyway.
+            let most = if content == POISON { 2 } else { TRIES };
+            if tries < most {
+                self.send(content, tries);
+            }
+        }
+        while let Some(index) = self.running.iter().position(|run| run.ends <= self.now) {
+            if self.running[index].content == POISON {
+                self.crash(self.running[index].server);
+                continue;
+            }
+            let run = self.running.swap_remove(index);
+            let content = self.servers[run.server].runs.ended(self.now, run.id, true);
+            if let Some(content) = content {
+                self.suspects.note_served(self.now, &content);
+                self.served.note(self.now, content);
+            }
+        }
+    }
+}
+
+/// What a play shows: the share of requests refused though they harm nobody, and crashes.
+struct Played {
+    refused: f64,
+    crashes: u64,
+}
+
+/// Plays ten minutes with about `side_by_side` runs on each server, of which each crashes so
+/// often in a minute for other causes; all at once twice if `power_losses`.
+fn play(
+    seed: u64,
+    side_by_side: f64,
+    crashes_a_minute: f64,
+    power_losses: bool,
+    has_poison: bool,
+) -> Played {
+    let mut fleet = Fleet::new(seed);
+    let steps = LENGTH.as_millis() / STEP.as_millis();
+    let arrivals = side_by_side * SERVERS as f64 * STEP.as_secs_f64() / RUN_TIME.as_secs_f64();
+    let crash_chance = crashes_a_minute / 60.0 * STEP.as_secs_f64();
+    let (mut due, mut own_content) = (0.0, 1_000_000);
+    for step in 0..steps {
+        fleet.step();
+        due += arrivals;
+        while due >= 1.0 {
+            due -= 1.0;
+            own_content += 1;
+            let is_hot = fleet.random.random::<bool>();
+            let hot = fleet.random.random_range(0..HOT_CONTENTS);
+            fleet.send(if is_hot { hot } else { own_content }, 0);
+        }
+        if has_poison && step.is_multiple_of(POISON_PAUSE.as_millis() / STEP.as_millis()) {
+            fleet.send(POISON, 0);
+        }
+        let is_power_loss = power_losses && (step == steps / 3 || step == steps / 2);
+        for server in 0..SERVERS {
+            let is_up = fleet.servers[server].back <= fleet.now;
+            if is_up && (is_power_loss || fleet.random.random::<f64>() < crash_chance) {
+                fleet.crash(server);
+            }
+        }
+    }
+    Played {
+        refused: fleet.refused as f64 / (fleet.refused + fleet.sent) as f64,
+        crashes: fleet.crashes,
+    }
+}
+
+#[test]
+fn innocent_requests_are_hardly_ever_blocked() {
+    println!(
+        "side by side | crashes a minute and server | power losses | refused | with such a request | crashes of it"
+    );
+    for side_by_side in [1.0, 10.0, 100.0] {
+        for (crashes, power_losses) in [(0.0, false), (0.1, false), (1.0, true), (6.0, true)] {
+            let alone = play(1, side_by_side, crashes, power_losses, false);
+            let beside = play(1, side_by_side, crashes, power_losses, true);
+            let by_it = beside.crashes.saturating_sub(alone.crashes);
+            println!(
+                "{side_by_side} | {crashes} | {power_losses} | {:.1e} | {:.1e} | {by_it}",
+                alone.refused, beside.refused
+            );
+            assert!(alone.refused <= 1e-3, "{} refused", alone.refused);
+            assert!(
+                beside.refused <= 1e-2,
+                "{} refused beside one that crashes servers",
+                beside.refused
+            );
+            if crashes == 0.0 {
+                assert!(by_it <= 8, "{by_it} servers ended");
+            }
+        }
+    }
+}
