What another content explains is not blocked if it runs well for other callers

Change: where a content that never ran well was aboard of all those crashes, and the other runs well for some caller, the first explains them.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -40,9 +40,8 @@
 pub struct Change {
     /// The content.
     pub content: ContentFingerprint,
-    /// The callers whose requests are proven now to crash servers; empty if there are none
-    /// any more.
-    pub proven_callers: Vec<ServiceName>,
+    /// The callers whose requests are blocked now; empty if there are none any more.
+    pub blocked_callers: Vec<ServiceName>,
     /// The servers that crashed with it aboard.
     pub servers: Vec<InstanceId>,
     /// How long it is blocked.
@@ -53,8 +52,8 @@
 struct Suspect {
     suspicion: Suspicion,
     last_trial: Option<Timestamp>,
-    /// The callers for whom it was proven when changes were last asked for.
-    told_proven: Vec<ServiceName>,
+    /// The callers for whom it was blocked when changes were last asked for.
+    told_blocked: Vec<ServiceName>,
 }
 
 /// All that a node knows.
@@ -103,11 +102,33 @@
             suspect.and_then(|suspect| suspect.suspicion.blocked_for(&request.caller, now));
         match blocked {
             None => Verdict::Admitted,
+            Some(_) if self.is_explained(request) => Verdict::Admitted,
             Some(Duration::ZERO) => Verdict::OnTrial,
             Some(left) => Verdict::Blocked(left),
         }
     }
 
+    /// Whether another content, which never ran well for anybody, was aboard of all crashes that
+    /// speak against this request, while this one's content runs well for other callers: then
+    /// the other is their cause. Otherwise what is asked often is blocked with the cause of an
+    /// outbreak that begins before it has run well: 286 of 333 requests were served instead of
+    /// all (simulated nodes, `simulated_crashes`, seed 1031).
+    fn is_explained(&self, request: &CallerContent) -> bool {
+        let Some(suspect) = self.suspects.get(&request.content) else {
+            return false;
+        };
+        if !suspect.suspicion.has_run_well() {
+            return false;
+        }
+        let crashed = suspect.suspicion.servers_of(&request.caller);
+        self.suspects.values().any(|other| {
+            let suspicion = &other.suspicion;
+            !suspicion.has_run_well()
+                && !suspicion.proven_callers().is_empty()
+                && suspicion.servers().is_superset(&crashed)
+        })
+    }
+
     /// The servers that crashed with `content` aboard, as far as no good run speaks against it.
     pub fn crashes(&self, content: &ContentFingerprint) -> usize {
         let suspect = self.suspects.get(content);
@@ -212,30 +233,44 @@
         }
     }
 
-    /// The contents that were proven, or cleared, since this was last asked.
+    /// The contents that were blocked, or admitted again, since this was last asked.
     pub fn take_changes(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
-        for (content, suspect) in &mut self.suspects {
-            let suspicion = &suspect.suspicion;
-            let proven: Vec<ServiceName> =
-                suspicion.proven_callers().into_iter().cloned().collect();
-            if suspect.told_proven == proven {
+        for content in self.suspects.keys().copied().collect::<Vec<_>>() {
+            let blocked = self.blocked_callers(&content);
+            let Some(suspect) = self.suspects.get_mut(&content) else {
+                continue;
+            };
+            if suspect.told_blocked == blocked {
                 continue;
             }
-            let blocks = proven
+            let suspicion = &suspect.suspicion;
+            let times = blocked
                 .iter()
                 .filter_map(|caller| suspicion.blocked_for(caller, now));
             changes.push(Change {
-                content: *content,
+                content,
                 servers: suspicion.servers().into_iter().cloned().collect(),
-                blocked_for: blocks.max().unwrap_or_default(),
-                proven_callers: proven.clone(),
+                blocked_for: times.max().unwrap_or_default(),
+                blocked_callers: blocked.clone(),
             });
-            suspect.told_proven = proven;
+            suspect.told_blocked = blocked;
         }
         changes
     }
 
+    fn blocked_callers(&self, content: &ContentFingerprint) -> Vec<ServiceName> {
+        let suspect = self.suspects.get(content);
+        let proven = suspect.map(|suspect| suspect.suspicion.proven_callers());
+        let proven = proven.unwrap_or_default().into_iter();
+        let requests = proven.map(|caller| CallerContent {
+            content: *content,
+            caller: caller.clone(),
+        });
+        let blocked = requests.filter(|request| !self.is_explained(request));
+        blocked.map(|request| request.caller).collect()
+    }
+
     fn bound(&mut self, now: Timestamp) {
         self.forget_old(now);
         if self.suspects.len() > MAX_SUSPECTS {
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -134,6 +134,19 @@
         self.counted().map(|(server, _)| server).collect()
     }
 
+    /// The servers whose crashes under requests of `caller`'s machines speak against it.
+    pub fn servers_of(&self, caller: &ServiceName) -> BTreeSet<&InstanceId> {
+        let evidence = self.by_caller.get(caller).into_iter();
+        let counted = evidence.flat_map(Evidence::counted);
+        counted.map(|(server, _)| server).collect()
+    }
+
+    /// Whether it is known to have run well, whoever called.
+    pub fn has_run_well(&self) -> bool {
+        let mut served = self.by_caller.values().filter_map(Evidence::served);
+        served.next().is_some()
+    }
+
     /// The callers whose requests are proven to crash servers.
     pub fn proven_callers(&self) -> Vec<&ServiceName> {
         let callers = self.by_caller.keys();
--- a/crates/proxy/src/suspects/mod.rs
+++ b/crates/proxy/src/suspects/mod.rs
@@ -73,12 +73,12 @@
 fn log_changes(node: &Rc<Node>, from: &str) {
     let changes = node.state.borrow_mut().suspects.take_changes(node.now());
     for change in changes {
-        let message = match change.proven_callers.is_empty() {
+        let message = match change.blocked_callers.is_empty() {
             false => "content blocked",
             true => "content admitted again",
         };
         info!(node.log, "{}", message; "content" => %change.content,
-            "callers" => joined(&change.proven_callers), "crashed" => joined(&change.servers),
+            "callers" => joined(&change.blocked_callers), "crashed" => joined(&change.servers),
             "blocked_ms" => change.blocked_for.as_millis() as u64, "from" => from);
     }
 }
