--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -112,6 +112,12 @@
     OutOfTime,
     /// It crashes the servers that run it.
     CrashesServers,
+    /// This node's view is too old to tell whether its key is good.
+    ViewTooOld,
+    /// Its tenant is at its limit.
+    OverLimit,
+    /// Nobody tells whether its tenant is at its limit.
+    NoLender,
 }
 
 /// What to do next.
--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -3,11 +3,12 @@
 //! In the order in which a request meets them:
 //!
 //! 1. [`route_table`]: which route takes it;
-//! 2. [`weighted_split`]: which of the route's services;
-//! 3. [`call`]: whether there is another attempt, and what the caller is told;
-//! 4. [`server_selection`]: which server gets the attempt ([`server_wanted`], `server_suitability`);
-//! 5. [`retry_budget`]: whether a repeat may be spent on it ([`sent_counts`]);
-//! 6. [`server_admission`]: at the server's node, whether it runs, waits
+//! 2. [`tenants`]: whose it is, and whether its tenant may send one more;
+//! 3. [`weighted_split`]: which of the route's services;
+//! 4. [`call`]: whether there is another attempt, and what the caller is told;
+//! 5. [`server_selection`]: which server gets the attempt ([`server_wanted`], `server_suitability`);
+//! 6. [`retry_budget`]: whether a repeat may be spent on it ([`sent_counts`]);
+//! 7. [`server_admission`]: at the server's node, whether it runs, waits
 //!    ([`admission_queue`]) or is refused.
 //!
 //! [`server_health`] and [`loss_estimate`] tell which servers fail what they are
@@ -37,6 +38,7 @@
 mod server_suitability;
 pub mod server_wanted;
 pub mod snapshot_store;
+pub mod tenants;
 pub mod view_freshness;
 pub mod watchers;
 pub mod weighted_split;
--- a/crates/coordination/src/mesh/request_tree.rs
+++ b/crates/coordination/src/mesh/request_tree.rs
@@ -22,6 +22,10 @@
 const SEPARATOR: char = '.';
 /// User priorities there are.
 const USER_PRIORITIES: u64 = 128;
+/// Ranks of routes that are told apart among requests of tenants with one rank.
+const ROUTE_RANKS: u64 = 3;
+/// User priorities of each of these.
+const USERS_OF_ROUTE_RANK: u64 = USER_PRIORITIES / ROUTE_RANKS;
 
 /// What a nested call takes over from the request that it is made for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +84,11 @@
             .or_else(|| self.by_deadline(deadline))
     }
 
+    /// Whether a call with this identity is made for a run on the server beside this node.
+    pub fn has_parent(&self, request_id: &str) -> bool {
+        self.by_identity(request_id).is_some()
+    }
+
     fn by_identity(&self, request_id: &str) -> Option<Parent> {
         let (parent, _) = request_id.rsplit_once(SEPARATOR)?;
         Some(self.by_id.get(parent)?.parent)
@@ -100,16 +109,34 @@
     }
 }
 
-/// The place of a caller's request in the order of shedding: its route's rank,
-/// and inside it one drawn from its identity.
-pub fn priority_of_request(route_rank: u8, request_id: &str) -> Priority {
-    let class = match route_rank {
+/// What a caller's request is worth to the operators; 0 is the most important.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestRank {
+    /// Rank of its route.
+    pub route: u8,
+    /// Rank of its tenant, which goes before that of its route; none if it has no tenant.
+    pub tenant: Option<u8>,
+}
+
+/// The place of a caller's request in the order of shedding: its tenant's rank, or its route's if
+/// it has none, and inside that one drawn from its identity. Among requests of tenants with one
+/// rank, those of the more important routes come first.
+pub fn priority_of_request(rank: RequestRank, request_id: &str) -> Priority {
+    let class = match rank.tenant.unwrap_or(rank.route) {
         0 => PriorityClass::Critical,
         1 => PriorityClass::Normal,
         _ => PriorityClass::Sheddable,
     };
     let root = request_id.split(SEPARATOR).next().unwrap_or(request_id);
-    let user = xxh3_64(root.as_bytes()) % USER_PRIORITIES;
+    let drawn = xxh3_64(root.as_bytes());
+    let user = match rank.tenant {
+        None => drawn % USER_PRIORITIES,
+        Some(_) => {
+            let least_important = ROUTE_RANKS - 1;
+            let place = least_important - u64::from(rank.route).min(least_important);
+            place * USERS_OF_ROUTE_RANK + drawn % USERS_OF_ROUTE_RANK
+        }
+    };
     Priority {
         class,
         user: user as u8,
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -223,6 +223,11 @@
         self.running.parent_of(request_id, deadline)
     }
 
+    /// Whether a call with this identity is made for a run on the server beside this node.
+    pub fn has_parent(&self, request_id: &str) -> bool {
+        self.running.has_parent(request_id)
+    }
+
     /// A run called another service.
     pub fn called(&mut self, run: InboundId, service: &str) {
         self.graph.called(run, &ServiceName::new(service));
--- /dev/null
+++ b/crates/coordination/src/mesh/tenants/lenders.rs
@@ -0,0 +1,62 @@
+//! Which nodes lend the tokens of a tenant.
+//!
+//! Every node ranks the servers' addresses for each tenant by a hash (rendezvous hashing) and
+//! so finds the same ones, without a message; when a server comes or goes, only the tenants
+//! that it is first for change. The first lends, the next ones stand in for those before them
+//! that are gone.
+//!
+//! Servers with many slots keep their nodes busy with attempts, so that only the half with the
+//! fewest is chosen from.
+
+use std::net::SocketAddrV4;
+
+use lifthollow_state::mesh::ServerInstance;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How many nodes may come to lend a tenant's tokens.
+pub const RANKS: usize = 3;
+
+/// The servers beside whose nodes lenders are chosen.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LenderCandidates {
+    addresses: Vec<SocketAddrV4>,
+}
+
+impl LenderCandidates {
+    /// Those among `servers`.
+    pub fn among(servers: &[ServerInstance]) -> Self {
+        let ready = servers.iter().filter(|server| server.is_ready());
+        let mut by_slots: Vec<_> = ready.map(|one| (one.slots, one.address)).collect();
+        by_slots.sort_unstable();
+        let chosen = by_slots.len().div_ceil(2).max(RANKS.min(by_slots.len()));
+        let most = by_slots[..chosen].last().map(|(slots, _)| *slots);
+        let eligible = by_slots
+            .into_iter()
+            .filter(|(slots, _)| Some(*slots) <= most);
+        let mut addresses: Vec<_> = eligible.map(|(_, address)| address).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        LenderCandidates { addresses }
+    }
+
+    /// Their addresses, in order.
+    pub fn addresses(&self) -> &[SocketAddrV4] {
+        &self.addresses
+    }
+
+    /// The servers whose nodes lend the tokens of `tenant`, in their order.
+    pub fn lenders(&self, tenant: &str) -> Vec<SocketAddrV4> {
+        let rank = |address: &SocketAddrV4| {
+            let place = u64::from(u32::from(*address.ip())) << 16 | u64::from(address.port());
+            xxh3_64_with_seed(tenant.as_bytes(), place)
+        };
+        let mut ranked: Vec<_> = self.addresses.iter().map(|one| (rank(one), *one)).collect();
+        let count = RANKS.min(ranked.len());
+        if count < ranked.len() {
+            ranked.select_nth_unstable(count);
+        }
+        ranked.truncate(count);
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+}
--- a/crates/coordination/tests/mesh_admission.rs
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -4,7 +4,9 @@
 
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::call::NotRunReason;
-use lifthollow_coordination::mesh::request_tree::{Parent, RunningRequests, priority_of_request};
+use lifthollow_coordination::mesh::request_tree::{
+    Parent, RequestRank, RunningRequests, priority_of_request,
+};
 use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, ServerAdmission, Verdict};
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_protocol::AdmissionLevel;
@@ -56,6 +58,14 @@
     tickets.into_iter().map(|ticket| ticket.0).collect()
 }
 
+/// A request of a route with this rank, without a tenant.
+fn route_rank(route: u8) -> RequestRank {
+    RequestRank {
+        route,
+        tenant: None,
+    }
+}
+
 #[test]
 fn the_server_never_has_more_than_it_works_on() {
     let mut admission = full(at(0));
@@ -213,7 +223,7 @@
 fn parent(run: u64, is_repeat: bool) -> Parent {
     Parent {
         run: InboundId(run),
-        priority: priority_of_request(0, "root"),
+        priority: priority_of_request(route_rank(0), "root"),
         is_repeat,
     }
 }
@@ -246,9 +256,12 @@
 
 #[test]
 fn whole_tree_shares_one_priority() {
-    let root = priority_of_request(2, "aa");
-    assert_eq!(priority_of_request(2, "aa.bb").user, root.user);
-    assert_eq!(priority_of_request(0, "aa").class, PriorityClass::Critical);
+    let root = priority_of_request(route_rank(2), "aa");
+    assert_eq!(priority_of_request(route_rank(2), "aa.bb").user, root.user);
+    assert_eq!(
+        priority_of_request(route_rank(0), "aa").class,
+        PriorityClass::Critical
+    );
     assert_eq!(root.class, PriorityClass::Sheddable);
 }
 
--- a/crates/coordination/tests/mesh_support/mod.rs
+++ b/crates/coordination/tests/mesh_support/mod.rs
@@ -50,6 +50,7 @@
         max_attempts: 2,
         priority: 2,
         destinations: vec![part("feeds", 1)],
+        needs_key: true,
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,7 +4,8 @@
 //! its own load with every answer, [`control`] the datagrams between control
 //! threads, [`frame`] how calls cross between nodes,
 //! [`claim`] how a node claims an idempotency key and [`roster`] at which nodes,
-//! [`suspects`] which requests may crash servers.
+//! [`suspects`] which requests may crash servers, [`quota`] how nodes lend each other what
+//! a tenant may send.
 
 pub mod answer;
 pub mod claim;
@@ -12,6 +13,7 @@
 pub mod frame;
 pub mod load;
 pub mod operators;
+pub mod quota;
 pub mod roster;
 pub mod suspects;
 
--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -16,6 +16,7 @@
 use crate::inbound::{Attempt, AttemptOutcome, execute};
 use crate::node::Node;
 use crate::suspects::exchange;
+use crate::tenants::lending;
 use crate::{peer_headers, probe, request_content, snapshots};
 
 /// Bodies up to this size are taken in whole before they go to the server.
@@ -44,6 +45,7 @@
                 return snapshots::answer(node, request.headers(), arrived);
             }
             peer_headers::SUSPECTS_PATH => return exchange::answer(node),
+            peer_headers::QUOTA_PATH => return lending::answer(node, request).await,
             peer_headers::PROBE_PATH => return probe::answer(node, request.headers()),
             _ => {}
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`probe`]: whether a server that fell silent can be trusted again;
 //! - [`snapshots`]: what comes from outside, and from other nodes in its place;
 //! - [`suspects`]: requests that crash servers, and what nodes tell each other of them;
+//! - [`tenants`]: whose a request is, and whether its tenant may send one more;
 //! - [`http`]: bodies and what HTTP says of connections; [`network`]: connections;
 //! - [`process`]: listeners, signals, start and stop.
 //!
@@ -24,6 +25,7 @@
 pub mod network;
 pub mod node;
 pub mod outbound;
+mod peer_client;
 pub mod peer_headers;
 pub mod probe;
 pub mod process;
@@ -31,6 +33,7 @@
 pub mod settings;
 pub mod snapshots;
 pub mod suspects;
+pub mod tenants;
 pub mod wire_names;
 
 pub use node::{Node, Surroundings};
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -27,6 +27,8 @@
     pub server_crashes: IntCounter,
     /// Contents of requests that may crash servers: suspected, proven.
     pub suspects: IntGaugeVec,
+    /// Tenants: with requests lately, at their limit, lent by this node.
+    pub tenants: IntGaugeVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Revision of the snapshot.
@@ -99,6 +101,12 @@
                 "Contents of requests that may crash servers, by what is known.",
                 "standing",
             )?,
+            tenants: gauges(
+                &registry,
+                "lifthollow_tenants",
+                "Tenants: with requests at this node lately, at their limit here, lent here.",
+                "what",
+            )?,
             connections: gauges(
                 &registry,
                 "lifthollow_connections_opened",
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -40,6 +40,7 @@
 use crate::network::{Network, SystemNetwork};
 use crate::settings::ProxySettings;
 use crate::suspects::exchange::Learning;
+use crate::tenants::TenantState;
 use crate::wire_names::WireNames;
 use lifthollow_transport::clock::Clock;
 
@@ -86,6 +87,8 @@
     pub served_lately: RecentContents,
     /// Requests that may crash servers.
     pub suspects: Suspects,
+    /// Tenants, and how many requests they may send.
+    pub tenants: TenantState,
     /// Attempts that wait in the queue.
     pub waiters: HashMap<Ticket, oneshot::Sender<()>>,
     /// Random numbers.
@@ -189,6 +192,7 @@
             server_runs: ServerRuns::default(),
             served_lately: RecentContents::default(),
             suspects: Suspects::default(),
+            tenants: TenantState::default(),
             waiters: HashMap::new(),
             random,
         };
@@ -377,6 +381,7 @@
         state.watchers = watchers(&servers);
         self.refresh_queue(state, &servers);
         state.budgets.set_nodes(servers.len());
+        state.tenants.set_servers(now, &servers);
         state.servers.set_servers(now, servers);
         self.metrics.snapshot_revision.set(snapshot.revision as i64);
     }
@@ -387,6 +392,7 @@
             return;
         }
         state.routes = Some(Arc::new(RouteTable::new(configuration)));
+        state.tenants.set_configuration(configuration);
         let names: std::collections::HashSet<&str> = configuration
             .routes
             .iter()
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -16,6 +16,9 @@
 use crate::outbound::request::RoutedRequest;
 use crate::peer_headers;
 
+/// What became of a request that did not run and never will.
+pub(super) const REFUSED: &str = "refused";
+
 /// Logs and gives the final answer.
 pub(super) fn finish(
     node: &Rc<Node>,
@@ -35,6 +38,8 @@
         info!(node.log, "request not served"; "request" => node.names.request_id_of(&request.head.headers),
             "content" => %request.content, "outcome" => outcome, "why" => why,
             "route" => &request.route.route.name,
+            "tenant" => request.tenant.as_ref().map(|tenant| &tenant.name),
+            "view_age_ms" => node.view_age().map(|age| age.as_millis() as u64),
             "service" => service, "nested" => is_nested,
             "priority" => AdmissionLevel::of(request.tree.priority).0,
             "admission_level" => known.level.0, "level_age_ms" => known.age.as_millis() as u64,
@@ -51,13 +56,16 @@
         FinalAnswer::Refused { reason, .. } => {
             let why = match reason {
                 RefusalReason::NotConfigured => "not-configured",
+                RefusalReason::ViewTooOld => "view-too-old",
+                RefusalReason::OverLimit => "over-limit",
+                RefusalReason::NoLender => "no-lender",
                 RefusalReason::NoServer => "no-server",
                 RefusalReason::Overloaded => "overloaded",
                 RefusalReason::OutOfTime => "out-of-time",
                 RefusalReason::CrashesServers => peer_headers::CRASHES_SERVERS,
                 RefusalReason::AllRefused(reason) => peer_headers::not_run_word(*reason),
             };
-            ("refused", why)
+            (REFUSED, why)
         }
     }
 }
@@ -66,8 +74,14 @@
     match answer {
         FinalAnswer::Unknown => status(StatusCode::BAD_GATEWAY),
         FinalAnswer::TimedOut => status(StatusCode::GATEWAY_TIMEOUT),
-        FinalAnswer::Refused { retry_after, .. } => {
-            let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+        FinalAnswer::Refused {
+            retry_after,
+            reason,
+        } => {
+            let mut response = status(match reason {
+                RefusalReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            });
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             let seconds = HeaderValue::try_from(seconds).expect("digits and a point");
             response
@@ -93,6 +107,7 @@
     let version = node.configuration_version();
     info!(node.log, "request not routed"; "request" => node.names.request_id_of(&head.headers), "why" => why,
         "host" => host.unwrap_or_default(), "path" => head.uri.path(),
+        "view_age_ms" => node.view_age().map(|age| age.as_millis() as u64),
         "configuration" => version, "revision" => node.revision());
 }
 
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -15,9 +15,11 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{Call, FinalAnswer, RefusalReason};
 use lifthollow_coordination::mesh::server_wanted::Purpose;
+use lifthollow_coordination::mesh::tenants::authentication::Denial;
 use lifthollow_state::Timestamp;
 use rand::RngExt;
 
@@ -25,13 +27,18 @@
 use crate::http::headers::{self, remove_single_connection};
 use crate::http::server::{ConnectionLimits, Handler};
 use crate::node::Node;
+use crate::tenants::identity::identify;
+use crate::tenants::tokens::{self, NoToken};
 use crate::{peer_headers, request_content};
-use answer::{final_response, finish, log_unrouted, status};
+use answer::{REFUSED, final_response, finish, log_unrouted, status};
 use attempts::attempts;
 use request::{HeldBody, RoutedRequest, find_route, read_body, tree_place};
 
 /// When callers may come back before there is a configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Callers whose key this node's view is too old to judge may come back after this time: nodes
+/// ask for a fresh view several times a second.
+const OLD_VIEW_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Callers refused for overload are asked to come back after this time, at the
 /// earliest; at the latest after twice as long.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -99,9 +106,13 @@
             return ("not-configured", final_response(node, refusal));
         }
     };
+    let tenant = match identify(node, &mut head.headers, &route.route) {
+        Ok(tenant) => tenant,
+        Err(denial) => return deny(node, &head, denial),
+    };
     let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let call = Call::new(arrived, &route.route, patience);
-    let (tree, mut call_of_run) = tree_place(node, &head, &route, &call);
+    let (tree, mut call_of_run) = tree_place(node, &head, &route, tenant.as_deref(), &call);
     let body = match incoming {
         None => ProxyBody::empty(),
         Some(incoming) => match read_body(node, &call, incoming).await {
@@ -118,19 +129,72 @@
         body: HeldBody::from(body),
         content,
         route,
+        tenant,
         tree,
         arrived,
     };
-    let answer = match refuse_overload(node, &request) {
-        Some(refusal) => finish(node, &request, refusal),
-        None => attempts(node, &mut request, call).await,
-    };
+    let answer = admit_and_attempt(node, &mut request, call).await;
     if let Some(call_of_run) = &mut call_of_run {
         call_of_run.answered(answer.1.status());
     }
     answer
 }
 
+/// The answer to a request that needs a key and hasn't one that is known to be good.
+fn deny(node: &Rc<Node>, head: &Parts, denial: Denial) -> (&'static str, Response<ProxyBody>) {
+    let word = match denial {
+        Denial::NoKey => "no-key",
+        Denial::UnknownKey => "unknown-key",
+        Denial::ViewTooOld => "view-too-old",
+    };
+    log_unrouted(node, head, word);
+    let response = match denial {
+        Denial::NoKey | Denial::UnknownKey => status(StatusCode::UNAUTHORIZED),
+        Denial::ViewTooOld => final_response(
+            node,
+            FinalAnswer::Refused {
+                retry_after: OLD_VIEW_RETRY_AFTER,
+                reason: RefusalReason::ViewTooOld,
+            },
+        ),
+    };
+    (word, response)
+}
+
+/// Sends attempts, unless the request would be refused further down or its tenant is at its
+/// limit.
+async fn admit_and_attempt(
+    node: &Rc<Node>,
+    request: &mut RoutedRequest,
+    call: Call,
+) -> (&'static str, Response<ProxyBody>) {
+    if let Some(refusal) = refuse_overload(node, request) {
+        return finish(node, request, refusal);
+    }
+    let Some(tenant) = request.tenant.clone() else {
+        return attempts(node, request, call).await;
+    };
+    if let Err(no_token) = tokens::take(node, &tenant).await {
+        return finish(node, request, over_limit(no_token));
+    }
+    let answer = attempts(node, request, call).await;
+    if answer.0 == REFUSED {
+        tokens::give_back(node, &tenant);
+    }
+    answer
+}
+
+fn over_limit(no_token: NoToken) -> FinalAnswer {
+    let (reason, retry_after) = match no_token {
+        NoToken::OverLimit(time) => (RefusalReason::OverLimit, time),
+        NoToken::Unanswered(time) => (RefusalReason::NoLender, time),
+    };
+    FinalAnswer::Refused {
+        retry_after,
+        reason,
+    }
+}
+
 /// A new request that would be refused further down is refused before any work
 /// is done for it.
 fn refuse_overload(node: &Rc<Node>, request: &RoutedRequest) -> Option<FinalAnswer> {
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -10,9 +10,9 @@
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::call::Call;
 use lifthollow_coordination::mesh::poison::content::CallerContent;
-use lifthollow_coordination::mesh::request_tree::priority_of_request;
+use lifthollow_coordination::mesh::request_tree::{RequestRank, priority_of_request};
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::Route;
+use lifthollow_state::mesh::{Route, Tenant};
 use tokio::time::timeout_at;
 
 use crate::http::ProxyBody;
@@ -33,6 +33,8 @@
     /// What it asks of a server.
     pub(super) content: CallerContent,
     pub(super) route: Rc<RouteInForce>,
+    /// Whose it is; none if it needs no key.
+    pub(super) tenant: Option<Arc<Tenant>>,
     pub(super) tree: TreePlace,
     pub(super) arrived: Timestamp,
 }
@@ -98,6 +100,7 @@
     node: &Rc<Node>,
     head: &Parts,
     route: &RouteInForce,
+    tenant: Option<&Tenant>,
     call: &Call,
 ) -> (TreePlace, Option<CallOfRun>) {
     let id = node.names.request_id_of(&head.headers);
@@ -120,8 +123,12 @@
             (place, Some(call))
         }
         None => {
+            let rank = RequestRank {
+                route: route.route.priority,
+                tenant: tenant.map(|tenant| tenant.priority),
+            };
             let place = TreePlace {
-                priority: priority_of_request(route.route.priority, id),
+                priority: priority_of_request(rank, id),
                 is_nested: false,
                 is_repeat: false,
             };
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -38,6 +38,11 @@
         &names.caller_service,
         caller.unwrap_or(HeaderValue::from_static("")),
     );
+    if let Some(tenant) = &request.tenant
+        && let Ok(name) = HeaderValue::from_str(&tenant.name)
+    {
+        headers.insert(&names.tenant, name);
+    }
     let instance = HeaderValue::from_str(server.id.as_str());
     headers.insert(
         &names.expected_instance,
--- /dev/null
+++ b/crates/proxy/src/peer_client.rs
@@ -0,0 +1,69 @@
+//! Questions to other nodes.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Request};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::http::ProxyBody;
+use crate::http::body::{self, ReadBody};
+use crate::http::pool::Reuse;
+use crate::node::Node;
+
+/// The largest answer that is taken in, bytes: a whole snapshot.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Why a question was not answered.
+#[derive(Debug, Error)]
+pub(crate) enum FetchError {
+    #[error("{0}")]
+    Send(#[from] crate::http::pool::SendError),
+    #[error("{0}")]
+    Read(#[from] hyper::Error),
+    #[error("larger than {MAX_ANSWER} bytes")]
+    TooLarge,
+    #[error("{0}")]
+    Decode(#[from] minicbor::decode::Error),
+    #[error("no revision named")]
+    Unnamed,
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+/// Asks the node at `address` the question `body` at `path`, with the headers `named`. Gives
+/// its answer and the headers of that.
+pub(crate) async fn ask<T: for<'b> minicbor::Decode<'b, ()>>(
+    node: &Rc<Node>,
+    address: SocketAddrV4,
+    path: &'static str,
+    named: HeaderMap,
+    body: ProxyBody,
+    limit: Duration,
+) -> Result<(T, HeaderMap), FetchError> {
+    let mut request = Request::new(body);
+    *request.uri_mut() = hyper::Uri::from_static(path);
+    let host = HeaderValue::try_from(address.to_string()).expect("an address is plain text");
+    *request.headers_mut() = named;
+    request.headers_mut().insert(HOST, host);
+    let exchange = async {
+        let (response, lease) = node
+            .peer_connections
+            .send(address, request, Reuse::Any)
+            .await?;
+        let (head, incoming) = response.into_parts();
+        match body::read(incoming, MAX_ANSWER).await? {
+            ReadBody::Larger { .. } => Err(FetchError::TooLarge),
+            ReadBody::Whole(bytes) => {
+                lease.keep();
+                Ok((minicbor::decode(&bytes)?, head.headers))
+            }
+        }
+    };
+    timeout(limit, exchange)
+        .await
+        .map_err(|_| FetchError::TimedOut)?
+}
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -21,6 +21,8 @@
 pub const SNAPSHOT_PATH: &str = "/lifthollow/snapshot";
 /// Path at which a node tells which requests may crash servers.
 pub const SUSPECTS_PATH: &str = "/lifthollow/suspects";
+/// Path at which a node lends tokens of tenants.
+pub const QUOTA_PATH: &str = "/lifthollow/quota";
 /// Path at which a node says whether it and its server answer.
 pub const PROBE_PATH: &str = "/lifthollow/probe";
 /// The attempt's tree (place in the order of shedding, nested, repeat) and its
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -21,6 +21,7 @@
 use crate::node::{Node, Phase};
 use crate::outbound::Outbound;
 use crate::suspects;
+use crate::tenants;
 
 /// Time between housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
@@ -169,6 +170,7 @@
         note_gauges(&node);
         note_server_health(&node);
         suspects::keep_house(&node);
+        tenants::keep_house(&node);
         let mut state = node.state.borrow_mut();
         let now = node.now();
         state.admission.observe(now);
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use lifthollow_coordination::mesh::retry_budget::FleetRetryBound;
+use lifthollow_coordination::mesh::tenants::authentication::OldestView;
+use lifthollow_coordination::mesh::tenants::fleet_quota::QuotaTolerance;
 
 /// Settings of one process.
 #[derive(Clone, Debug)]
@@ -26,6 +28,10 @@
     pub metrics: Option<SocketAddrV4>,
     /// Repeats that all nodes together may send.
     pub retry_bound: FleetRetryBound,
+    /// How old the view may be by which keys are taken; none if any will do.
+    pub oldest_view_for_keys: Option<OldestView>,
+    /// How exactly tenants' limits are to be kept.
+    pub quota_tolerance: QuotaTolerance,
     /// How long a planned stop may take.
     pub stop_grace: Duration,
 }
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -8,20 +8,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Request, Response};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Response};
 use lifthollow_coordination::mesh::snapshot_store::Applied;
 use lifthollow_coordination::mesh::view_freshness::NamedAge;
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{Change, Snapshot, Update};
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
-use thiserror::Error;
 
 use crate::http::ProxyBody;
-use crate::http::body::{self, ReadBody};
-use crate::http::pool::Reuse;
 use crate::node::Node;
+use crate::peer_client::{self, FetchError};
 use crate::peer_headers;
 use crate::suspects::exchange;
 
@@ -35,25 +33,6 @@
 const ASK_LIMIT: Duration = Duration::from_millis(200);
 /// How many nodes that watch the source are asked before the source itself.
 const WATCHERS_ASKED: usize = 2;
-/// The largest snapshot that is taken in, bytes.
-const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
-
-/// Why what another node knows could not be fetched.
-#[derive(Debug, Error)]
-pub(crate) enum FetchError {
-    #[error("{0}")]
-    Send(#[from] crate::http::pool::SendError),
-    #[error("{0}")]
-    Read(#[from] hyper::Error),
-    #[error("larger than {MAX_SNAPSHOT} bytes")]
-    TooLarge,
-    #[error("{0}")]
-    Decode(#[from] minicbor::decode::Error),
-    #[error("no revision named")]
-    Unnamed,
-    #[error("no answer in time")]
-    TimedOut,
-}
 
 /// Takes in changes that the source tells of; all up to `revision` are included.
 pub fn apply(node: &Rc<Node>, revision: u64, changes: Vec<(u64, Change)>) {
@@ -217,7 +196,8 @@
     let asked = node.now();
     let mut named = HeaderMap::new();
     name_revision(node, &mut named);
-    let fetched = fetch(node, from, peer_headers::SNAPSHOT_PATH, named, limit).await;
+    let path = peer_headers::SNAPSHOT_PATH;
+    let fetched = peer_client::ask(node, from, path, named, ProxyBody::empty(), limit).await;
     match fetched.and_then(with_revision) {
         Ok((update, headers)) => {
             take_update(node, &from.to_string(), update);
@@ -252,36 +232,3 @@
         None => Err(FetchError::Unnamed),
     }
 }
-
-/// Fetches what the node at `from` has at `path`, with the headers of its answer. The
-/// question has the headers `named`.
-pub(crate) async fn fetch<T: for<'b> minicbor::Decode<'b, ()>>(
-    node: &Rc<Node>,
-    from: SocketAddrV4,
-    path: &'static str,
-    named: HeaderMap,
-    limit: Duration,
-) -> Result<(T, HeaderMap), FetchError> {
-    let mut request = Request::new(ProxyBody::empty());
-    *request.uri_mut() = hyper::Uri::from_static(path);
-    let host = HeaderValue::try_from(from.to_string()).expect("an address is plain text");
-    *request.headers_mut() = named;
-    request.headers_mut().insert(HOST, host);
-    let exchange = async {
-        let (response, lease) = node
-            .peer_connections
-            .send(from, request, Reuse::Any)
-            .await?;
-        let (head, incoming) = response.into_parts();
-        match body::read(incoming, MAX_SNAPSHOT).await? {
-            ReadBody::Larger { .. } => Err(FetchError::TooLarge),
-            ReadBody::Whole(bytes) => {
-                lease.keep();
-                Ok((minicbor::decode(&bytes)?, head.headers))
-            }
-        }
-    };
-    tokio::time::timeout(limit, exchange)
-        .await
-        .map_err(|_| FetchError::TimedOut)?
-}
--- a/crates/proxy/src/suspects/exchange.rs
+++ b/crates/proxy/src/suspects/exchange.rs
@@ -21,8 +21,8 @@
 
 use crate::http::ProxyBody;
 use crate::node::Node;
+use crate::peer_client::{self, FetchError};
 use crate::peer_headers;
-use crate::snapshots::{self, FetchError};
 use crate::suspects::{clear_what_runs_well, log_changes};
 
 /// How many nodes are told of a crash at once. Each that hears of it first tells as many
@@ -104,7 +104,7 @@
     let mut named = HeaderMap::new();
     name_digest(node, &mut named);
     let fetched: Result<(SuspectReports, HeaderMap), FetchError> =
-        snapshots::fetch(node, with, path, named, FETCH_LIMIT).await;
+        peer_client::ask(node, with, path, named, ProxyBody::empty(), FETCH_LIMIT).await;
     match fetched {
         Ok((reports, _)) => {
             join(node, with, asked, reports);
--- a/crates/proxy/src/wire_names.rs
+++ b/crates/proxy/src/wire_names.rs
@@ -19,6 +19,12 @@
     pub not_run: HeaderName,
     /// The service of the machine that the request started on.
     pub caller_service: HeaderName,
+    /// Tells a server whose request it is.
+    pub tenant: HeaderName,
+    /// Where a caller shows its tenant's key, after [`WireNames::key_scheme`] and a blank.
+    pub authorization: HeaderName,
+    /// What stands before a key, in any case.
+    pub key_scheme: &'static str,
     /// When the caller may come back, seconds.
     pub retry_after: HeaderName,
     /// Where the platform asks whether the node is ready.
--- a/crates/state/src/mesh/configuration.rs
+++ b/crates/state/src/mesh/configuration.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration as a whole.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use minicbor::{Decode, Encode};
@@ -8,6 +8,7 @@
 
 use crate::mesh::codec;
 use crate::mesh::route::Route;
+use crate::mesh::tenant::{KeyDigest, Tenant};
 
 /// What is set for one service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
@@ -49,6 +50,9 @@
     /// What callers may send.
     #[n(3)]
     pub limits: RequestLimits,
+    /// All tenants. Where there are none, no request needs a key.
+    #[n(4)]
+    pub tenants: Vec<Tenant>,
 }
 
 /// Why a configuration can't be used, with the place.
@@ -94,6 +98,23 @@
         /// The route's name.
         route: String,
     },
+    /// A tenant that can't be told to servers.
+    #[error("a tenant has no name")]
+    UnnamedTenant,
+    /// Two tenants have one name.
+    #[error("tenant {tenant}: another tenant has its name")]
+    DuplicateTenant {
+        /// The tenant's name.
+        tenant: String,
+    },
+    /// A key that belongs to two tenants. The key is not named.
+    #[error("tenant {tenant}: one of its keys is also a key of {other}")]
+    SharedKey {
+        /// The tenant's name.
+        tenant: String,
+        /// The other tenant's name.
+        other: String,
+    },
 }
 
 impl Configuration {
@@ -108,9 +129,33 @@
                 findings.push(ConfigurationError::DuplicateMatch { route });
             }
         }
+        self.check_tenants(&mut findings);
         findings
     }
 
+    fn check_tenants(&self, findings: &mut Vec<ConfigurationError>) {
+        let mut names = HashSet::new();
+        let mut owners: HashMap<&KeyDigest, &str> = HashMap::new();
+        for tenant in &self.tenants {
+            let name = tenant.name.as_str();
+            if name.is_empty() {
+                findings.push(ConfigurationError::UnnamedTenant);
+            } else if !names.insert(name) {
+                let tenant = name.to_owned();
+                findings.push(ConfigurationError::DuplicateTenant { tenant });
+            }
+            for key in &tenant.keys {
+                let owner = *owners.entry(key).or_insert(name);
+                if owner != name {
+                    findings.push(ConfigurationError::SharedKey {
+                        tenant: name.to_owned(),
+                        other: owner.to_owned(),
+                    });
+                }
+            }
+        }
+    }
+
     fn check_route(&self, route: &Route, findings: &mut Vec<ConfigurationError>) {
         let name = || route.name.clone();
         let prefix = &route.path_prefix;
--- a/crates/state/src/mesh/mod.rs
+++ b/crates/state/src/mesh/mod.rs
@@ -8,10 +8,12 @@
 mod route;
 mod server_instance;
 mod snapshot;
+mod tenant;
 mod update;
 
 pub use configuration::{Configuration, ConfigurationError, RequestLimits, ServiceSettings};
 pub use route::{Destination, RequestKind, Route};
 pub use server_instance::{InstanceId, ServerInstance, ServerState};
 pub use snapshot::{KnownServer, Snapshot};
+pub use tenant::{KeyDigest, RateLimit, Tenant};
 pub use update::{Change, RevisedChange, Update};
--- a/crates/state/src/mesh/route.rs
+++ b/crates/state/src/mesh/route.rs
@@ -59,6 +59,9 @@
     /// Where the requests go; never empty, and some weight is above zero.
     #[n(8)]
     pub destinations: Vec<Destination>,
+    /// Whether requests need a tenant's key, wherever there are tenants.
+    #[n(9)]
+    pub needs_key: bool,
 }
 
 impl Route {
