A server that starts again under its identity is another one; entries of other writers name no server

Cause: what is known of a server was kept by its identity alone, and its node kept failures and silence across starts; an unknown state counted as draining, and an entry that couldn't be read left the server of before in force.

--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -140,6 +140,11 @@
         self.responsive = now;
     }
 
+    /// The server has started: that it answered nothing before says nothing of it.
+    pub fn server_started(&mut self, now: Timestamp) {
+        self.responsive = now;
+    }
+
     /// A request stopped waiting. False if it was not waiting any more: then it
     /// counts as running.
     pub fn withdraw(&mut self, rank: Rank, ticket: Ticket) -> bool {
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -108,6 +108,15 @@
         self.queue.set_limit(now, limit)
     }
 
+    /// Another server, or another start of the same one, stands beside this node. How it fails
+    /// and whether it answers is not known yet. Without that, one that had failed all its requests
+    /// and started again was turned away for further seconds (test
+    /// `a_server_that_starts_again_is_not_held_for_what_it_did_before`).
+    pub fn server_started(&mut self, now: Timestamp) {
+        self.queue.server_started(now);
+        self.health.server_started();
+    }
+
     /// The load here.
     pub fn occupancy(&self) -> Occupancy {
         self.queue.occupancy()
--- a/crates/coordination/src/mesh/server_health.rs
+++ b/crates/coordination/src/mesh/server_health.rs
@@ -56,6 +56,12 @@
 }
 
 impl ServerHealth {
+    /// The server has started: what failed before says nothing of it, nor do runs that are
+    /// still under way.
+    pub fn server_started(&mut self) {
+        *self = ServerHealth::default();
+    }
+
     /// A run starts for a request whose caller is in `zone`.
     pub fn started(&mut self, now: Timestamp, run: InboundId, zone: &str, is_nested: bool) {
         let state = Run {
--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -68,7 +68,11 @@
         match change {
             Change::Configuration(configuration) => self.apply_configuration(configuration),
             Change::Server(instance) => self.apply_server(revision, instance),
-            Change::ServerGone(id) => self.remove_server(now, revision, &id),
+            Change::ServerGone(id) => self.server_gone(now, revision, &id),
+            Change::ServerOverwritten(id) => match self.remove_server(revision, &id) {
+                Some(_) => Applied::Servers,
+                None => Applied::Nothing,
+            },
         }
     }
 
@@ -120,18 +124,18 @@
     }
 
     /// Takes in a whole snapshot, if it is newer. It replaces all servers.
-    pub fn replace(&mut self, now: Timestamp, newer: Snapshot) -> Vec<Applied> {
+    pub fn replace(&mut self, now: Timestamp, mut newer: Snapshot) -> Vec<Applied> {
         if newer.revision < self.snapshot.revision {
             return Vec::new();
         }
         let mut applied = Vec::new();
-        if let Some(configuration) = newer.configuration {
+        if let Some(configuration) = newer.configuration.take() {
             applied.push(self.apply_configuration(configuration));
         }
         let before = self.snapshot.servers.clone();
         if before != newer.servers {
             for (id, known) in before {
-                if !newer.servers.contains_key(&id) {
+                if newer.server(&id).is_none() {
                     self.vanished.insert(id, (known.instance, now));
                 }
             }
@@ -169,16 +173,16 @@
             .collect()
     }
 
-    /// The servers that exist, as far as is known: of entries with one address
-    /// only the newest, since a server that starts at an address of before leaves
-    /// the former one's entry to run out. A server that vanished without a word
+    /// The servers that exist, as far as is known: of the services that are configured,
+    /// and of entries with one address only the newest, since a server that starts at an
+    /// address of before leaves the former one's entry to run out. A server that vanished without a word
     /// is among them while its service has no other and its address isn't taken.
     pub fn servers_in_force(&self) -> Vec<ServerInstance> {
         let mut servers: Vec<ServerInstance> = self
             .snapshot
             .servers
             .values()
-            .filter(|known| !self.is_superseded(known))
+            .filter(|known| self.is_configured(known) && !self.is_superseded(known))
             .map(|known| known.instance.clone())
             .collect();
         let is_replaced = |vanished: &ServerInstance| {
@@ -192,6 +196,16 @@
         servers
     }
 
+    /// Whether the server belongs to a service that the operators have named. Others get no
+    /// requests, and their nodes must not be chosen to watch or lend for all.
+    fn is_configured(&self, known: &KnownServer) -> bool {
+        let configuration = self.snapshot.configuration.as_ref();
+        configuration.is_none_or(|configuration| {
+            let services = &configuration.services;
+            services.contains_key(&known.instance.service)
+        })
+    }
+
     fn is_superseded(&self, known: &KnownServer) -> bool {
         let newest = self.newest_at.get(&known.instance.address);
         newest.is_some_and(|revision| *revision > known.revision)
@@ -219,28 +233,42 @@
     }
 
     fn apply_server(&mut self, revision: u64, instance: ServerInstance) -> Applied {
-        let known = self.snapshot.servers.get(&instance.id);
+        let known = self.snapshot.server(&instance.id);
         if known.is_some_and(|known| known.revision >= revision) {
             return Applied::Nothing;
         }
-        self.vanished.remove(&instance.id);
         let id = instance.id.clone();
+        self.vanished
+            .retain(|vanished, _| !vanished.is_same_server(&id));
         let server = KnownServer { instance, revision };
-        Arc::make_mut(&mut self.snapshot).servers.insert(id, server);
+        let servers = &mut Arc::make_mut(&mut self.snapshot).servers;
+        // Of another start under the same identity nothing is left.
+        servers.retain(|known, _| !known.is_same_server(&id));
+        servers.insert(id, server);
         self.index_addresses();
         Applied::Servers
     }
 
-    fn remove_server(&mut self, now: Timestamp, revision: u64, id: &InstanceId) -> Applied {
-        let known = self.snapshot.servers.get(id);
-        if known.is_none_or(|known| known.revision > revision) {
-            return Applied::Nothing;
+    fn server_gone(&mut self, now: Timestamp, revision: u64, id: &InstanceId) -> Applied {
+        match self.remove_server(revision, id) {
+            Some(server) => {
+                let id = server.instance.id.clone();
+                self.vanished.insert(id, (server.instance, now));
+                Applied::Servers
+            }
+            None => Applied::Nothing,
         }
-        let snapshot = Arc::make_mut(&mut self.snapshot);
-        if let Some(server) = snapshot.servers.remove(id) {
-            self.vanished.insert(id.clone(), (server.instance, now));
+    }
+
+    fn remove_server(&mut self, revision: u64, id: &InstanceId) -> Option<KnownServer> {
+        let known = self.snapshot.server(id)?;
+        if known.revision > revision {
+            return None;
         }
+        let start = known.instance.id.clone();
+        let snapshot = Arc::make_mut(&mut self.snapshot);
+        let removed = snapshot.servers.remove(&start);
         self.index_addresses();
-        Applied::Servers
+        removed
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/mesh_authentication.rs
@@ -0,0 +1,177 @@
+//! Which tenant a request belongs to, and that keys which were taken away open nothing.
+
+mod mesh_support;
+
+use std::time::Duration;
+
+use lifthollow_coordination::mesh::tenants::authentication::{Denial, KeyTable, OldestView};
+use lifthollow_coordination::mesh::view_freshness::{NamedAge, ViewFreshness};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{Configuration, KeyDigest, Route, Tenant};
+use mesh_support::{configuration, ms, route};
+use quickcheck::quickcheck;
+
+const REVOCATION: Duration = Duration::from_secs(5);
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+        priority: 1,
+        limit: None,
+    }
+}
+
+fn with_tenants(tenants: Vec<Tenant>) -> Configuration {
+    let mut open = route("open", "/open/");
+    open.needs_key = false;
+    Configuration {
+        tenants,
+        ..configuration(1, vec![route("closed", "/closed/"), open])
+    }
+}
+
+fn key(text: &str) -> Option<KeyDigest> {
+    Some(KeyDigest::of(text.as_bytes()))
+}
+
+/// The tenant that a request with `key` gets on `route`, from a view that is `age` old.
+fn name(
+    table: &KeyTable,
+    route: &Route,
+    key: Option<KeyDigest>,
+    age: Option<Duration>,
+) -> Result<Option<String>, Denial> {
+    let oldest = Some(OldestView::for_revocation(REVOCATION));
+    let tenant = table.authenticate(route, key, age, oldest)?;
+    Ok(tenant.map(|tenant| tenant.name.clone()))
+}
+
+#[test]
+fn a_request_belongs_to_the_tenant_of_its_key() {
+    let table = KeyTable::new(&with_tenants(vec![
+        tenant("acme", &["one", "two"]),
+        tenant("birch", &["three"]),
+    ]));
+    let closed = route("closed", "/closed/");
+    let fresh = Some(ms(100));
+    assert_eq!(
+        name(&table, &closed, key("two"), fresh),
+        Ok(Some("acme".to_owned()))
+    );
+    assert_eq!(
+        name(&table, &closed, key("three"), fresh),
+        Ok(Some("birch".to_owned()))
+    );
+    assert_eq!(
+        name(&table, &closed, key("four"), fresh),
+        Err(Denial::UnknownKey)
+    );
+    assert_eq!(name(&table, &closed, None, fresh), Err(Denial::NoKey));
+}
+
+#[test]
+fn routes_that_need_no_key_take_what_comes_and_tell_whose_it_is_if_that_is_known() {
+    let table = KeyTable::new(&with_tenants(vec![tenant("acme", &["one"])]));
+    let mut open = route("open", "/open/");
+    open.needs_key = false;
+    let old = Some(Duration::from_secs(60));
+    assert_eq!(name(&table, &open, None, old), Ok(None));
+    assert_eq!(name(&table, &open, key("unknown"), old), Ok(None));
+    assert_eq!(name(&table, &open, key("one"), old), Ok(None));
+    assert_eq!(
+        name(&table, &open, key("one"), Some(ms(9))),
+        Ok(Some("acme".to_owned()))
+    );
+}
+
+#[test]
+fn without_tenants_no_key_is_asked_for() {
+    let table = KeyTable::new(&with_tenants(Vec::new()));
+    let closed = route("closed", "/closed/");
+    assert_eq!(name(&table, &closed, None, None), Ok(None));
+    assert_eq!(name(&table, &closed, key("any"), None), Ok(None));
+}
+
+/// A key that this view does not know may be younger than the view.
+#[test]
+fn an_unknown_key_is_denied_for_good_only_by_a_fresh_view() {
+    let table = KeyTable::new(&with_tenants(vec![tenant("acme", &["one"])]));
+    let closed = route("closed", "/closed/");
+    let old = Some(Duration::from_secs(3));
+    assert_eq!(
+        name(&table, &closed, key("new"), old),
+        Err(Denial::ViewTooOld)
+    );
+    assert_eq!(
+        name(&table, &closed, key("new"), None),
+        Err(Denial::ViewTooOld)
+    );
+    assert_eq!(name(&table, &closed, None, old), Err(Denial::NoKey));
+}
+
+#[test]
+fn where_revocations_need_not_reach_all_nodes_keys_are_taken_from_old_views() {
+    let table = KeyTable::new(&with_tenants(vec![tenant("acme", &["one"])]));
+    let closed = route("closed", "/closed/");
+    let old = Some(Duration::from_secs(60));
+    assert!(table.authenticate(&closed, key("one"), old, None).is_ok());
+}
+
+/// One node that reads the source, and others that learn from it over several hops.
+struct Chain {
+    views: Vec<ViewFreshness>,
+    /// The last revision that each node has.
+    revisions: Vec<u64>,
+}
+
+quickcheck! {
+    /// Whatever is confirmed when, and however long messages take or processes stand still: a
+    /// key that was taken away at some moment is taken by no node more than [`REVOCATION`] later.
+    /// Each step is a node that asks the one before it, or the source, how long that takes on its
+    /// way there and back, and how much time passes until the next one.
+    fn no_node_takes_a_key_later_than_its_revocation_allows(
+        steps: Vec<(u8, u16, u16, u16)>,
+        revoked_at: u16
+    ) -> bool {
+        const NODES: usize = 5;
+        let table = KeyTable::new(&with_tenants(vec![tenant("acme", &["one"])]));
+        let closed = route("closed", "/closed/");
+        let mut chain = Chain {
+            views: vec![ViewFreshness::default(); NODES],
+            revisions: vec![0; NODES],
+        };
+        let revoked = Timestamp::ZERO + Duration::from_millis(u64::from(revoked_at));
+        let mut now = Timestamp::ZERO;
+        for (node, there, back, pause) in steps {
+            let node = usize::from(node) % NODES;
+            let asked = now;
+            now = now + Duration::from_millis(u64::from(there) % 2000);
+            // What the source, or the node before, says when the question has arrived.
+            let (revision, age) = match node {
+                0 => (u64::from(now >= revoked), Some(Duration::ZERO)),
+                _ => (chain.revisions[node - 1], chain.views[node - 1].age(now)),
+            };
+            now = now + Duration::from_millis(u64::from(back) % 2000);
+            if revision >= chain.revisions[node] && let Some(age) = age {
+                chain.revisions[node] = revision;
+                let named = NamedAge { age, held: Duration::ZERO };
+                let age = named.at_most(now.saturating_since(asked));
+                chain.views[node].confirm(now, now.saturating_sub(age));
+            }
+            now = now + Duration::from_millis(u64::from(pause) % 3000);
+            for (view, revision) in chain.views.iter().zip(&chain.revisions) {
+                let is_known_to_be_revoked = *revision > 0;
+                let taken = name(&table, &closed, key("one"), view.age(now)).is_ok();
+                let is_late = now.saturating_since(revoked) > REVOCATION && now > revoked;
+                if taken && is_late && !is_known_to_be_revoked {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
--- a/crates/coordination/tests/mesh_health.rs
+++ b/crates/coordination/tests/mesh_health.rs
@@ -96,3 +96,15 @@
     assert!(!health.turns_away(at(40), OTHER_ZONE));
     assert!(!health.turns_away(at(20_000), OWN_ZONE), "it is forgotten");
 }
+
+#[test]
+fn a_server_that_starts_again_is_not_held_for_what_it_did_before() {
+    let mut health = failing();
+    assert!(health.turns_away(at(40), OWN_ZONE));
+    health.server_started();
+    assert_eq!(health.failure_share(at(40), OWN_ZONE), 0.0);
+    assert!(!health.turns_away(at(40), OWN_ZONE));
+    // A run of before ends later, and is not counted.
+    health.ended(at(50), InboundId(3), RunEnd::Failed);
+    assert_eq!(health.failure_share(at(50), OWN_ZONE), 0.0);
+}
--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -79,7 +79,7 @@
     let (mut head, incoming) = request.into_parts();
     headers::remove_single_connection(&mut head.headers);
     let server = head.headers.get(&node.names.expected_instance)?;
-    let server = InstanceId::new(server.to_str().ok()?);
+    let server = node.known_start(InstanceId::new(server.to_str().ok()?));
     let left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let patience = peer_headers::milliseconds(&head.headers, &peer_headers::PATIENCE);
     let body = body::read(incoming?, MAX_HELD_REQUEST).await.ok()?;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -324,17 +324,27 @@
     /// only the server itself can tell.
     pub fn refusal_for(&self, id: &InstanceId) -> Option<NotRunReason> {
         let state = self.state.borrow();
-        let known = state.snapshots.snapshot().servers.get(id)?;
-        if state.own_server.as_ref() != Some(id) {
+        let known = state.snapshots.snapshot().server(id)?;
+        let own = state.own_server.as_ref();
+        if own.is_none_or(|own| !own.is_same_server(id)) {
             return Some(NotRunReason::WrongInstance);
         }
         (!known.instance.is_ready()).then_some(NotRunReason::ServerDraining)
     }
 
+    /// The start of the server `id` that this node knows. Between nodes and towards servers only
+    /// the identity is named: what was meant for the start before runs at this one. That costs
+    /// nothing, since it reached no server yet.
+    pub fn known_start(&self, id: InstanceId) -> InstanceId {
+        let state = self.state.borrow();
+        let known = state.snapshots.snapshot().server(&id);
+        known.map_or(id, |known| known.instance.id.clone())
+    }
+
     /// Whether a server of which this node has heard is leaving.
     pub fn is_leaving(&self, id: &InstanceId) -> bool {
         let state = self.state.borrow();
-        let known = state.snapshots.snapshot().servers.get(id);
+        let known = state.snapshots.snapshot().server(id);
         known.is_some_and(|known| !known.instance.is_ready())
     }
 
@@ -406,7 +416,14 @@
 
     fn refresh_queue(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
         let own = servers.iter().find(|server| self.is_beside(server));
-        state.own_server = own.map(|server| server.id.clone());
+        let own_id = own.map(|server| server.id.clone());
+        if own_id.is_some() && own_id != state.own_server {
+            state.admission.server_started(self.now());
+            // Connections to the start before are gone, and would cost a request each.
+            self.server_connections
+                .close_idle(self.settings.server_address);
+        }
+        state.own_server = own_id;
         if let Some(own) = own {
             let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
             let limit = used.min(max_connections(state, &own.service)).max(1);
--- a/crates/state/src/mesh/server_instance.rs
+++ b/crates/state/src/mesh/server_instance.rs
@@ -10,25 +10,51 @@
 use minicbor::encode::{Encoder, Error as EncodeError, Write};
 use minicbor::{Decode, Encode};
 
-/// Names one start of a server. A server that takes over an address has another.
+/// Names one start of a server: the identity that it announces, and when it started. A server
+/// that takes over an address has another identity; one that starts again may keep it, and then
+/// knows nothing of before. Whatever is known of a server is kept by both together.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct InstanceId(Arc<str>);
+pub struct InstanceId {
+    name: Arc<str>,
+    started_ms: Option<u64>,
+}
 
 impl InstanceId {
-    /// The identity with this text.
-    pub fn new(text: &str) -> Self {
-        InstanceId(text.into())
+    /// The identity with this text, of a server that doesn't say when it started.
+    pub fn new(name: &str) -> Self {
+        InstanceId {
+            name: name.into(),
+            started_ms: None,
+        }
+    }
+
+    /// The same identity, of the server that started at this Unix time, milliseconds.
+    pub fn started_at(self, milliseconds: u64) -> Self {
+        InstanceId {
+            started_ms: Some(milliseconds),
+            ..self
+        }
     }
 
-    /// The identity as text.
+    /// The identity as the server announces it, the same for all of its starts.
     pub fn as_str(&self) -> &str {
-        &self.0
+        &self.name
+    }
+
+    /// Whether both name starts of one server.
+    pub fn is_same_server(&self, other: &InstanceId) -> bool {
+        self.name == other.name
     }
 }
 
+/// As the server announces it, and when it started if that is known.
 impl fmt::Display for InstanceId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
+        formatter.write_str(&self.name)?;
+        match self.started_ms {
+            Some(started) => write!(formatter, "@{started}"),
+            None => Ok(()),
+        }
     }
 }
 
@@ -36,15 +62,20 @@
     fn encode<W: Write>(
         &self,
         encoder: &mut Encoder<W>,
-        _context: &mut C,
+        context: &mut C,
     ) -> Result<(), EncodeError<W::Error>> {
-        encoder.str(&self.0)?.ok()
+        encoder.array(2)?.str(&self.name)?;
+        self.started_ms.encode(encoder, context)
     }
 }
 
 impl<'b, C> Decode<'b, C> for InstanceId {
-    fn decode(decoder: &mut Decoder<'b>, _context: &mut C) -> Result<Self, DecodeError> {
-        Ok(InstanceId::new(decoder.str()?))
+    fn decode(decoder: &mut Decoder<'b>, context: &mut C) -> Result<Self, DecodeError> {
+        decoder.array()?;
+        Ok(InstanceId {
+            name: decoder.str()?.into(),
+            started_ms: Option::decode(decoder, context)?,
+        })
     }
 }
 
--- a/crates/state/src/mesh/snapshot.rs
+++ b/crates/state/src/mesh/snapshot.rs
@@ -32,3 +32,12 @@
     #[n(2)]
     pub servers: BTreeMap<InstanceId, KnownServer>,
 }
+
+impl Snapshot {
+    /// The server that announces itself as `id`, whenever it started.
+    pub fn server(&self, id: &InstanceId) -> Option<&KnownServer> {
+        let starts = self.servers.range(InstanceId::new(id.as_str())..);
+        let mut starts = starts.take_while(|(known, _)| known.is_same_server(id));
+        starts.next().map(|(_, known)| known)
+    }
+}
--- a/crates/state/src/mesh/update.rs
+++ b/crates/state/src/mesh/update.rs
@@ -15,9 +15,12 @@
     /// A server announced itself, or something about it changed.
     #[n(1)]
     Server(#[n(0)] ServerInstance),
-    /// A server's announcement is gone.
+    /// The announcement of all starts of a server is gone.
     #[n(2)]
     ServerGone(#[n(0)] InstanceId),
+    /// A server's announcement was overwritten by something that names no server.
+    #[n(3)]
+    ServerOverwritten(#[n(0)] InstanceId),
 }
 
 /// A change and the revision that it was made at.
