--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -11,6 +11,8 @@
 //! 7. [`server_admission`]: at the server's node, whether it runs, waits
 //!    ([`admission_queue`]) or is refused.
 //!
+//! [`processor_admission`] tells which requests the node's own processor has time for.
+//!
 //! [`server_health`] and [`loss_estimate`] tell which servers fail what they are
 //! given. [`request_tree`] tells which request a nested call is made for, and
 //! [`nested_calls`] which servers it may go to.
@@ -26,6 +28,7 @@
 pub mod loss_estimate;
 pub mod nested_calls;
 pub mod poison;
+pub mod processor_admission;
 pub mod reported_load;
 pub mod request_tree;
 pub mod retry_budget;
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -14,6 +14,7 @@
 use crate::inbound::admission_threshold::{self, AdmissionThreshold};
 use crate::mesh::admission_queue::{Admission, AdmissionQueue, Occupancy, Rank, Ticket};
 use crate::mesh::call::NotRunReason;
+use crate::mesh::processor_admission::ProcessorAdmission;
 use crate::mesh::request_tree::{Parent, RunningRequests};
 use crate::mesh::server_health::{RunEnd, ServerHealth};
 use crate::pressure::{CallGraph, CallSource, downstream_level};
@@ -79,6 +80,7 @@
     service: ServiceName,
     queue: AdmissionQueue,
     threshold: AdmissionThreshold,
+    processor: ProcessorAdmission,
     graph: CallGraph,
     running: RunningRequests,
     health: ServerHealth,
@@ -94,6 +96,7 @@
             service: ServiceName::new(service),
             queue: AdmissionQueue::new(limit),
             threshold: AdmissionThreshold::with_target_queue(TARGET_QUEUE),
+            processor: ProcessorAdmission::default(),
             graph: CallGraph::default(),
             running: RunningRequests::default(),
             health: ServerHealth::default(),
@@ -135,7 +138,7 @@
         level_of: impl Fn(&ServiceName) -> AdmissionLevel,
     ) -> AdmissionLevel {
         let needed = downstream_level(&self.graph, &self.source(is_nested), level_of);
-        let own = self.threshold.level();
+        let own = self.threshold.level().max(self.processor.level());
         if is_nested {
             needed.max(level_of_nested(own))
         } else {
@@ -161,6 +164,7 @@
         }
         self.observe(now);
         self.threshold.arrived(place(attempt));
+        self.processor.arrived(now, place(attempt));
         match self.queue.offer(now, rank(attempt), attempt.patience) {
             Admission::Run => Verdict::Run,
             Admission::Wait(ticket) => Verdict::Wait(ticket),
@@ -219,6 +223,7 @@
         self.running.ended(&attempt.request_id, run);
         self.observe(now);
         self.threshold.finished();
+        self.processor.finished();
         self.queue.finish(now, ran_for)
     }
 
@@ -268,6 +273,17 @@
         self.health.failure_share(now, zone)
     }
 
+    /// The node's thread was woken `lateness` later than it had asked for.
+    pub fn woken_late(&mut self, now: Timestamp, lateness: Duration) {
+        self.processor.observe(now, lateness);
+    }
+
+    /// The lowest level that the node's own processor has time for, and how late its thread was
+    /// woken last.
+    pub fn processor(&self) -> (AdmissionLevel, Duration) {
+        (self.processor.level(), self.processor.lateness())
+    }
+
     /// Accounts for the time that has passed.
     pub fn observe(&mut self, now: Timestamp) {
         let load = self.queue.occupancy();
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -254,7 +254,8 @@
         }
     }
 
-    fn is_busy(&self) -> bool {
+    /// Whether a caller or another node has asked for something lately.
+    pub fn is_busy(&self) -> bool {
         let now = self.now();
         let last = self.last_request.get();
         last.is_some_and(|last| now.saturating_since(last) < IDLE_AFTER)
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -25,6 +25,9 @@
 
 /// Time between housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Time between looks at how late this thread is woken, while requests come: each costs some
+/// microseconds, and levels are revised every 100 ms.
+const PROCESSOR_LOOK: Duration = Duration::from_millis(25);
 /// After a planned stop began, callers are still served this long: until then
 /// the platform has noticed that the node isn't ready.
 const STILL_SERVING: Duration = Duration::from_millis(2600);
@@ -115,6 +118,7 @@
     }
     spawn_local(source);
     spawn_local(housekeeping(node.clone()));
+    spawn_local(watch_processor(node.clone()));
     info!(node.log, "started"; "node" => &settings.node_name, "service" => &settings.service,
         "zone" => &settings.zone, "outbound" => %settings.outbound, "inbound" => %settings.inbound,
         "version" => env!("CARGO_PKG_VERSION"));
@@ -157,6 +161,21 @@
     }
 }
 
+/// Looks how late this thread is woken, often while there is something to do.
+async fn watch_processor(node: Rc<Node>) {
+    loop {
+        let pause = match node.is_busy() {
+            true => PROCESSOR_LOOK,
+            false => HOUSEKEEPING,
+        };
+        let asked = node.now();
+        sleep(pause).await;
+        let now = node.now();
+        let lateness = now.saturating_since(asked).saturating_sub(pause);
+        node.state.borrow_mut().admission.woken_late(now, lateness);
+    }
+}
+
 async fn housekeeping(node: Rc<Node>) {
     loop {
         sleep(HOUSEKEEPING).await;
