Nodes tell crashes of two starts of a server apart in their digest

Found in the last read: the digest of suspects hashed a server's identity without its start, the one place where a record was still kept by identity alone, so that nodes which knew of crashes of different starts did not ask each other. Digests of servers that don't say when they started stay as they were.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -342,7 +342,8 @@
         hasher.update(caller.as_str().as_bytes());
         hasher.update(&(evidence.counted().count() as u64).to_be_bytes());
         for (server, _) in evidence.crashes() {
-            hasher.update(server.as_str().as_bytes());
+            // With its start: the same server may crash again under its identity.
+            hasher.update(server.to_string().as_bytes());
         }
     }
     hasher.finish()
--- a/crates/coordination/tests/mesh_poison_suspects.rs
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -311,6 +311,18 @@
     ));
 }
 
+/// Otherwise nodes that know of different crashes would not ask each other.
+#[test]
+fn crashes_of_two_starts_of_a_server_are_told_apart() {
+    let after = |started_ms: u64| {
+        let mut suspects = Suspects::default();
+        let start = server(1).started_at(started_ms);
+        suspects.note_crash(at(1.0), &[poison()], &start);
+        suspects
+    };
+    assert_ne!(after(1).digest(), after(2).digest());
+}
+
 /// The moment when what a node knows is told, on its own clock, and on that of who asks:
 /// the question, and the time that it and the answer take.
 #[derive(Clone, Debug)]
