A node that had to read all tells others only what they lack

At 985 nodes and five watchers that is 197 answers of some 150 KB each at once (n nodes times n entries) on a link of 200 Mbit/s; questions ran into their 200 ms and nodes turned to the store.

What came and went in between is not in it, so the span is told as a gap, also to nodes that pass it on; a node whose revision lies inside is sent the whole, as before.

--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store.rs
@@ -11,7 +11,7 @@
 
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{
-    Change, Configuration, ConfigurationError, InstanceId, KnownServer, RevisedChange,
+    Change, Configuration, ConfigurationError, Gap, InstanceId, KnownServer, RevisedChange,
     ServerInstance, Snapshot, Update,
 };
 
@@ -24,6 +24,9 @@
 /// sent the whole snapshot.
 const KEPT_CHANGES: usize = 1024;
 
+/// Gaps between kept changes. With more, the changes before are forgotten.
+const KEPT_GAPS: usize = 32;
+
 /// What came of a change.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Applied {
@@ -37,6 +40,36 @@
     Refused(Vec<ConfigurationError>),
 }
 
+/// The changes that lead from one snapshot to a newer one, in the order of their revisions. When a
+/// server went or the configuration changed is not known: at the latest with the newer snapshot.
+/// A source that tells its items in parts may tell some that are newer than their snapshot; these
+/// count as of that.
+fn difference(older: &Snapshot, newer: &Snapshot) -> Vec<RevisedChange> {
+    let first = older.revision.saturating_add(1).min(newer.revision);
+    let mut changes: Vec<RevisedChange> = newer
+        .servers
+        .iter()
+        .filter(|(id, known)| older.servers.get(id) != Some(known))
+        .map(|(_, known)| RevisedChange {
+            revision: known.revision.clamp(first, newer.revision),
+            change: Change::Server(known.instance.clone()),
+        })
+        .collect();
+    changes.sort_by_key(|change| change.revision);
+    let gone = older.servers.keys().filter(|id| newer.server(id).is_none());
+    let gone = gone.cloned().map(Change::ServerGone);
+    let configuration = newer.configuration.iter();
+    let configuration = configuration
+        .filter(|newest| older.configuration.as_ref() != Some(newest))
+        .cloned()
+        .map(Change::Configuration);
+    changes.extend(gone.chain(configuration).map(|change| RevisedChange {
+        revision: newer.revision,
+        change,
+    }));
+    changes
+}
+
 /// The snapshot in force.
 #[derive(Clone, Debug, Default)]
 pub struct SnapshotStore {
@@ -48,6 +81,8 @@
     recent: VecDeque<RevisedChange>,
     /// All changes after this revision are among them.
     recent_since: u64,
+    /// Where not every change is known, but what they led to.
+    gaps: Vec<Gap>,
 }
 
 impl SnapshotStore {
@@ -87,7 +122,14 @@
     pub fn update(&mut self, now: Timestamp, update: Update) -> Vec<Applied> {
         match update {
             Update::Whole(snapshot) => self.replace(now, snapshot),
-            Update::Difference { revision, changes } => {
+            Update::Difference {
+                revision,
+                changes,
+                gaps,
+            } => {
+                if revision > self.snapshot.revision {
+                    self.gaps.extend(gaps);
+                }
                 let applied = changes
                     .into_iter()
                     .map(|change| self.apply(now, change.revision, change.change))
@@ -98,21 +140,29 @@
         }
     }
 
+    /// Whether the changes since `revision` are known apart.
+    pub fn knows_changes_since(&self, revision: u64) -> bool {
+        let is_hidden = |gap: &Gap| gap.hides_changes_since(revision);
+        revision > 0 && revision >= self.recent_since && !self.gaps.iter().any(is_hidden)
+    }
+
     /// What a node needs whose snapshot is of `revision`.
     pub fn update_since(&self, revision: u64) -> Update {
-        if revision == 0 || revision < self.recent_since {
+        if !self.knows_changes_since(revision) {
             return Update::Whole((*self.snapshot).clone());
         }
         let is_new = |change: &&RevisedChange| change.revision > revision;
+        let is_later = |gap: &&Gap| gap.until > revision;
         Update::Difference {
             revision: self.snapshot.revision,
             changes: self.recent.iter().filter(is_new).cloned().collect(),
+            gaps: self.gaps.iter().filter(is_later).copied().collect(),
         }
     }
 
     fn keep(&mut self, change: RevisedChange) {
         let newest = self.recent.back().map_or(0, |newest| newest.revision);
-        if change.revision <= newest {
+        if change.revision < newest {
             return;
         }
         self.recent.push_back(change);
@@ -120,6 +170,7 @@
             && let Some(oldest) = self.recent.pop_front()
         {
             self.recent_since = oldest.revision;
+            self.forget_gaps();
         }
     }
 
@@ -128,6 +179,7 @@
         if newer.revision < self.snapshot.revision {
             return Vec::new();
         }
+        self.keep_difference(&newer);
         let mut applied = Vec::new();
         if let Some(configuration) = newer.configuration.take() {
             applied.push(self.apply_configuration(configuration));
@@ -143,12 +195,39 @@
             self.index_addresses();
             applied.push(Applied::Servers);
         }
-        self.recent.clear();
-        self.recent_since = newer.revision;
         self.advance(newer.revision);
         applied
     }
 
+    /// Keeps the changes that lead to `newer`, so that nodes that are behind are not all sent
+    /// the whole because this one had to read it.
+    fn keep_difference(&mut self, newer: &Snapshot) {
+        let difference = difference(&self.snapshot, newer);
+        let is_first = self.snapshot.revision == 0;
+        if is_first || difference.len() > KEPT_CHANGES || self.gaps.len() >= KEPT_GAPS {
+            self.recent.clear();
+            self.recent_since = newer.revision;
+            self.forget_gaps();
+            return;
+        }
+        if newer.revision == self.snapshot.revision {
+            return;
+        }
+        self.gaps.push(Gap {
+            after: self.snapshot.revision,
+            until: newer.revision,
+        });
+        for change in difference {
+            self.keep(change);
+        }
+    }
+
+    /// Forgets gaps before the changes that are kept.
+    fn forget_gaps(&mut self) {
+        let kept_since = self.recent_since;
+        self.gaps.retain(|gap| gap.until > kept_since);
+    }
+
     /// Forgets servers that vanished too long ago. True if there were any. The
     /// source has been available since `available_since`; none while it is lost:
     /// then nothing is forgotten, as no server can come back.
--- a/crates/state/src/mesh/mod.rs
+++ b/crates/state/src/mesh/mod.rs
@@ -16,4 +16,4 @@
 pub use server_instance::{InstanceId, ServerInstance, ServerState};
 pub use snapshot::{KnownServer, Snapshot};
 pub use tenant::{KeyDigest, RateLimit, Tenant};
-pub use update::{Change, RevisedChange, Update};
+pub use update::{Change, Gap, RevisedChange, Update};
--- a/crates/state/src/mesh/update.rs
+++ b/crates/state/src/mesh/update.rs
@@ -34,6 +34,25 @@
     pub change: Change,
 }
 
+/// Revisions between which a node doesn't know every change, as it read the whole: something may
+/// have come and gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Gap {
+    /// The last revision before it.
+    #[n(0)]
+    pub after: u64,
+    /// The first revision past it.
+    #[n(1)]
+    pub until: u64,
+}
+
+impl Gap {
+    /// Whether the changes since `revision` can't be told because of it.
+    pub fn hides_changes_since(self, revision: u64) -> bool {
+        self.after < revision && revision < self.until
+    }
+}
+
 /// What one node sends another that is behind.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Update {
@@ -49,5 +68,9 @@
         /// The changes, in the order of their revisions.
         #[n(1)]
         changes: Vec<RevisedChange>,
+        /// Where the sender knows only what the changes led to.
+        #[n(2)]
+        #[cbor(default)]
+        gaps: Vec<Gap>,
     },
 }
