What a node asks the store is decided in one place, and does not grow with the fleet

Change: coordination::mesh::source_following decides, without I/O: starting, listening, watching, catching up. A node that starts looks for others in a read that may be old (a tenth of a call, and it tells addresses only), asks those, watchers of its own zone first, and reads the store itself after a time that is seldom short, so that few of many do. A node that fell behind reads at once if it watches; another asks nodes first, for 200 ms at most.

loop that asks moved from platform/ to proxy::source, behind a trait; platform/ only speaks the protocol. Calls are counted by kind (lifthollow_source_calls_total).

Two tests of real processes changed words: 'source lost' for 'store lost'; and that history is gone must be found by some node instead of node 0, as others may now learn from it before they ask.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -20,8 +20,8 @@
 //! [`poison`] tells which requests crash the servers that run them.
 //!
 //! [`snapshot_store`] keeps what the node was told from outside, forward only.
-//! [`watchers`] tells which nodes ask the source for all, and [`view_freshness`]
-//! when the others must.
+//! [`source_following`] tells what a node asks the source, and when. [`watchers`] tells which
+//! nodes ask it for all, and [`view_freshness`] when the others must.
 
 pub mod admission_queue;
 pub mod call;
@@ -41,6 +41,7 @@
 mod server_suitability;
 pub mod server_wanted;
 pub mod snapshot_store;
+pub mod source_following;
 pub mod tenants;
 pub mod view_freshness;
 pub mod watchers;
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -7,6 +7,7 @@
 //! a probe, so that no request is spent on finding out.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lifthollow_protocol::AdmissionLevel;
@@ -69,6 +70,8 @@
     own_zone: String,
     records: HashMap<InstanceId, ServerRecord>,
     by_service: HashMap<String, Vec<InstanceId>>,
+    /// Where the servers listen that were set last.
+    addresses: HashSet<SocketAddrV4>,
 }
 
 impl ServerPool {
@@ -88,7 +91,9 @@
     ) {
         let mut present = HashSet::new();
         self.by_service.clear();
+        self.addresses.clear();
         for instance in servers {
+            self.addresses.insert(instance.address);
             present.insert(instance.id.clone());
             if instance.is_ready() {
                 self.by_service
@@ -109,6 +114,11 @@
             .retain(|id, record| present.contains(id) || record.in_flight > 0);
     }
 
+    /// Whether a server listens at `address`.
+    pub fn has_address(&self, address: SocketAddrV4) -> bool {
+        self.addresses.contains(&address)
+    }
+
     /// The server that should get the next attempt for `service`. A server that is set aside is taken only if no other is left.
     pub fn choose(
         &self,
--- /dev/null
+++ b/crates/coordination/tests/mesh_source_following.rs
@@ -0,0 +1,300 @@
+//! What a node asks the source, and when.
+
+use std::time::Duration;
+
+use lifthollow_coordination::mesh::source_following::{
+    Follower, Following, Known, Step, seldom_short,
+};
+use lifthollow_coordination::mesh::watchers::{Place, nodes_to_ask, watchers};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{InstanceId, ServerInstance, ServerState};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_micros(milliseconds * 1000)
+}
+
+fn random(seed: u64) -> SmallRng {
+    SmallRng::seed_from_u64(seed)
+}
+
+const NOTHING: Known = Known {
+    revision: 0,
+    is_watcher: false,
+    knows_nodes: false,
+    is_busy: false,
+    view_age: None,
+};
+
+const LISTENING: Known = Known {
+    revision: 7,
+    is_watcher: false,
+    knows_nodes: true,
+    is_busy: false,
+    view_age: Some(Duration::ZERO),
+};
+
+/// What the node does next that is not waiting, and when.
+fn next(follower: &mut Follower, mut now: Timestamp, known: Known, seed: u64) -> (Timestamp, Step) {
+    let mut random = random(seed);
+    loop {
+        match follower.step(now, known, &mut random) {
+            Step::Wait(time) => now = now + time,
+            step => return (now, step),
+        }
+    }
+}
+
+#[test]
+fn a_node_that_starts_looks_for_others_before_it_reads_anything_else() {
+    let mut follower = Follower::new(at(0), &mut random(1));
+    assert_eq!(follower.following(NOTHING), Following::Starting);
+    assert_eq!(
+        next(&mut follower, at(0), NOTHING, 1),
+        (at(0), Step::FindNodes)
+    );
+}
+
+#[test]
+fn a_node_that_finds_nobody_reads_the_source_in_the_end() {
+    for seed in 0..50 {
+        let mut follower = Follower::new(at(0), &mut random(seed));
+        let mut now = at(0);
+        loop {
+            let (when, step) = next(&mut follower, now, NOTHING, seed);
+            now = when;
+            match step {
+                Step::FindNodes => follower.nodes_found(now, false, false, &mut random(seed)),
+                Step::ReadAll => break,
+                other => panic!("{other:?}"),
+            }
+        }
+        assert!(now <= at(4000), "{now:?}");
+    }
+}
+
+#[test]
+fn of_a_thousand_nodes_that_find_nobody_few_read_the_source_at_first() {
+    let early = (0..1000).filter(|seed| {
+        let mut follower = Follower::new(at(0), &mut random(*seed));
+        follower.nodes_found(at(0), false, false, &mut random(*seed));
+        let mut now = at(0);
+        loop {
+            let (when, step) = next(&mut follower, now, NOTHING, *seed);
+            if when > at(1500) {
+                return false;
+            }
+            if step == Step::ReadAll {
+                return true;
+            }
+            now = when + MILLISECOND;
+        }
+    });
+    let early = early.count();
+    assert!((1..60).contains(&early), "{early}");
+}
+
+#[test]
+fn a_node_chosen_to_watch_reads_the_source_once_nobody_could_help_and_others_wait() {
+    let known = Known {
+        knows_nodes: true,
+        ..NOTHING
+    };
+    for is_chosen in [true, false] {
+        let mut follower = Follower::new(at(0), &mut random(1));
+        follower.nodes_found(at(10), true, is_chosen, &mut random(1));
+        assert_eq!(
+            next(&mut follower, at(10), known, 1),
+            (at(10), Step::AskNodes(Duration::MAX))
+        );
+        follower.nodes_asked(at(15), known, &mut random(1));
+        let (_, step) = next(&mut follower, at(15), known, 1);
+        assert_eq!(step == Step::ReadAll, is_chosen, "{step:?}");
+    }
+}
+
+#[test]
+fn a_listener_asks_nodes_first_and_the_source_if_they_do_not_help() {
+    let mut follower = Follower::new(at(0), &mut random(1));
+    let old = Known {
+        view_age: Some(Duration::from_millis(1400)),
+        ..LISTENING
+    };
+    assert!(matches!(
+        follower.step(at(0), LISTENING, &mut random(1)),
+        Step::Wait(_)
+    ));
+    assert_eq!(
+        follower.step(at(0), old, &mut random(1)),
+        Step::AskNodes(Duration::MAX)
+    );
+    follower.nodes_asked(at(10), old, &mut random(1));
+    assert_eq!(
+        follower.step(at(10), old, &mut random(1)),
+        Step::AskForNewest
+    );
+}
+
+#[test]
+fn a_listener_that_fell_behind_is_told_by_others_before_it_reads() {
+    let old = Known {
+        view_age: Some(Duration::from_millis(1400)),
+        ..LISTENING
+    };
+    let mut follower = Follower::new(at(0), &mut random(1));
+    follower.fell_behind(at(0), old, &mut random(1));
+    assert_eq!(follower.following(old), Following::CatchingUp);
+    assert!(matches!(
+        follower.step(at(0), old, &mut random(1)),
+        Step::AskNodes(_)
+    ));
+    let told = Known {
+        revision: 8,
+        ..LISTENING
+    };
+    assert!(matches!(
+        follower.step(at(20), told, &mut random(1)),
+        Step::Wait(_)
+    ));
+    assert_eq!(follower.following(told), Following::Listening);
+}
+
+#[test]
+fn a_listener_that_fell_behind_reads_in_time_if_nobody_helps() {
+    let old = Known {
+        view_age: Some(Duration::from_millis(1400)),
+        ..LISTENING
+    };
+    for seed in 0..50 {
+        let mut follower = Follower::new(at(0), &mut random(seed));
+        follower.fell_behind(at(0), old, &mut random(seed));
+        let mut now = at(0);
+        loop {
+            let (when, step) = next(&mut follower, now, old, seed);
+            now = when;
+            if step == Step::ReadAll {
+                break;
+            }
+            let Step::AskNodes(limit) = step else {
+                panic!("{step:?}");
+            };
+            assert!(now + limit <= at(200), "it must be able to read in time");
+            follower.nodes_asked(now, old, &mut random(seed));
+        }
+        assert!(now <= at(200), "{now:?}");
+    }
+}
+
+#[test]
+fn a_watcher_that_fell_behind_reads_at_once_though_its_view_was_fresh() {
+    let watching = Known {
+        is_watcher: true,
+        ..LISTENING
+    };
+    let mut follower = Follower::new(at(0), &mut random(1));
+    assert_eq!(follower.step(at(0), watching, &mut random(1)), Step::Watch);
+    follower.fell_behind(at(0), watching, &mut random(1));
+    assert_eq!(
+        follower.step(at(0), watching, &mut random(1)),
+        Step::ReadAll
+    );
+}
+
+#[test]
+fn a_watcher_that_the_source_refuses_learns_from_the_others() {
+    let refused = Known {
+        is_watcher: true,
+        view_age: Some(Duration::from_millis(1400)),
+        ..LISTENING
+    };
+    let mut follower = Follower::new(at(0), &mut random(1));
+    follower.source_failed(at(0), &mut random(1));
+    assert_eq!(
+        follower.step(at(0), refused, &mut random(1)),
+        Step::AskNodes(Duration::MAX)
+    );
+    let (when, step) = next(&mut follower, at(1), refused, 1);
+    assert_eq!((when, step), (at(100), Step::Watch));
+}
+
+#[test]
+fn a_source_that_fails_is_asked_ever_more_seldom() {
+    let watching = Known {
+        is_watcher: true,
+        ..LISTENING
+    };
+    let mut follower = Follower::new(at(0), &mut random(1));
+    let mut now = at(0);
+    let mut asked = 0;
+    while now < at(10_000) {
+        let (when, step) = next(&mut follower, now, watching, 1);
+        assert_eq!(step, Step::Watch);
+        asked += 1;
+        now = when;
+        follower.source_failed(now, &mut random(1));
+    }
+    assert!((10..17).contains(&asked), "{asked}");
+}
+
+#[test]
+fn a_time_that_is_seldom_short_is_short_for_few_of_many() {
+    let limit = Duration::from_secs(1);
+    let mut random = random(1);
+    let drawn: Vec<Duration> = (0..10_000)
+        .map(|_| seldom_short(limit, &mut random))
+        .collect();
+    assert!(drawn.iter().all(|time| *time <= limit));
+    let short = drawn.iter().filter(|time| **time < limit / 4).count();
+    assert!((10..100).contains(&short), "{short}");
+}
+
+fn server(zone: usize, index: usize) -> ServerInstance {
+    ServerInstance {
+        id: InstanceId::new(&format!("i-{zone}-{index}")),
+        service: "feeds".to_owned(),
+        address: format!("10.{zone}.0.{index}:80")
+            .parse()
+            .expect("it is one"),
+        zone: format!("zone-{zone}"),
+        slots: 8,
+        state: ServerState::Ready,
+        warm_up: Duration::ZERO,
+    }
+}
+
+#[test]
+fn a_node_that_starts_asks_watchers_of_its_zone_first_and_never_itself() {
+    let servers: Vec<ServerInstance> = (0..5)
+        .flat_map(|zone| (1..40).map(move |index| server(zone, index)))
+        .collect();
+    let chosen = watchers(&servers);
+    for own in &servers {
+        let place = Place {
+            zone: &own.zone,
+            address: own.address,
+        };
+        let asked = nodes_to_ask(&servers, place, &mut random(1));
+        assert!(!asked.contains(&own.address));
+        let near = servers.iter().filter(|server| server.zone == own.zone);
+        let near_watcher = near
+            .map(|server| server.address)
+            .find(|address| chosen.contains(address) && *address != own.address);
+        if let Some(near_watcher) = near_watcher {
+            assert_eq!(asked[0], near_watcher);
+        }
+        assert!((4..=5).contains(&asked.len()), "{}", asked.len());
+    }
+}
+
+#[test]
+fn a_node_that_knows_only_its_own_server_asks_nobody() {
+    let own = server(0, 1);
+    let place = Place {
+        zone: &own.zone,
+        address: own.address,
+    };
+    assert!(nodes_to_ask(std::slice::from_ref(&own), place, &mut random(1)).is_empty());
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`inbound`]: attempts of other nodes, for the server beside this node;
 //! - [`node`]: the state that both share;
 //! - [`probe`]: whether a server that fell silent can be trusted again;
+//! - [`source`]: what is asked of the source of configuration and servers;
 //! - [`snapshots`]: what comes from outside, and from other nodes in its place;
 //! - [`suspects`]: requests that crash servers, and what nodes tell each other of them;
 //! - [`tenants`]: whose a request is, and whether its tenant may send one more;
@@ -32,6 +33,7 @@
 pub mod request_content;
 pub mod settings;
 pub mod snapshots;
+pub mod source;
 pub mod suspects;
 pub mod tenants;
 pub mod wire_names;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -35,6 +35,8 @@
     pub snapshot_revision: IntGauge,
     /// Changes of the snapshot, by where they came from.
     pub changes: IntCounterVec,
+    /// Calls to the source, by what they are for.
+    pub source_calls: IntCounterVec,
     /// Load at the server beside this node: running, waiting, limit.
     pub load: IntGaugeVec,
     /// Connections opened, to the server and to nodes.
@@ -89,6 +91,12 @@
                 "Changes of the snapshot, by where they came from.",
                 "source",
             )?,
+            source_calls: counters(
+                &registry,
+                "lifthollow_source_calls_total",
+                "Calls to the source of configuration and servers, by what they are for.",
+                "kind",
+            )?,
             load: gauges(
                 &registry,
                 "lifthollow_load",
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,13 +1,14 @@
 //! The state of one process, shared by everything that runs on its thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::header::HeaderValue;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::NotRunReason;
@@ -21,7 +22,7 @@
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
 use lifthollow_coordination::mesh::server_selection::ServerPool;
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
-use lifthollow_coordination::mesh::view_freshness::{self, Role, ViewFreshness};
+use lifthollow_coordination::mesh::view_freshness::{self, ViewFreshness};
 use lifthollow_coordination::mesh::watchers::watchers;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
 use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
@@ -69,6 +70,10 @@
     pub view: ViewFreshness,
     /// The servers whose nodes watch the source for all, by address.
     pub watchers: Vec<SocketAddrV4>,
+    /// Those of them that stand in this node's zone.
+    pub zone_watchers: Vec<SocketAddrV4>,
+    /// Servers that are new to this node, whose nodes it is to tell that there is a snapshot.
+    pub newcomers: Vec<SocketAddrV4>,
     /// The routes in force; none before a configuration arrived.
     pub routes: Option<Arc<RouteTable>>,
     /// Splits of routes over services.
@@ -161,6 +166,8 @@
     pub is_server_failing: Cell<bool>,
     /// Where this node takes messages of other nodes, as a header value.
     pub own_address: HeaderValue,
+    /// The snapshot as other nodes are sent it, with its revision.
+    pub encoded_snapshot: RefCell<Option<(u64, Bytes)>>,
     /// Whether an update is being fetched from another node.
     pub is_catching_up: Cell<bool>,
     /// When a caller or another node last asked for something, if ever.
@@ -183,6 +190,8 @@
             snapshots: SnapshotStore::default(),
             view: ViewFreshness::default(),
             watchers: Vec::new(),
+            zone_watchers: Vec::new(),
+            newcomers: Vec::new(),
             routes: None,
             split: WeightedSplit::default(),
             servers: ServerPool::new(&settings.zone),
@@ -212,6 +221,7 @@
             log,
             line_limit: LineLimit::default(),
             phase: Cell::new(Phase::Serving),
+            encoded_snapshot: RefCell::default(),
             is_catching_up: Cell::new(false),
             last_request: Cell::new(None),
             is_server_failing: Cell::new(false),
@@ -246,12 +256,11 @@
         state.watchers.is_empty() || state.watchers.contains(&self.settings.server_address)
     }
 
-    fn role(&self) -> Role {
-        match (self.is_watcher(), self.is_busy()) {
-            (false, _) => Role::Listener,
-            (true, true) => Role::BusyWatcher,
-            (true, false) => Role::IdleWatcher,
-        }
+    /// Whether this node knows of others that watch the source.
+    pub fn knows_watchers(&self) -> bool {
+        let state = self.state.borrow();
+        let own = self.settings.server_address;
+        state.watchers.iter().any(|address| *address != own)
     }
 
     /// Whether a caller or another node has asked for something lately.
@@ -261,11 +270,6 @@
         last.is_some_and(|last| now.saturating_since(last) < IDLE_AFTER)
     }
 
-    /// How old the view may grow before this node checks it; `drawn` is from 0 to 1.
-    pub fn age_limit(&self, drawn: f64) -> Duration {
-        view_freshness::age_limit(self.role(), drawn)
-    }
-
     /// Whether the view is so fresh that the source need not be asked.
     pub fn is_view_fresh(&self) -> bool {
         let age = self.view_age();
@@ -389,7 +393,7 @@
             self.refresh_routes(state, configuration);
         }
         let servers = state.snapshots.servers_in_force();
-        state.watchers = watchers(&servers);
+        self.refresh_watchers(state, &servers);
         self.refresh_queue(state, &servers);
         state.budgets.set_nodes(servers.len());
         state.tenants.set_servers(now, &servers);
@@ -397,6 +401,30 @@
         self.metrics.snapshot_revision.set(snapshot.revision as i64);
     }
 
+    /// Finds out which nodes watch the source. While no server is known, those of before do:
+    /// otherwise all would.
+    fn refresh_watchers(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
+        if servers.is_empty() {
+            return;
+        }
+        let own = self.settings.server_address;
+        let was_watcher = state.watchers.contains(&own);
+        state.watchers = watchers(servers);
+        let in_zone = |server: &&ServerInstance| server.zone == self.settings.zone;
+        let zone: HashSet<SocketAddrV4> = servers
+            .iter()
+            .filter(in_zone)
+            .map(|server| server.address)
+            .collect();
+        let watchers = state.watchers.iter().copied();
+        state.zone_watchers = watchers.filter(|address| zone.contains(address)).collect();
+        if was_watcher || state.watchers.contains(&own) {
+            let known = &state.servers;
+            let is_new = |address: &SocketAddrV4| *address != own && !known.has_address(*address);
+            state.newcomers.extend(zone.into_iter().filter(is_new));
+        }
+    }
+
     fn refresh_routes(&self, state: &mut TrafficState, configuration: &Configuration) {
         let known = state.routes.as_ref().map(|routes| routes.version());
         if known == Some(configuration.version) {
@@ -404,7 +432,7 @@
         }
         state.routes = Some(Arc::new(RouteTable::new(configuration)));
         state.tenants.set_configuration(configuration);
-        let names: std::collections::HashSet<&str> = configuration
+        let names: HashSet<&str> = configuration
             .routes
             .iter()
             .map(|route| route.name.as_str())
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::future::join_all;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response};
 use lifthollow_coordination::mesh::snapshot_store::Applied;
@@ -33,6 +35,8 @@
 const ASK_LIMIT: Duration = Duration::from_millis(200);
 /// How many nodes that watch the source are asked before the source itself.
 const WATCHERS_ASKED: usize = 2;
+/// How many newcomers are told at a time that there is a snapshot: each fetches it at once.
+const TOLD_AT_A_TIME: usize = 16;
 
 /// Takes in changes that the source tells of; all up to `revision` are included.
 pub fn apply(node: &Rc<Node>, revision: u64, changes: Vec<(u64, Change)>) {
@@ -51,8 +55,7 @@
         node.refresh(&mut state);
     }
     drop(state);
-    log_applied(node, "source", &applied);
-    exchange::ask_at_start(node);
+    note_applied(node, "source", &applied);
 }
 
 /// Takes in a whole snapshot, from the source or another node.
@@ -62,8 +65,13 @@
     let applied = state.snapshots.replace(now, snapshot);
     node.refresh(&mut state);
     drop(state);
-    log_applied(node, from, &applied);
+    note_applied(node, from, &applied);
+}
+
+fn note_applied(node: &Rc<Node>, from: &str, applied: &[Applied]) {
+    log_applied(node, from, applied);
     exchange::ask_at_start(node);
+    tell_newcomers(node);
 }
 
 fn log_applied(node: &Rc<Node>, from: &str, applied: &[Applied]) {
@@ -90,13 +98,37 @@
 /// it has.
 pub fn answer(node: &Rc<Node>, headers: &HeaderMap, arrived: Timestamp) -> Response<ProxyBody> {
     let theirs = peer_headers::revision(headers).unwrap_or(0);
-    let update = node.state.borrow().snapshots.update_since(theirs);
-    let bytes = minicbor::to_vec(&update).expect("writing to memory does not fail");
-    let mut response = Response::new(ProxyBody::Whole(bytes.into()));
+    let bytes = match node.state.borrow().snapshots.knows_changes_since(theirs) {
+        true => encoded_update_since(node, theirs),
+        false => encoded_snapshot(node),
+    };
+    let mut response = Response::new(ProxyBody::Whole(bytes));
     name_view(node, response.headers_mut(), arrived);
     response
 }
 
+/// The whole snapshot, encoded once for all that ask for it: many nodes start at the same time.
+fn encoded_snapshot(node: &Rc<Node>) -> Bytes {
+    const NO_REVISION: u64 = 0;
+    let revision = node.revision();
+    let mut kept = node.encoded_snapshot.borrow_mut();
+    if let Some((of, bytes)) = kept.as_ref()
+        && *of == revision
+    {
+        return bytes.clone();
+    }
+    let bytes = encoded_update_since(node, NO_REVISION);
+    *kept = Some((revision, bytes.clone()));
+    bytes
+}
+
+/// What a node lacks whose snapshot is of `revision`, encoded.
+fn encoded_update_since(node: &Rc<Node>, revision: u64) -> Bytes {
+    let update = node.state.borrow().snapshots.update_since(revision);
+    let bytes = minicbor::to_vec(&update).expect("writing to memory does not fail");
+    bytes.into()
+}
+
 /// Tells another node which revision this one has and what it knows of requests that
 /// crash servers, and where to ask for both.
 pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
@@ -166,10 +198,47 @@
     false
 }
 
+/// Some of the nodes that watch the source, those of the own zone first.
 fn drawn_watchers(node: &Rc<Node>) -> Vec<SocketAddrV4> {
-    let others = other_watchers(node).into_iter();
+    let others = other_watchers(node);
     let mut state = node.state.borrow_mut();
-    others.sample(&mut state.random, WATCHERS_ASKED)
+    let is_near = |node_address: &SocketAddrV4| {
+        let near = state.zone_watchers.iter();
+        near.map(|server| node.beside(*server))
+            .any(|address| address == *node_address)
+    };
+    let (near, far): (Vec<_>, Vec<_>) = others.into_iter().partition(is_near);
+    let mut drawn = near.into_iter().sample(&mut state.random, WATCHERS_ASKED);
+    let left = WATCHERS_ASKED - drawn.len();
+    drawn.extend(far.into_iter().sample(&mut state.random, left));
+    drawn
+}
+
+/// Asks the nodes beside `servers` for a snapshot, one after the other, until there is one.
+pub async fn ask_for_snapshot(node: &Rc<Node>, servers: Vec<SocketAddrV4>) {
+    for server in servers {
+        if node.revision() > 0 {
+            return;
+        }
+        fetch_update(node, node.beside(server), FETCH_LIMIT).await;
+    }
+}
+
+/// Tells the nodes beside servers that are new that there is a snapshot: they may be starting
+/// and know nobody.
+fn tell_newcomers(node: &Rc<Node>) {
+    let newcomers = std::mem::take(&mut node.state.borrow_mut().newcomers);
+    if newcomers.is_empty() {
+        return;
+    }
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        for some in newcomers.chunks(TOLD_AT_A_TIME) {
+            // The question names this node's revision.
+            let questions = some.iter().map(|server| node.beside(*server));
+            join_all(questions.map(|address| fetch_update(&node, address, ASK_LIMIT))).await;
+        }
+    });
 }
 
 /// Tells the nodes that watch the source what this one has learned from it: the
@@ -222,8 +291,7 @@
         .changes
         .with_label_values(&["node"])
         .inc_by(applied.len() as u64);
-    log_applied(node, from, &applied);
-    exchange::ask_at_start(node);
+    note_applied(node, from, &applied);
 }
 
 fn with_revision(answer: (Update, HeaderMap)) -> Result<(Update, HeaderMap), FetchError> {
