Nodes that watch the store spare each other questions

Change: a watcher first asks another one, for 60 ms at most, and does without if what both have was confirmed in the last 400 ms. Ages are told as before, so no view counts as younger than it is. Such questions don't make an idle watcher a busy one.

--- a/crates/coordination/src/mesh/view_freshness.rs
+++ b/crates/coordination/src/mesh/view_freshness.rs
@@ -63,6 +63,10 @@
 /// source.
 pub const ACCEPTED_AGE: Duration = Duration::from_millis(1000);
 
+/// The greatest age at which what another watcher knows spares a watcher a question to the
+/// source. Below the least age at which it asks, so that it does not ask others all the time.
+pub const SPARED_AGE: Duration = Duration::from_millis(400);
+
 /// What an answer of another node says of its view's age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NamedAge {
--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -1,6 +1,7 @@
 //! Attempts of other nodes, and what else they ask.
 
 use std::io;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,13 +32,11 @@
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
         let arrived = node.now();
-        if request.uri().path() != peer_headers::SUSPECTS_PATH {
-            // Such a question needs no fresh view. Each node asks it at its start, and
-            // idle watchers would ask the store 7 times in 3 s for it, where 6 are allowed
-            // (test `watching_takes_few_calls`).
+        let sender = peer_headers::sender(request.headers());
+        if needs_fresh_view(node, request.uri().path(), sender) {
             node.last_request.set(Some(arrived));
         }
-        if let Some(sender) = peer_headers::sender(request.headers()) {
+        if let Some(sender) = sender {
             snapshots::note_revision(node, request.headers(), sender);
         }
         match request.uri().path() {
@@ -74,6 +73,17 @@
     }
 }
 
+/// Whether what another node asks depends on how fresh this one's view is. Questions about
+/// requests that crash servers don't, which each node asks at its start, nor do those of nodes that
+/// watch the source themselves: idle watchers would ask it more often for them.
+fn needs_fresh_view(node: &Rc<Node>, path: &str, sender: Option<SocketAddrV4>) -> bool {
+    match path {
+        peer_headers::SUSPECTS_PATH => false,
+        peer_headers::SNAPSHOT_PATH => !sender.is_some_and(|sender| node.is_other_watcher(sender)),
+        _ => true,
+    }
+}
+
 async fn read_attempt(node: &Rc<Node>, request: Request<Option<Incoming>>) -> Option<Attempt> {
     let arrived = node.now();
     let (mut head, incoming) = request.into_parts();
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -256,6 +256,13 @@
         state.watchers.is_empty() || state.watchers.contains(&self.settings.server_address)
     }
 
+    /// Whether the node that takes messages at `address` watches the source.
+    pub fn is_other_watcher(&self, address: SocketAddrV4) -> bool {
+        let state = self.state.borrow();
+        let mut watchers = state.watchers.iter();
+        watchers.any(|server| self.beside(*server) == address)
+    }
+
     /// Whether this node knows of others that watch the source.
     pub fn knows_watchers(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/proxy/src/snapshots.rs
+++ b/crates/proxy/src/snapshots.rs
@@ -13,7 +13,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response};
 use lifthollow_coordination::mesh::snapshot_store::Applied;
-use lifthollow_coordination::mesh::view_freshness::NamedAge;
+use lifthollow_coordination::mesh::view_freshness::{self, NamedAge};
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{Change, Snapshot, Update};
 use rand::seq::IteratorRandom;
@@ -33,6 +33,9 @@
 /// The longest time that a node which watches the source may take to answer,
 /// before another one or the source is asked.
 const ASK_LIMIT: Duration = Duration::from_millis(200);
+/// The longest time that a node which watches the source waits for another one to spare it a
+/// question. Short, as listeners count on its view.
+const OTHER_WATCHER_LIMIT: Duration = Duration::from_millis(60);
 /// How many nodes that watch the source are asked before the source itself.
 const WATCHERS_ASKED: usize = 2;
 /// How many newcomers are told at a time that there is a snapshot: each fetches it at once.
@@ -198,6 +201,21 @@
     false
 }
 
+/// Asks another node that watches the source whether it has asked that a moment ago, which
+/// spares a question of this one. False if it has not.
+pub async fn ask_another_watcher(node: &Rc<Node>) -> bool {
+    let other = {
+        let others = other_watchers(node).into_iter();
+        others.choose(&mut node.state.borrow_mut().random)
+    };
+    let Some(other) = other else {
+        return false;
+    };
+    fetch_update(node, other, OTHER_WATCHER_LIMIT).await;
+    let age = node.view_age();
+    age.is_some_and(|age| age <= view_freshness::SPARED_AGE)
+}
+
 /// Some of the nodes that watch the source, those of the own zone first.
 fn drawn_watchers(node: &Rc<Node>) -> Vec<SocketAddrV4> {
     let others = other_watchers(node);
--- a/crates/proxy/src/source/watching.rs
+++ b/crates/proxy/src/source/watching.rs
@@ -68,6 +68,9 @@
                 answer = watching.as_mut() => return Ok(Some(answer)),
                 () = self.check_due() => {}
             }
+            if snapshots::ask_another_watcher(&self.node).await {
+                continue;
+            }
             if !self.is_newest(after).await? {
                 return Ok(timeout(WATCH_DELAY, watching.as_mut()).await.ok());
             }
