--- a/crates/coordination/src/mesh/source_following.rs
+++ b/crates/coordination/src/mesh/source_following.rs
@@ -205,7 +205,8 @@
         }
         if known.knows_nodes && now >= self.ask_at {
             self.ask_at = now + about(START_ASK_PAUSE, random);
-            return Step::AskNodes(Duration::MAX);
+            let until = self.read_at.max(self.paused_until);
+            return Step::AskNodes(until.saturating_since(now));
         }
         if now >= self.search_at && !is_paused {
             self.search_at = now + about(SEARCH_PAUSE, random);
