--- a/crates/coordination/src/mesh/source_following.rs
+++ b/crates/coordination/src/mesh/source_following.rs
@@ -127,7 +127,7 @@
     search_at: Timestamp,
     /// When other nodes are asked again.
     ask_at: Timestamp,
-    /// When all of the source is read: at a start, or since its history is gone.
+    /// When all of the source is read, of a node that starts or catches up.
     read_at: Timestamp,
     /// Whether a read that looks for others was answered.
     was_answered: bool,
@@ -142,8 +142,8 @@
     pause: Duration,
 }
 
-/// A time up to `limit` that is seldom short: half of the nodes draw more than 0.84 of it, one in 1,000 less than
-/// 0.18.
+/// A time up to `limit` that is seldom short: half of the nodes draw more than 0.84 of it, one
+/// in 1,000 less than 0.18.
 pub fn seldom_short(limit: Duration, random: &mut impl Rng) -> Duration {
     limit.mul_f64(random.random::<f64>().powf(0.25))
 }
@@ -252,7 +252,8 @@
         now < self.paused_until
     }
 
-    /// The source was out of reach a moment ago. Others may reach it: a watcher is among those that tell many.
+    /// The source was out of reach a moment ago. Other nodes may reach it, so a node whose view
+    /// has grown old asks these meanwhile.
     fn pause(&mut self, now: Timestamp, known: Known) -> Step {
         let may_ask = known.knows_nodes && !known.is_fresh();
         if may_ask && now >= self.ask_at {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -1,7 +1,9 @@
 //! The state of one process, shared by everything that runs on its thread.
 
+mod refresh;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -23,9 +25,8 @@
 use lifthollow_coordination::mesh::server_selection::ServerPool;
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
 use lifthollow_coordination::mesh::view_freshness::{self, ViewFreshness};
-use lifthollow_coordination::mesh::watchers::watchers;
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::mesh::{Configuration, InstanceId, ServerInstance};
+use lifthollow_state::mesh::{InstanceId, ServerInstance};
 use lifthollow_state::{ServiceName, Timestamp};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -51,9 +52,6 @@
 const SERVER_CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Requests that are let to the server before its slots are known.
 const UNKNOWN_SLOTS: u32 = 16;
-/// Share of a server's slots that is used; many servers slow down when they are
-/// nearly full.
-const USED_SLOTS: f64 = 0.95;
 /// Size of a head unless the configuration says otherwise, bytes.
 const MAX_HEADER_BYTES: u64 = 16 * 1024;
 /// How long a connection may stay unused unless the configuration says otherwise.
@@ -392,82 +390,6 @@
         }
     }
 
-    /// Brings routes, servers and limits in line with the snapshot.
-    pub fn refresh(&self, state: &mut TrafficState) {
-        let now = self.now();
-        let snapshot = state.snapshots.snapshot().clone();
-        if let Some(configuration) = &snapshot.configuration {
-            self.refresh_routes(state, configuration);
-        }
-        let servers = state.snapshots.servers_in_force();
-        self.refresh_watchers(state, &servers);
-        self.refresh_queue(state, &servers);
-        state.budgets.set_nodes(servers.len());
-        state.tenants.set_servers(now, &servers);
-        state.servers.set_servers(now, servers);
-        self.metrics.snapshot_revision.set(snapshot.revision as i64);
-    }
-
-    /// Finds out which nodes watch the source. While no server is known, those of before do:
-    /// otherwise all would.
-    fn refresh_watchers(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
-        if servers.is_empty() {
-            return;
-        }
-        let own = self.settings.server_address;
-        let was_watcher = state.watchers.contains(&own);
-        state.watchers = watchers(servers);
-        let in_zone = |server: &&ServerInstance| server.zone == self.settings.zone;
-        let zone: HashSet<SocketAddrV4> = servers
-            .iter()
-            .filter(in_zone)
-            .map(|server| server.address)
-            .collect();
-        let watchers = state.watchers.iter().copied();
-        state.zone_watchers = watchers.filter(|address| zone.contains(address)).collect();
-        if was_watcher || state.watchers.contains(&own) {
-            let known = &state.servers;
-            let is_new = |address: &SocketAddrV4| *address != own && !known.has_address(*address);
-            state.newcomers.extend(zone.into_iter().filter(is_new));
-        }
-    }
-
-    fn refresh_routes(&self, state: &mut TrafficState, configuration: &Configuration) {
-        let known = state.routes.as_ref().map(|routes| routes.version());
-        if known == Some(configuration.version) {
-            return;
-        }
-        state.routes = Some(Arc::new(RouteTable::new(configuration)));
-        state.tenants.set_configuration(configuration);
-        let names: HashSet<&str> = configuration
-            .routes
-            .iter()
-            .map(|route| route.name.as_str())
-            .collect();
-        state.split.retain(|name| names.contains(name));
-        self.metrics
-            .configuration_version
-            .set(configuration.version as i64);
-    }
-
-    fn refresh_queue(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
-        let own = servers.iter().find(|server| self.is_beside(server));
-        let own_id = own.map(|server| server.id.clone());
-        if own_id.is_some() && own_id != state.own_server {
-            state.admission.server_started(self.now());
-            // Connections to the start before are gone, and would cost a request each.
-            self.server_connections
-                .close_idle(self.settings.server_address);
-        }
-        state.own_server = own_id;
-        if let Some(own) = own {
-            let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
-            let limit = used.min(max_connections(state, &own.service)).max(1);
-            let started = state.admission.set_limit(self.now(), limit);
-            self.start_waiting(state, started);
-        }
-    }
-
     /// What callers may send and how long they may take.
     pub fn connection_limits(&self) -> ConnectionLimits {
         let state = self.state.borrow();
@@ -480,13 +402,3 @@
         }
     }
 }
-
-/// The most connections that a server of `service` takes; each run needs one.
-fn max_connections(state: &TrafficState, service: &str) -> u32 {
-    let snapshot = state.snapshots.snapshot();
-    let configuration = snapshot.configuration.as_ref();
-    let settings = configuration.and_then(|known| known.services.get(service));
-    settings
-        .and_then(|settings| settings.max_connections)
-        .unwrap_or(u32::MAX)
-}
--- /dev/null
+++ b/crates/proxy/src/node/refresh.rs
@@ -0,0 +1,105 @@
+//! What follows from a new snapshot: routes, servers, who watches the source, the limit of the
+//! server beside the node.
+
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use lifthollow_coordination::mesh::route_table::RouteTable;
+use lifthollow_coordination::mesh::watchers::watchers;
+use lifthollow_state::mesh::{Configuration, ServerInstance};
+
+use super::{Node, TrafficState};
+
+/// Share of a server's slots that is used; many servers slow down when they are
+/// nearly full.
+const USED_SLOTS: f64 = 0.95;
+
+impl Node {
+    /// Brings routes, servers and limits in line with the snapshot.
+    pub fn refresh(&self, state: &mut TrafficState) {
+        let now = self.now();
+        let snapshot = state.snapshots.snapshot().clone();
+        if let Some(configuration) = &snapshot.configuration {
+            self.refresh_routes(state, configuration);
+        }
+        let servers = state.snapshots.servers_in_force();
+        self.refresh_watchers(state, &servers);
+        self.refresh_queue(state, &servers);
+        state.budgets.set_nodes(servers.len());
+        state.tenants.set_servers(now, &servers);
+        state.servers.set_servers(now, servers);
+        self.metrics.snapshot_revision.set(snapshot.revision as i64);
+    }
+
+    /// Finds out which nodes watch the source. While no server is known, those of before do:
+    /// otherwise all would.
+    fn refresh_watchers(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
+        if servers.is_empty() {
+            return;
+        }
+        let own = self.settings.server_address;
+        let was_watcher = state.watchers.contains(&own);
+        state.watchers = watchers(servers);
+        let in_zone = |server: &&ServerInstance| server.zone == self.settings.zone;
+        let zone: HashSet<SocketAddrV4> = servers
+            .iter()
+            .filter(in_zone)
+            .map(|server| server.address)
+            .collect();
+        let watchers = state.watchers.iter().copied();
+        state.zone_watchers = watchers.filter(|address| zone.contains(address)).collect();
+        // One that is no longer chosen may know of those newcomers alone that are chosen now.
+        if was_watcher || state.watchers.contains(&own) {
+            let known = &state.servers;
+            let is_new = |address: &SocketAddrV4| *address != own && !known.has_address(*address);
+            state.newcomers.extend(zone.into_iter().filter(is_new));
+        }
+    }
+
+    fn refresh_routes(&self, state: &mut TrafficState, configuration: &Configuration) {
+        let known = state.routes.as_ref().map(|routes| routes.version());
+        if known == Some(configuration.version) {
+            return;
+        }
+        state.routes = Some(Arc::new(RouteTable::new(configuration)));
+        state.tenants.set_configuration(configuration);
+        let names: HashSet<&str> = configuration
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        state.split.retain(|name| names.contains(name));
+        self.metrics
+            .configuration_version
+            .set(configuration.version as i64);
+    }
+
+    fn refresh_queue(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
+        let own = servers.iter().find(|server| self.is_beside(server));
+        let own_id = own.map(|server| server.id.clone());
+        if own_id.is_some() && own_id != state.own_server {
+            state.admission.server_started(self.now());
+            // Connections to the start before are gone, and would cost a request each.
+            self.server_connections
+                .close_idle(self.settings.server_address);
+        }
+        state.own_server = own_id;
+        if let Some(own) = own {
+            let used = (f64::from(own.slots) * USED_SLOTS).floor() as u32;
+            let limit = used.min(max_connections(state, &own.service)).max(1);
+            let started = state.admission.set_limit(self.now(), limit);
+            self.start_waiting(state, started);
+        }
+    }
+}
+
+/// The most connections that a server of `service` takes; each run needs one.
+fn max_connections(state: &TrafficState, service: &str) -> u32 {
+    let snapshot = state.snapshots.snapshot();
+    let configuration = snapshot.configuration.as_ref();
+    let settings = configuration.and_then(|known| known.services.get(service));
+    settings
+        .and_then(|settings| settings.max_connections)
+        .unwrap_or(u32::MAX)
+}
--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -5,6 +5,7 @@
 
 mod watching;
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
-use crate::snapshots;
+use crate::snapshots::{self, asking};
 
 /// Why the source gave no answer.
 #[derive(Debug, Error)]
@@ -122,8 +123,9 @@
     fn note_following(&mut self, known: Known) {
         let following = self.follower.following(known);
         if following != self.following {
-            info!(self.node.log, "follows the source otherwise"; "now" => ?following, "before" => ?self.following,
-                "revision" => known.revision, "view_age_ms" => known.view_age.map(|age| age.as_millis() as u64));
+            let age_ms = known.view_age.map(|age| age.as_millis() as u64);
+            info!(self.node.log, "follows the source otherwise"; "now" => ?following,
+                "before" => ?self.following, "revision" => known.revision, "view_age_ms" => age_ms);
             self.following = following;
         }
         if following != Following::Starting {
@@ -134,9 +136,9 @@
     async fn ask_nodes(&mut self, limit: Duration) {
         let asking = async {
             if self.node.revision() > 0 {
-                snapshots::ask_watchers(&self.node).await;
+                asking::ask_watchers(&self.node).await;
             } else {
-                snapshots::ask_for_snapshot(&self.node, self.nodes_to_ask()).await;
+                asking::ask_for_snapshot(&self.node, self.nodes_to_ask()).await;
             }
         };
         // Whatever an answer has brought until then is kept.
@@ -146,7 +148,7 @@
         self.follower.nodes_asked(now, known, random);
     }
 
-    fn nodes_to_ask(&self) -> Vec<std::net::SocketAddrV4> {
+    fn nodes_to_ask(&self) -> Vec<SocketAddrV4> {
         let settings = &self.node.settings;
         let own = Place {
             zone: &settings.zone,
@@ -161,7 +163,8 @@
         self.note_answer();
         let now = self.node.now();
         let is_chosen = watchers(&found).contains(&self.node.settings.server_address);
-        info!(self.node.log, "looked for other nodes"; "found" => found.len(), "chosen_to_watch" => is_chosen);
+        info!(self.node.log, "looked for other nodes"; "found" => found.len(),
+            "chosen_to_watch" => is_chosen);
         self.found = found;
         let random = &mut self.node.state.borrow_mut().random;
         let are_any = !self.found.is_empty();
@@ -176,7 +179,7 @@
         snapshots::replace(&self.node, "source", snapshot);
         self.brought_up_to_date(revision, asked);
         if !self.node.is_watcher() {
-            snapshots::tell_watchers(&self.node);
+            asking::tell_watchers(&self.node);
         }
         Ok(())
     }
--- a/crates/proxy/src/source/watching.rs
+++ b/crates/proxy/src/source/watching.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use crate::snapshots;
+use crate::snapshots::asking;
 
 use super::{Changes, Source, SourceError, SourceFollower};
 
@@ -39,7 +39,7 @@
         }
         if !self.node.is_watcher() {
             // This node watched because it knew of nobody, and those that are to don't know yet.
-            snapshots::tell_watchers(&self.node);
+            asking::tell_watchers(&self.node);
         }
         sleep(GATHER).await;
         Ok(())
@@ -68,7 +68,7 @@
                 answer = watching.as_mut() => return Ok(Some(answer)),
                 () = self.check_due() => {}
             }
-            if snapshots::ask_another_watcher(&self.node).await {
+            if asking::ask_another_watcher(&self.node).await {
                 continue;
             }
             if !self.is_newest(after).await? {
