--- a/crates/proxy/src/snapshots/asking.rs
+++ b/crates/proxy/src/snapshots/asking.rs
@@ -46,15 +46,13 @@
 }
 
 /// Asks nodes that watch the source what this one lacks, until its view is fresh.
-/// False if it is not.
-pub async fn ask_watchers(node: &Rc<Node>) -> bool {
+pub async fn ask_watchers(node: &Rc<Node>) {
     for address in drawn_watchers(node) {
         fetch_update(node, address, ASK_LIMIT).await;
         if node.is_view_fresh() {
-            return true;
+            return;
         }
     }
-    false
 }
 
 /// Asks another node that watches the source whether it has asked that a moment ago, which
