The log says of which revision a read of all was, and what was known

Nodes whose store came back from an older copy logged that they fell behind, 60 to 75 times a second, and nothing of what their reads brought: neither the revision nor the configuration's version. That is what tells a read that was thrown away from one that was not answered.

--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -175,6 +175,7 @@
     async fn read_all(&mut self) -> Result<(), SourceError> {
         let asked = self.node.now();
         let snapshot = self.source.read_all().await?;
+        self.note_read(&snapshot);
         let revision = snapshot.revision;
         snapshots::replace(&self.node, "source", snapshot);
         self.brought_up_to_date(revision, asked);
@@ -184,6 +185,15 @@
         Ok(())
     }
 
+    /// Logs what was read beside what is known: which of them is newer decides what is kept.
+    fn note_read(&self, read: &Snapshot) {
+        let version = read.configuration.as_ref().map(|read| read.version);
+        info!(self.node.log, "read all of the source"; "revision" => read.revision,
+            "version" => version, "servers" => read.servers.len(),
+            "known_revision" => self.node.revision(),
+            "known_version" => self.node.configuration_version());
+    }
+
     /// Asks whether the source has anything newer than the snapshot.
     async fn ask_for_newest(&mut self) -> Result<(), SourceError> {
         let asked = self.node.now();
