--- a/crates/coordination/src/mesh/snapshot_store.rs
+++ b/crates/coordination/src/mesh/snapshot_store/mod.rs
@@ -4,30 +4,27 @@
 //! answer it, from other nodes. Whatever the way, nothing older replaces
 //! anything newer.
 
+mod change_log;
+
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{
-    Change, Configuration, ConfigurationError, Gap, InstanceId, KnownServer, RevisedChange,
-    ServerInstance, Snapshot, Update,
+    Change, Configuration, ConfigurationError, InstanceId, KnownServer, RevisedChange, Revision,
+    ServerInstance, Snapshot, SnapshotVersion, Update,
 };
 
+use change_log::ChangeLog;
+
 /// A server whose entry is gone without an announcement is remembered this long,
 /// and until the source has been available for as long: its entry may have run out
 /// while the source was away, and is back about two seconds after the source is,
 /// if the server lives. If its service has no other server, it is asked until then.
 const VANISHED_GRACE: Duration = Duration::from_millis(2500);
-/// Changes that are kept for nodes that are behind. One that is further behind is
-/// sent the whole snapshot.
-const KEPT_CHANGES: usize = 1024;
-
-/// Gaps between kept changes. With more, the changes before are forgotten.
-const KEPT_GAPS: usize = 32;
-
 /// What came of a change.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Applied {
@@ -41,49 +38,15 @@
     Refused(Vec<ConfigurationError>),
 }
 
-/// The changes that lead from one snapshot to a newer one, in the order of their revisions. When a
-/// server went or the configuration changed is not known: at the latest with the newer snapshot.
-/// A source that tells its items in parts may tell some that are newer than their snapshot; these
-/// count as of that.
-fn difference(older: &Snapshot, newer: &Snapshot) -> Vec<RevisedChange> {
-    let first = older.revision.saturating_add(1).min(newer.revision);
-    let mut changes: Vec<RevisedChange> = newer
-        .servers
-        .iter()
-        .filter(|(id, known)| older.servers.get(id) != Some(known))
-        .map(|(_, known)| RevisedChange {
-            revision: known.revision.clamp(first, newer.revision),
-            change: Change::Server(known.instance.clone()),
-        })
-        .collect();
-    changes.sort_by_key(|change| change.revision);
-    let gone = older.servers.keys().filter(|id| newer.server(id).is_none());
-    let gone = gone.cloned().map(Change::ServerGone);
-    let configuration = newer.configuration.iter();
-    let configuration = configuration
-        .filter(|newest| older.configuration.as_ref() != Some(newest))
-        .cloned()
-        .map(Change::Configuration);
-    changes.extend(gone.chain(configuration).map(|change| RevisedChange {
-        revision: newer.revision,
-        change,
-    }));
-    changes
-}
-
 /// The snapshot in force.
 #[derive(Clone, Debug, Default)]
 pub struct SnapshotStore {
     snapshot: Arc<Snapshot>,
     vanished: BTreeMap<InstanceId, (ServerInstance, Timestamp)>,
     /// The revisions of the entries with an address, which are few.
-    revisions_at: HashMap<SocketAddrV4, Vec<u64>>,
-    /// The last changes, in the order of their revisions.
-    recent: VecDeque<RevisedChange>,
-    /// All changes after this revision are among them.
-    recent_since: u64,
-    /// Where not every change is known, but what they led to.
-    gaps: Vec<Gap>,
+    revisions_at: HashMap<SocketAddrV4, Vec<Revision>>,
+    /// The last changes.
+    changes: ChangeLog,
 }
 
 impl SnapshotStore {
@@ -93,11 +56,11 @@
     }
 
     /// Takes in one change that was made at `revision`.
-    pub fn apply(&mut self, now: Timestamp, revision: u64, change: Change) -> Applied {
-        if revision <= self.snapshot.revision {
+    pub fn apply(&mut self, now: Timestamp, revision: Revision, change: Change) -> Applied {
+        if !revision.continues(self.snapshot.revision) {
             return Applied::Nothing;
         }
-        self.keep(RevisedChange {
+        self.changes.keep(RevisedChange {
             revision,
             change: change.clone(),
         });
@@ -113,8 +76,8 @@
     }
 
     /// All changes up to `revision` were applied.
-    pub fn advance(&mut self, revision: u64) {
-        if revision > self.snapshot.revision {
+    pub fn advance(&mut self, revision: Revision) {
+        if revision.continues(self.snapshot.revision) {
             Arc::make_mut(&mut self.snapshot).revision = revision;
         }
     }
@@ -128,8 +91,8 @@
                 changes,
                 gaps,
             } => {
-                if revision > self.snapshot.revision {
-                    self.gaps.extend(gaps);
+                if revision.continues(self.snapshot.revision) {
+                    self.changes.add_gaps(gaps);
                 }
                 let applied = changes
                     .into_iter()
@@ -141,37 +104,30 @@
         }
     }
 
-    /// Whether the changes since `revision` are known apart.
-    pub fn knows_changes_since(&self, revision: u64) -> bool {
-        let is_hidden = |gap: &Gap| gap.hides_changes_since(revision);
-        revision > 0 && revision >= self.recent_since && !self.gaps.iter().any(is_hidden)
+    /// What this node says of its snapshot to others.
+    pub fn version(&self) -> SnapshotVersion {
+        self.snapshot.version()
     }
 
-    /// What a node needs whose snapshot is of `revision`.
-    pub fn update_since(&self, revision: u64) -> Update {
-        if !self.knows_changes_since(revision) {
-            return Update::Whole((*self.snapshot).clone());
-        }
-        let is_new = |change: &&RevisedChange| change.revision > revision;
-        let is_later = |gap: &&Gap| gap.until > revision;
-        Update::Difference {
-            revision: self.snapshot.revision,
-            changes: self.recent.iter().filter(is_new).cloned().collect(),
-            gaps: self.gaps.iter().filter(is_later).copied().collect(),
-        }
+    /// Whether a node whose snapshot is of `theirs` needs the whole: the changes since are not
+    /// known apart, or they don't tell the configuration that is in force here.
+    pub fn needs_whole(&self, theirs: SnapshotVersion) -> bool {
+        let configuration = self.version().configuration;
+        let is_told = theirs.configuration >= configuration
+            || self
+                .changes
+                .tells_configuration(theirs.revision, configuration);
+        !self.changes.knows_changes_since(theirs.revision) || !is_told
     }
 
-    fn keep(&mut self, change: RevisedChange) {
-        let newest = self.recent.back().map_or(0, |newest| newest.revision);
-        if change.revision < newest {
-            return;
-        }
-        self.recent.push_back(change);
-        if self.recent.len() > KEPT_CHANGES
-            && let Some(oldest) = self.recent.pop_front()
-        {
-            self.recent_since = oldest.revision;
-            self.forget_gaps();
+    /// What a node needs whose snapshot is of `theirs`.
+    pub fn update_since(&self, theirs: SnapshotVersion) -> Update {
+        match self.needs_whole(theirs) {
+            true => Update::Whole((*self.snapshot).clone()),
+            false => {
+                let newest = self.snapshot.revision;
+                self.changes.difference_since(theirs.revision, newest)
+            }
         }
     }
 
@@ -180,7 +136,7 @@
         if newer.revision < self.snapshot.revision {
             return Vec::new();
         }
-        self.keep_difference(&newer);
+        self.changes.keep_difference(&self.snapshot, &newer);
         let mut applied = Vec::new();
         if let Some(configuration) = newer.configuration.take() {
             applied.push(self.apply_configuration(configuration));
@@ -200,35 +156,6 @@
         applied
     }
 
-    /// Keeps the changes that lead to `newer`, so that nodes that are behind are not all sent
-    /// the whole because this one had to read it.
-    fn keep_difference(&mut self, newer: &Snapshot) {
-        let difference = difference(&self.snapshot, newer);
-        let is_first = self.snapshot.revision == 0;
-        if is_first || difference.len() > KEPT_CHANGES || self.gaps.len() >= KEPT_GAPS {
-            self.recent.clear();
-            self.recent_since = newer.revision;
-            self.forget_gaps();
-            return;
-        }
-        if newer.revision == self.snapshot.revision {
-            return;
-        }
-        self.gaps.push(Gap {
-            after: self.snapshot.revision,
-            until: newer.revision,
-        });
-        for change in difference {
-            self.keep(change);
-        }
-    }
-
-    /// Forgets gaps before the changes that are kept.
-    fn forget_gaps(&mut self) {
-        let kept_since = self.recent_since;
-        self.gaps.retain(|gap| gap.until > kept_since);
-    }
-
     /// Forgets servers that vanished too long ago. True if there were any. The
     /// source has been available since `available_since`; none while it is lost:
     /// then nothing is forgotten, as no server can come back.
@@ -335,7 +262,7 @@
         Applied::Configuration
     }
 
-    fn apply_server(&mut self, revision: u64, instance: ServerInstance) -> Applied {
+    fn apply_server(&mut self, revision: Revision, instance: ServerInstance) -> Applied {
         let known = self.snapshot.server(&instance.id);
         if known.is_some_and(|known| known.revision >= revision) {
             return Applied::Nothing;
@@ -352,7 +279,7 @@
         Applied::Servers
     }
 
-    fn server_gone(&mut self, now: Timestamp, revision: u64, id: &InstanceId) -> Applied {
+    fn server_gone(&mut self, now: Timestamp, revision: Revision, id: &InstanceId) -> Applied {
         match self.remove_server(revision, id) {
             Some(server) => {
                 let id = server.instance.id.clone();
@@ -363,7 +290,7 @@
         }
     }
 
-    fn remove_server(&mut self, revision: u64, id: &InstanceId) -> Option<KnownServer> {
+    fn remove_server(&mut self, revision: Revision, id: &InstanceId) -> Option<KnownServer> {
         let known = self.snapshot.server(id)?;
         if known.revision > revision {
             return None;
--- a/crates/coordination/src/mesh/source_following.rs
+++ b/crates/coordination/src/mesh/source_following.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::Revision;
 use rand::{Rng, RngExt};
 
 use crate::mesh::view_freshness::{self, ACCEPTED_AGE, Role};
@@ -67,8 +68,8 @@
 /// What a node knows when it decides.
 #[derive(Clone, Copy, Debug)]
 pub struct Known {
-    /// Revision of its snapshot; 0 if it has none.
-    pub revision: u64,
+    /// Revision of its snapshot.
+    pub revision: Revision,
     /// Whether it is one of the few that watch the source.
     pub is_watcher: bool,
     /// Whether it knows other nodes that it could ask.
@@ -134,7 +135,7 @@
     /// Whether a node that starts was chosen to watch by those that it has found.
     is_chosen: bool,
     /// The revision since which the source does not tell the changes, while none newer is known.
-    behind_since: Option<u64>,
+    behind_since: Option<Revision>,
     /// Whether other nodes were asked in vain since the view was last fresh.
     asked_in_vain: bool,
     /// The source is asked for nothing until then.
@@ -173,7 +174,7 @@
     /// How the node follows the source.
     pub fn following(&self, known: Known) -> Following {
         match self.behind_since {
-            _ if known.revision == 0 => Following::Starting,
+            _ if known.revision.is_none() => Following::Starting,
             Some(_) => Following::CatchingUp,
             None if known.is_watcher => Following::Watching,
             None => Following::Listening,
@@ -182,7 +183,7 @@
 
     /// What to do now.
     pub fn step(&mut self, now: Timestamp, known: Known, random: &mut impl Rng) -> Step {
-        let is_behind = |since: &u64| known.revision <= *since || !known.is_fresh();
+        let is_behind = |since: &Revision| known.revision <= *since || !known.is_fresh();
         self.behind_since = self.behind_since.filter(is_behind);
         let step = match self.following(known) {
             Following::Starting => self.start(now, known, random),
--- a/crates/coordination/tests/mesh_routes.rs
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -6,7 +6,7 @@
 use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
 use lifthollow_state::mesh::{Change, ConfigurationError, KnownServer, ServerState, Snapshot};
-use mesh_support::{at, configuration, id, part, random, route, server};
+use mesh_support::{at, at_revision, configuration, id, part, random, route, server};
 
 #[test]
 fn longest_prefix_of_the_host_wins() {
@@ -74,12 +74,12 @@
     let mut store = SnapshotStore::default();
     let newer = configuration(7, vec![route("r", "/")]);
     let older = configuration(6, vec![route("old", "/")]);
-    let applied = store.apply(at(0), 10, Change::Configuration(newer));
+    let applied = store.apply(at(0), at_revision(10), Change::Configuration(newer));
     assert_eq!(applied, Applied::Configuration);
-    let applied = store.apply(at(1), 11, Change::Configuration(older.clone()));
+    let applied = store.apply(at(1), at_revision(11), Change::Configuration(older.clone()));
     assert_eq!(applied, Applied::Nothing);
     let snapshot = Snapshot {
-        revision: 12,
+        revision: at_revision(12),
         configuration: Some(older),
         ..Snapshot::default()
     };
@@ -95,14 +95,18 @@
 #[test]
 fn older_snapshot_is_left_out_as_a_whole() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 20, Change::Server(server("i-1", "a", 1)));
-    store.advance(20);
+    store.apply(
+        at(0),
+        at_revision(20),
+        Change::Server(server("i-1", "a", 1)),
+    );
+    store.advance(at_revision(20));
     assert!(
         store
             .replace(
                 at(1),
                 Snapshot {
-                    revision: 19,
+                    revision: at_revision(19),
                     ..Snapshot::default()
                 }
             )
@@ -116,7 +120,7 @@
     let mut store = SnapshotStore::default();
     store.apply(
         at(0),
-        1,
+        at_revision(1),
         Change::Configuration(configuration(1, vec![route("r", "/")])),
     );
     let mut bare = route("bare", "a");
@@ -125,7 +129,9 @@
     idle.destinations = vec![part("feeds", 0)];
     idle.max_attempts = 0;
     let broken = configuration(2, vec![bare, idle]);
-    let Applied::Refused(findings) = store.apply(at(1), 2, Change::Configuration(broken)) else {
+    let Applied::Refused(findings) =
+        store.apply(at(1), at_revision(2), Change::Configuration(broken))
+    else {
         panic!("it was not refused");
     };
     let named = |wanted: fn(&ConfigurationError) -> bool| findings.iter().any(wanted);
@@ -156,11 +162,11 @@
 #[test]
 fn late_news_of_a_server_does_not_bring_it_back() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
+    store.apply(at(0), at_revision(5), Change::Server(server("i-1", "a", 1)));
     let mut draining = server("i-1", "a", 1);
     draining.state = ServerState::Draining;
-    store.apply(at(1), 8, Change::Server(draining));
-    let applied = store.apply(at(2), 6, Change::Server(server("i-1", "a", 1)));
+    store.apply(at(1), at_revision(8), Change::Server(draining));
+    let applied = store.apply(at(2), at_revision(6), Change::Server(server("i-1", "a", 1)));
     assert_eq!(applied, Applied::Nothing);
     assert!(!store.snapshot().servers[&id("i-1")].instance.is_ready());
 }
@@ -168,8 +174,8 @@
 /// A store that saw the only server's entry go at 1 s.
 fn store_without_its_server() -> SnapshotStore {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
-    store.apply(at(1000), 6, Change::ServerGone(id("i-1")));
+    store.apply(at(0), at_revision(5), Change::Server(server("i-1", "a", 1)));
+    store.apply(at(1000), at_revision(6), Change::ServerGone(id("i-1")));
     assert!(store.snapshot().servers.is_empty());
     store
 }
@@ -198,7 +204,11 @@
 #[test]
 fn server_that_is_back_is_no_longer_a_vanished_one() {
     let mut store = store_without_its_server();
-    store.apply(at(2500), 7, Change::Server(server("i-1", "a", 1)));
+    store.apply(
+        at(2500),
+        at_revision(7),
+        Change::Server(server("i-1", "a", 1)),
+    );
     assert!(!store.forget_vanished(at(9_000), Some(at(0))));
     assert_eq!(ids_in_force(&store), ["i-1"]);
 }
@@ -208,8 +218,8 @@
     let mut store = SnapshotStore::default();
     let mut draining = server("i-1", "a", 1);
     draining.state = ServerState::Draining;
-    store.apply(at(0), 5, Change::Server(draining));
-    store.apply(at(1000), 6, Change::ServerGone(id("i-1")));
+    store.apply(at(0), at_revision(5), Change::Server(draining));
+    store.apply(at(1000), at_revision(6), Change::ServerGone(id("i-1")));
     assert!(store.recently_vanished().is_empty());
 }
 
@@ -221,31 +231,51 @@
 #[test]
 fn of_entries_with_one_address_the_newest_is_in_force() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-old", "a", 1)));
-    store.apply(at(1), 7, Change::Server(server("i-new", "a", 1)));
-    store.apply(at(2), 6, Change::Server(server("i-other", "a", 2)));
+    store.apply(
+        at(0),
+        at_revision(5),
+        Change::Server(server("i-old", "a", 1)),
+    );
+    store.apply(
+        at(1),
+        at_revision(7),
+        Change::Server(server("i-new", "a", 1)),
+    );
+    store.apply(
+        at(2),
+        at_revision(6),
+        Change::Server(server("i-other", "a", 2)),
+    );
     assert_eq!(ids_in_force(&store), ["i-new", "i-other"]);
 }
 
 #[test]
 fn address_that_went_to_another_service_no_longer_serves_the_former() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-feeds", "a", 1)));
+    store.apply(
+        at(0),
+        at_revision(5),
+        Change::Server(server("i-feeds", "a", 1)),
+    );
     let mut taken_over = server("i-media", "a", 1);
     taken_over.service = "media".to_owned();
-    store.apply(at(1), 6, Change::Server(taken_over));
+    store.apply(at(1), at_revision(6), Change::Server(taken_over));
     assert_eq!(ids_in_force(&store), ["i-media"]);
-    store.apply(at(2), 7, Change::ServerGone(id("i-feeds")));
+    store.apply(at(2), at_revision(7), Change::ServerGone(id("i-feeds")));
     assert_eq!(ids_in_force(&store), ["i-media"], "its address is taken");
 }
 
 #[test]
 fn draining_server_with_the_newest_entry_keeps_its_address() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-old", "a", 1)));
+    store.apply(
+        at(0),
+        at_revision(5),
+        Change::Server(server("i-old", "a", 1)),
+    );
     let mut draining = server("i-new", "a", 1);
     draining.state = ServerState::Draining;
-    store.apply(at(1), 6, Change::Server(draining));
+    store.apply(at(1), at_revision(6), Change::Server(draining));
     assert_eq!(ids_in_force(&store), ["i-new"]);
     assert!(!store.servers_in_force()[0].is_ready());
 }
@@ -253,19 +283,27 @@
 #[test]
 fn older_entry_is_in_force_again_when_the_newer_one_is_gone() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-old", "a", 1)));
-    store.apply(at(1), 6, Change::Server(server("i-new", "a", 1)));
-    store.apply(at(2), 7, Change::ServerGone(id("i-new")));
+    store.apply(
+        at(0),
+        at_revision(5),
+        Change::Server(server("i-old", "a", 1)),
+    );
+    store.apply(
+        at(1),
+        at_revision(6),
+        Change::Server(server("i-new", "a", 1)),
+    );
+    store.apply(at(2), at_revision(7), Change::ServerGone(id("i-new")));
     assert_eq!(ids_in_force(&store), ["i-old"]);
 }
 
 #[test]
 fn vanished_server_stays_in_force_only_while_its_service_has_no_other() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), 5, Change::Server(server("i-1", "a", 1)));
-    store.apply(at(1), 6, Change::ServerGone(id("i-1")));
+    store.apply(at(0), at_revision(5), Change::Server(server("i-1", "a", 1)));
+    store.apply(at(1), at_revision(6), Change::ServerGone(id("i-1")));
     assert_eq!(ids_in_force(&store), ["i-1"]);
-    store.apply(at(2), 7, Change::Server(server("i-2", "a", 2)));
+    store.apply(at(2), at_revision(7), Change::Server(server("i-2", "a", 2)));
     assert_eq!(ids_in_force(&store), ["i-2"]);
 }
 
@@ -274,14 +312,14 @@
     let mut store = SnapshotStore::default();
     store.apply(
         at(0),
-        1,
+        at_revision(1),
         Change::Configuration(configuration(3, vec![route("r", "/a/")])),
     );
-    store.apply(at(0), 2, Change::Server(server("i-1", "a", 1)));
-    store.advance(2);
+    store.apply(at(0), at_revision(2), Change::Server(server("i-1", "a", 1)));
+    store.advance(at_revision(2));
     let bytes = minicbor::to_vec(&**store.snapshot()).expect("encoded");
     let decoded: Snapshot = minicbor::decode(&bytes).expect("decoded");
     assert_eq!(decoded, **store.snapshot());
     let known: &KnownServer = &decoded.servers[&id("i-1")];
-    assert_eq!(known.revision, 2);
+    assert_eq!(known.revision, at_revision(2));
 }
--- a/crates/coordination/tests/mesh_source_following.rs
+++ b/crates/coordination/tests/mesh_source_following.rs
@@ -7,7 +7,7 @@
 };
 use lifthollow_coordination::mesh::watchers::{Place, nodes_to_ask, watchers};
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::{InstanceId, ServerInstance, ServerState};
+use lifthollow_state::mesh::{InstanceId, Revision, ServerInstance, ServerState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -22,7 +22,7 @@
 }
 
 const NOTHING: Known = Known {
-    revision: 0,
+    revision: Revision::NONE,
     is_watcher: false,
     knows_nodes: false,
     is_busy: false,
@@ -30,7 +30,7 @@
 };
 
 const LISTENING: Known = Known {
-    revision: 7,
+    revision: Revision::new(1, 7),
     is_watcher: false,
     knows_nodes: true,
     is_busy: false,
@@ -170,7 +170,7 @@
         Step::AskNodes(_)
     ));
     let told = Known {
-        revision: 8,
+        revision: Revision::new(1, 8),
         ..LISTENING
     };
     assert!(matches!(
--- a/crates/coordination/tests/mesh_support/mod.rs
+++ b/crates/coordination/tests/mesh_support/mod.rs
@@ -5,8 +5,8 @@
 
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{
-    Configuration, Destination, InstanceId, RequestKind, Route, ServerInstance, ServerState,
-    ServiceSettings,
+    Configuration, Destination, InstanceId, RequestKind, Revision, Route, ServerInstance,
+    ServerState, ServiceSettings, SnapshotVersion,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -19,6 +19,23 @@
     Duration::from_millis(milliseconds)
 }
 
+/// The revision `number` of the first era.
+pub fn at_revision(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
+/// What a node says of its snapshot that has a revision of the first era and no configuration.
+pub fn version_of(number: u64) -> SnapshotVersion {
+    let revision = match number {
+        0 => Revision::NONE,
+        number => at_revision(number),
+    };
+    SnapshotVersion {
+        revision,
+        configuration: 0,
+    }
+}
+
 pub fn random() -> SmallRng {
     SmallRng::seed_from_u64(7)
 }
--- a/crates/coordination/tests/mesh_view.rs
+++ b/crates/coordination/tests/mesh_view.rs
@@ -10,8 +10,8 @@
     ACCEPTED_AGE, NamedAge, Role, ViewFreshness, age_limit,
 };
 use lifthollow_coordination::mesh::watchers::watchers;
-use lifthollow_state::mesh::{Change, InstanceId, KnownServer, ServerInstance, Update};
-use mesh_support::{at, configuration, id, ms, route, server};
+use lifthollow_state::mesh::{Change, InstanceId, KnownServer, Revision, ServerInstance, Update};
+use mesh_support::{at, at_revision, configuration, id, ms, route, server, version_of};
 use quickcheck::quickcheck;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -263,8 +263,8 @@
     for revision in 1..=count {
         let name = format!("i-{revision}");
         let change = Change::Server(server(&name, "a", (revision % 250) as u8));
-        store.apply(at(revision), revision, change);
-        store.advance(revision);
+        store.apply(at(revision), at_revision(revision), change);
+        store.advance(at_revision(revision));
     }
     store
 }
@@ -274,22 +274,28 @@
     let store = store_of(9);
     let Update::Difference {
         revision, changes, ..
-    } = store.update_since(7)
+    } = store.update_since(version_of(7))
     else {
         panic!("the whole was sent");
     };
-    assert_eq!(revision, 9);
-    let revisions: Vec<u64> = changes.iter().map(|change| change.revision).collect();
-    assert_eq!(revisions, [8, 9]);
+    assert_eq!(revision, at_revision(9));
+    let revisions: Vec<Revision> = changes.iter().map(|change| change.revision).collect();
+    assert_eq!(revisions, [at_revision(8), at_revision(9)]);
 }
 
 #[test]
 fn a_node_that_knows_nothing_or_is_too_far_behind_is_sent_the_whole() {
     let store = store_of(2000);
-    assert!(matches!(store.update_since(0), Update::Whole(_)));
-    assert!(matches!(store.update_since(100), Update::Whole(_)));
     assert!(matches!(
-        store.update_since(1500),
+        store.update_since(version_of(0)),
+        Update::Whole(_)
+    ));
+    assert!(matches!(
+        store.update_since(version_of(100)),
+        Update::Whole(_)
+    ));
+    assert!(matches!(
+        store.update_since(version_of(1500)),
         Update::Difference { .. }
     ));
 }
@@ -299,23 +305,26 @@
     let mut reader = store_of(2000);
     let mut behind = reader.clone();
     let mut newer = (**reader.snapshot()).clone();
-    newer.revision = 2500;
+    newer.revision = at_revision(2500);
     newer.servers.remove(&id("i-1"));
     let joined = KnownServer {
         instance: server("i-new", "a", 251),
-        revision: 2400,
+        revision: at_revision(2400),
     };
     newer.servers.insert(id("i-new"), joined);
     newer.configuration = Some(configuration(3, vec![route("r", "/")]));
     reader.replace(at(3000), newer.clone());
-    let update = reader.update_since(2000);
+    let update = reader.update_since(version_of(2000));
     let Update::Difference { changes, .. } = &update else {
         panic!("the whole was sent");
     };
     assert_eq!(changes.len(), 3, "{changes:?}");
     behind.update(at(3001), update);
     assert_eq!(**behind.snapshot(), newer);
-    assert!(matches!(reader.update_since(100), Update::Whole(_)));
+    assert!(matches!(
+        reader.update_since(version_of(100)),
+        Update::Whole(_)
+    ));
 }
 
 #[test]
@@ -324,7 +333,10 @@
     for known in [0, 3] {
         let mut store = store_of(known);
         store.replace(at(3000), whole.clone());
-        assert!(matches!(store.update_since(known), Update::Whole(_)));
+        assert!(matches!(
+            store.update_since(version_of(known)),
+            Update::Whole(_)
+        ));
     }
 }
 
@@ -333,17 +345,24 @@
     let mut between = store_of(5);
     let mut reader = between.clone();
     let mut newer = (**reader.snapshot()).clone();
-    newer.revision = 9;
+    newer.revision = at_revision(9);
     reader.replace(at(20), newer.clone());
     let mut told = between.clone();
-    told.update(at(21), reader.update_since(5));
+    told.update(at(21), reader.update_since(version_of(5)));
     // A server came at 7, and went again before the whole was read.
-    between.apply(at(7), 7, Change::Server(server("i-short", "a", 251)));
-    between.advance(7);
+    between.apply(
+        at(7),
+        at_revision(7),
+        Change::Server(server("i-short", "a", 251)),
+    );
+    between.advance(at_revision(7));
     for store in [&reader, &told] {
-        assert!(matches!(store.update_since(7), Update::Whole(_)));
+        assert!(matches!(
+            store.update_since(version_of(7)),
+            Update::Whole(_)
+        ));
         let mut one = between.clone();
-        one.update(at(22), store.update_since(7));
+        one.update(at(22), store.update_since(version_of(7)));
         assert_eq!(**one.snapshot(), newer);
     }
 }
@@ -353,15 +372,15 @@
     let mut reader = store_of(10);
     let mut behind = reader.clone();
     let mut newer = (**reader.snapshot()).clone();
-    newer.revision = 12;
+    newer.revision = at_revision(12);
     newer.servers.remove(&id("i-2"));
     let joined = KnownServer {
         instance: server("i-new", "a", 251),
-        revision: 14,
+        revision: at_revision(14),
     };
     newer.servers.insert(id("i-new"), joined);
     reader.replace(at(20), newer);
-    behind.update(at(21), reader.update_since(10));
+    behind.update(at(21), reader.update_since(version_of(10)));
     let servers = |store: &SnapshotStore| -> Vec<InstanceId> {
         store.snapshot().servers.keys().cloned().collect()
     };
@@ -371,10 +390,10 @@
 #[test]
 fn what_the_snapshot_includes_is_not_applied_again() {
     let mut store = store_of(3);
-    store.apply(at(10), 4, Change::ServerGone(id("i-2")));
-    store.advance(4);
+    store.apply(at(10), at_revision(4), Change::ServerGone(id("i-2")));
+    store.advance(at_revision(4));
     let late = Change::Server(server("i-2", "a", 2));
-    assert_eq!(store.apply(at(11), 2, late), Applied::Nothing);
+    assert_eq!(store.apply(at(11), at_revision(2), late), Applied::Nothing);
     assert!(!store.snapshot().servers.contains_key(&id("i-2")));
 }
 
@@ -389,9 +408,9 @@
             let name = format!("i-{}", number * servers / u64::from(CHANGES) + 1);
             let mut one = server(&name, "a", (number % 250) as u8);
             one.slots = revision as u32;
-            let applied = store.apply(at(revision), revision, Change::Server(one));
+            let applied = store.apply(at(revision), at_revision(revision), Change::Server(one));
             assert_eq!(applied, Applied::Servers);
-            store.advance(revision);
+            store.advance(at_revision(revision));
         }
         began.elapsed() / CHANGES
     });
@@ -429,12 +448,12 @@
         let mut reads = reads.into_iter();
         for (place, pick) in picks.into_iter().enumerate() {
             let revision = place as u64 + 1;
-            source.apply(at(revision), revision, change(pick));
-            source.advance(revision);
+            source.apply(at(revision), at_revision(revision), change(pick));
+            source.advance(at_revision(revision));
             if let Some((reader, asking)) = reads.next() {
                 let (reader, asking) = (usize::from(reader) % 4, usize::from(asking) % 4);
                 nodes[reader].replace(at(revision), (**source.snapshot()).clone());
-                let update = nodes[reader].update_since(nodes[asking].snapshot().revision);
+                let update = nodes[reader].update_since(nodes[asking].version());
                 nodes[asking].update(at(revision), update);
                 if nodes[asking].snapshot() != nodes[reader].snapshot() {
                     return false;
@@ -452,11 +471,11 @@
         let mut asking = asking.into_iter();
         for (place, pick) in picks.into_iter().enumerate() {
             let revision = place as u64 + 1;
-            source.apply(at(revision), revision, change(pick));
-            source.advance(revision);
+            source.apply(at(revision), at_revision(revision), change(pick));
+            source.advance(at_revision(revision));
             if let Some((from, to)) = asking.next() {
                 let (from, to) = (usize::from(from) % 5, usize::from(to) % 4);
-                let mine = nodes[to].snapshot().revision;
+                let mine = nodes[to].version();
                 let update = match nodes.get(from) {
                     Some(node) => node.update_since(mine),
                     None => source.update_since(mine),
@@ -465,7 +484,7 @@
             }
         }
         nodes.into_iter().all(|mut node| {
-            let update = source.update_since(node.snapshot().revision);
+            let update = source.update_since(node.version());
             node.update(at(10_000), update);
             node.snapshot() == source.snapshot()
         })
--- a/crates/proxy/src/inbound/crash_detector.rs
+++ b/crates/proxy/src/inbound/crash_detector.rs
@@ -129,7 +129,7 @@
     *node.crash_detector.crashed.borrow_mut() = Some(server.clone());
     node.metrics.server_crashes.inc();
     info!(node.log, "server crashed"; "server" => server.as_str(), "runs" => contents.len(),
-        "contents" => named(&contents), "revision" => node.revision());
+        "contents" => named(&contents), "revision" => %node.revision());
     suspects::note_own_crash(node, server, &contents);
 }
 
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -142,7 +142,7 @@
             "running" => load.occupancy.running, "waiting" => load.occupancy.waiting,
             "limit" => load.occupancy.limit, "admission_level" => load.level.0,
             "failure_share" => load.failure_share,
-            "revision" => node.revision(), "took_ms" => took);
+            "revision" => %node.revision(), "took_ms" => took);
     }
 }
 
--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -37,7 +37,7 @@
             node.last_request.set(Some(arrived));
         }
         if let Some(sender) = sender {
-            snapshots::note_revision(node, request.headers(), sender);
+            snapshots::note_snapshot(node, request.headers(), sender);
         }
         match request.uri().path() {
             peer_headers::SNAPSHOT_PATH => {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -31,7 +31,9 @@
     pub tenants: IntGaugeVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
-    /// Revision of the snapshot.
+    /// Era of the snapshot's revision.
+    pub snapshot_era: IntGauge,
+    /// Number of the snapshot's revision in its era.
     pub snapshot_revision: IntGauge,
     /// Changes of the snapshot, by where they came from.
     pub changes: IntCounterVec,
@@ -81,6 +83,10 @@
                 "lifthollow_configuration_version",
                 "Version of the configuration in force.",
             )?,
+            snapshot_era: IntGauge::new(
+                "lifthollow_snapshot_era",
+                "How often the source has come back from an older copy, as of the snapshot.",
+            )?,
             snapshot_revision: IntGauge::new(
                 "lifthollow_snapshot_revision",
                 "Revision of the snapshot in force.",
@@ -136,6 +142,9 @@
         metrics
             .registry
             .register(Box::new(metrics.configuration_version.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.snapshot_era.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.snapshot_revision.clone()))?;
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -26,7 +26,7 @@
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
 use lifthollow_coordination::mesh::view_freshness::{self, ViewFreshness};
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::mesh::{InstanceId, ServerInstance};
+use lifthollow_state::mesh::{InstanceId, Revision, ServerInstance, SnapshotVersion};
 use lifthollow_state::{ServiceName, Timestamp};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -164,8 +164,8 @@
     pub is_server_failing: Cell<bool>,
     /// Where this node takes messages of other nodes, as a header value.
     pub own_address: HeaderValue,
-    /// The snapshot as other nodes are sent it, with its revision.
-    pub encoded_snapshot: RefCell<Option<(u64, Bytes)>>,
+    /// The snapshot as other nodes are sent it, with what is said of it.
+    pub encoded_snapshot: RefCell<Option<(SnapshotVersion, Bytes)>>,
     /// Whether an update is being fetched from another node.
     pub is_catching_up: Cell<bool>,
     /// When a caller or another node last asked for something, if ever.
@@ -243,8 +243,18 @@
     }
 
     /// Revision of the snapshot.
-    pub fn revision(&self) -> u64 {
-        self.state.borrow().snapshots.snapshot().revision
+    pub fn revision(&self) -> Revision {
+        self.snapshot_version().revision
+    }
+
+    /// What this node says of its snapshot to others.
+    pub fn snapshot_version(&self) -> SnapshotVersion {
+        self.state.borrow().snapshots.version()
+    }
+
+    /// Whether this node was told anything yet.
+    pub fn has_snapshot(&self) -> bool {
+        !self.revision().is_none()
     }
 
     /// Whether this node watches the source itself. One that knows of no other
--- a/crates/proxy/src/node/refresh.rs
+++ b/crates/proxy/src/node/refresh.rs
@@ -29,7 +29,9 @@
         state.budgets.set_nodes(servers.len());
         state.tenants.set_servers(now, &servers);
         state.servers.set_servers(now, servers);
-        self.metrics.snapshot_revision.set(snapshot.revision as i64);
+        let revision = snapshot.revision;
+        self.metrics.snapshot_era.set(revision.era as i64);
+        self.metrics.snapshot_revision.set(revision.number as i64);
     }
 
     /// Finds out which nodes watch the source. While no server is known, those of before do:
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -44,7 +44,7 @@
             "priority" => AdmissionLevel::of(request.tree.priority).0,
             "admission_level" => known.level.0, "level_age_ms" => known.age.as_millis() as u64,
             "servers" => known.servers, "set_aside" => known.set_aside,
-            "configuration" => request.route.version, "revision" => node.revision(), "held_ms" => held);
+            "configuration" => request.route.version, "revision" => %node.revision(), "held_ms" => held);
     }
     (outcome, final_response(node, answer))
 }
@@ -108,7 +108,7 @@
     info!(node.log, "request not routed"; "request" => node.names.request_id_of(&head.headers), "why" => why,
         "host" => host.unwrap_or_default(), "path" => head.uri.path(),
         "view_age_ms" => node.view_age().map(|age| age.as_millis() as u64),
-        "configuration" => version, "revision" => node.revision());
+        "configuration" => version, "revision" => %node.revision());
 }
 
 /// Logs an attempt that brought no answer.
@@ -128,6 +128,6 @@
     let held = now.saturating_since(request.arrived).as_millis() as u64;
     info!(node.log, "attempt not answered"; "request" => node.names.request_id_of(&request.head.headers),
         "content" => %request.content, "server" => server.id.as_str(), "service" => &server.service,
-        "outcome" => outcome, "why" => why, "configuration" => request.route.version, "revision" => node.revision(),
+        "outcome" => outcome, "why" => why, "configuration" => request.route.version, "revision" => %node.revision(),
         "held_ms" => held);
 }
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -378,7 +378,7 @@
             drop(state);
             info!(node.log, "server withdrawn"; "server" => server.id.as_str(),
                 "service" => &server.service, "why" => peer_headers::not_run_word(reason),
-                "revision" => node.revision());
+                "revision" => %node.revision());
         }
         NotRunReason::NodeUnreachable
         | NotRunReason::NodeLeaving
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -95,7 +95,7 @@
     let place = peer_headers::tree_value(&attempt.tree, &attempt.terms);
     headers.insert(peer_headers::TREE, place);
     headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
-    snapshots::name_revision(node, headers);
+    snapshots::name_snapshot(node, headers);
     let answered = node
         .peer_connections
         .send(address, attempt.request, attempt.reuse)
@@ -112,7 +112,7 @@
     };
     answer_begun.set(true);
     let (mut head, incoming) = response.into_parts();
-    snapshots::note_revision(node, &head.headers, address);
+    snapshots::note_snapshot(node, &head.headers, address);
     snapshots::note_view(node, &head.headers, asked);
     let load = peer_headers::load(&head.headers);
     let end = peer_headers::outcome(&head.headers);
--- a/crates/proxy/src/peer_client.rs
+++ b/crates/proxy/src/peer_client.rs
@@ -28,7 +28,7 @@
     TooLarge,
     #[error("{0}")]
     Decode(#[from] minicbor::decode::Error),
-    #[error("no revision named")]
+    #[error("no snapshot version named")]
     Unnamed,
     #[error("no answer in time")]
     TimedOut,
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -12,6 +12,7 @@
 use lifthollow_coordination::mesh::view_freshness::NamedAge;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Priority;
+use lifthollow_state::mesh::{Revision, SnapshotVersion};
 
 use crate::http::headers::remove_all;
 
@@ -30,8 +31,9 @@
 pub const TREE: HeaderName = HeaderName::from_static("lifthollow-tree");
 /// How long the attempt may wait before it runs, milliseconds.
 pub const PATIENCE: HeaderName = HeaderName::from_static("lifthollow-patience-ms");
-/// Revision of the sender's snapshot.
-pub const REVISION: HeaderName = HeaderName::from_static("lifthollow-revision");
+/// Of the sender's snapshot: the number of its revision, the era of that, and the version of its
+/// configuration.
+pub const SNAPSHOT_VERSION: HeaderName = HeaderName::from_static("lifthollow-revision");
 /// In answers: how long ago that revision was known to be the newest, and how long
 /// the question was held, milliseconds.
 pub const VIEW: HeaderName = HeaderName::from_static("lifthollow-view");
@@ -209,11 +211,24 @@
     })
 }
 
-/// Reads [`REVISION`].
-pub fn revision(headers: &HeaderMap) -> Option<u64> {
-    // Nodes of an earlier release name more after a blank.
-    let value = headers.get(REVISION)?.to_str().ok()?;
-    value.split(' ').next()?.parse().ok()
+/// The value of [`SNAPSHOT_VERSION`].
+pub fn snapshot_version_value(version: SnapshotVersion) -> HeaderValue {
+    let Revision { era, number } = version.revision;
+    let text = format!("{number} {era} {}", version.configuration);
+    HeaderValue::try_from(text).expect("digits and blanks")
+}
+
+/// Reads [`SNAPSHOT_VERSION`].
+pub fn snapshot_version(headers: &HeaderMap) -> Option<SnapshotVersion> {
+    let value = headers.get(SNAPSHOT_VERSION)?.to_str().ok()?;
+    let mut words = value.split(' ');
+    let number = words.next()?.parse().ok()?;
+    // Nodes of an earlier release name the number alone.
+    let mut next = || words.next().map_or(Some(0), |word| word.parse().ok());
+    Some(SnapshotVersion {
+        revision: Revision::new(next()?, number),
+        configuration: next()?,
+    })
 }
 
 /// The value of [`VIEW`].
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -76,7 +76,7 @@
     *request.uri_mut() = hyper::Uri::from_static(peer_headers::PROBE_PATH);
     let host = HeaderValue::try_from(address.to_string()).expect("an address is plain text");
     request.headers_mut().insert(HOST, host);
-    snapshots::name_revision(node, request.headers_mut());
+    snapshots::name_snapshot(node, request.headers_mut());
     if let Some(id) = waiting_for.and_then(|id| HeaderValue::try_from(id).ok()) {
         let headers = request.headers_mut();
         headers.insert(peer_headers::WAITING_FOR, id);
@@ -112,7 +112,7 @@
     let is_new = node.state.borrow_mut().servers.set_aside(now, &server.id);
     if is_new {
         info!(node.log, "server set aside"; "server" => server.id.as_str(),
-            "service" => &server.service, "why" => why, "revision" => node.revision());
+            "service" => &server.service, "why" => why, "revision" => %node.revision());
         tokio::task::spawn_local(probe_until_alive(node.clone(), server.clone()));
     }
 }
--- a/crates/proxy/src/snapshots/asking.rs
+++ b/crates/proxy/src/snapshots/asking.rs
@@ -7,11 +7,11 @@
 use futures_util::future::join_all;
 use hyper::HeaderMap;
 use lifthollow_coordination::mesh::view_freshness;
-use lifthollow_state::mesh::Update;
+use lifthollow_state::mesh::{SnapshotVersion, Update};
 use rand::seq::IteratorRandom;
 use slog::warn;
 
-use super::{name_revision, note_view, take_update};
+use super::{name_snapshot, note_view, take_update};
 use crate::http::ProxyBody;
 use crate::node::Node;
 use crate::peer_client::{self, FetchError};
@@ -33,13 +33,13 @@
 /// How many newcomers are told at a time that there is a snapshot: each fetches it at once.
 const TOLD_AT_A_TIME: usize = 16;
 
-/// Fetches what this node lacks from one that has named a newer revision.
-pub(super) async fn catch_up(node: Rc<Node>, theirs: u64, from: SocketAddrV4) {
+/// Fetches what this node lacks from one that has said that it has it.
+pub(super) async fn catch_up(node: Rc<Node>, theirs: SnapshotVersion, from: SocketAddrV4) {
     // Without a snapshot there is nothing to wait for: callers are turned away.
-    if node.revision() > 0 && node.is_watcher() {
+    if node.has_snapshot() && node.is_watcher() {
         tokio::time::sleep(WATCHER_DELAY).await;
     }
-    if node.revision() < theirs {
+    if node.snapshot_version().lacks(theirs) {
         fetch_update(&node, from, FETCH_LIMIT).await;
     }
     node.is_catching_up.set(false);
@@ -89,7 +89,7 @@
 /// Asks the nodes beside `servers` for a snapshot, one after the other, until there is one.
 pub async fn ask_for_snapshot(node: &Rc<Node>, servers: Vec<SocketAddrV4>) {
     for server in servers {
-        if node.revision() > 0 {
+        if node.has_snapshot() {
             return;
         }
         fetch_update(node, node.beside(server), FETCH_LIMIT).await;
@@ -137,7 +137,7 @@
 async fn fetch_update(node: &Rc<Node>, from: SocketAddrV4, limit: Duration) {
     let asked = node.now();
     let mut named = HeaderMap::new();
-    name_revision(node, &mut named);
+    name_snapshot(node, &mut named);
     let path = peer_headers::SNAPSHOT_PATH;
     let fetched = peer_client::ask(node, from, path, named, ProxyBody::empty(), limit).await;
     match fetched.and_then(with_revision) {
@@ -147,13 +147,13 @@
         }
         Err(error) => {
             warn!(node.log, "update not fetched"; "from" => %from, "error" => %error,
-                "revision" => node.revision());
+                "revision" => %node.revision());
         }
     }
 }
 
 fn with_revision(answer: (Update, HeaderMap)) -> Result<(Update, HeaderMap), FetchError> {
-    match peer_headers::revision(&answer.1) {
+    match peer_headers::snapshot_version(&answer.1) {
         Some(_) => Ok(answer),
         None => Err(FetchError::Unnamed),
     }
--- a/crates/proxy/src/snapshots/mod.rs
+++ b/crates/proxy/src/snapshots/mod.rs
@@ -10,12 +10,11 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response};
 use lifthollow_coordination::mesh::snapshot_store::Applied;
 use lifthollow_coordination::mesh::view_freshness::NamedAge;
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::{Change, Snapshot, Update};
+use lifthollow_state::mesh::{RevisedChange, Revision, Snapshot, SnapshotVersion, Update};
 use slog::{info, warn};
 
 use crate::http::ProxyBody;
@@ -24,12 +23,12 @@
 use crate::suspects::exchange;
 
 /// Takes in changes that the source tells of; all up to `revision` are included.
-pub fn apply(node: &Rc<Node>, revision: u64, changes: Vec<(u64, Change)>) {
+pub fn apply(node: &Rc<Node>, revision: Revision, changes: Vec<RevisedChange>) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
     let mut applied = Vec::new();
-    for (changed_at, change) in changes {
-        applied.push(state.snapshots.apply(now, changed_at, change));
+    for RevisedChange { revision, change } in changes {
+        applied.push(state.snapshots.apply(now, revision, change));
     }
     state.snapshots.advance(revision);
     node.metrics
@@ -80,28 +79,29 @@
     for one in applied {
         if let Applied::Refused(findings) = one {
             let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
-            warn!(node.log, "configuration refused"; "from" => from, "revision" => revision, "findings" => findings.join("; "));
+            warn!(node.log, "configuration refused"; "from" => from, "revision" => %revision, "findings" => findings.join("; "));
         }
     }
     if applied.contains(&Applied::Configuration) {
         let version = node.configuration_version();
-        info!(node.log, "configuration in force"; "from" => from, "revision" => revision, "version" => version);
+        info!(node.log, "configuration in force"; "from" => from, "revision" => %revision, "version" => version);
     }
     if applied.contains(&Applied::Servers) {
         let state = node.state.borrow();
         let servers = &state.snapshots.snapshot().servers;
         let draining = servers.values().filter(|known| !known.instance.is_ready());
-        info!(node.log, "servers changed"; "from" => from, "revision" => revision, "known" => servers.len(), "draining" => draining.count());
+        info!(node.log, "servers changed"; "from" => from, "revision" => %revision, "known" => servers.len(), "draining" => draining.count());
     }
 }
 
 /// The answer to a node that asks for what it lacks: it names the revision that
 /// it has.
 pub fn answer(node: &Rc<Node>, headers: &HeaderMap, arrived: Timestamp) -> Response<ProxyBody> {
-    let theirs = peer_headers::revision(headers).unwrap_or(0);
-    let bytes = match node.state.borrow().snapshots.knows_changes_since(theirs) {
-        true => encoded_update_since(node, theirs),
-        false => encoded_snapshot(node),
+    let theirs = peer_headers::snapshot_version(headers).unwrap_or_default();
+    let needs_whole = node.state.borrow().snapshots.needs_whole(theirs);
+    let bytes = match needs_whole {
+        true => encoded_snapshot(node),
+        false => encoded_update_since(node, theirs),
     };
     let mut response = Response::new(ProxyBody::Whole(bytes));
     name_view(node, response.headers_mut(), arrived);
@@ -110,38 +110,37 @@
 
 /// The whole snapshot, encoded once for all that ask for it: many nodes start at the same time.
 fn encoded_snapshot(node: &Rc<Node>) -> Bytes {
-    const NO_REVISION: u64 = 0;
-    let revision = node.revision();
+    let version = node.snapshot_version();
     let mut kept = node.encoded_snapshot.borrow_mut();
     if let Some((of, bytes)) = kept.as_ref()
-        && *of == revision
+        && *of == version
     {
         return bytes.clone();
     }
-    let bytes = encoded_update_since(node, NO_REVISION);
-    *kept = Some((revision, bytes.clone()));
+    let bytes = encoded_update_since(node, SnapshotVersion::default());
+    *kept = Some((version, bytes.clone()));
     bytes
 }
 
-/// What a node lacks whose snapshot is of `revision`, encoded.
-fn encoded_update_since(node: &Rc<Node>, revision: u64) -> Bytes {
-    let update = node.state.borrow().snapshots.update_since(revision);
+/// What a node lacks whose snapshot is of `theirs`, encoded.
+fn encoded_update_since(node: &Rc<Node>, theirs: SnapshotVersion) -> Bytes {
+    let update = node.state.borrow().snapshots.update_since(theirs);
     let bytes = minicbor::to_vec(&update).expect("writing to memory does not fail");
     bytes.into()
 }
 
-/// Tells another node which revision this one has and what it knows of requests that
-/// crash servers, and where to ask for both.
-pub fn name_revision(node: &Rc<Node>, headers: &mut HeaderMap) {
-    let revision = HeaderValue::from(node.revision());
-    headers.insert(peer_headers::REVISION, revision);
+/// Tells another node of which revision this one's snapshot is and what it knows of requests
+/// that crash servers, and where to ask for both.
+pub fn name_snapshot(node: &Rc<Node>, headers: &mut HeaderMap) {
+    let version = peer_headers::snapshot_version_value(node.snapshot_version());
+    headers.insert(peer_headers::SNAPSHOT_VERSION, version);
     exchange::name_digest(node, headers);
 }
 
 /// Tells another node, with the answer to a question that arrived at `arrived`, which
 /// revision this one has and how fresh that is.
 pub fn name_view(node: &Rc<Node>, headers: &mut HeaderMap, arrived: Timestamp) {
-    name_revision(node, headers);
+    name_snapshot(node, headers);
     if let Some(age) = node.view_age() {
         let held = node.now().saturating_since(arrived);
         let value = peer_headers::view_value(NamedAge { age, held });
@@ -149,14 +148,14 @@
     }
 }
 
-/// Takes note of the revision that another node names, and of what it knows of requests
+/// Takes note of what another node says of its snapshot, and of what it knows of requests
 /// that crash servers.
-pub fn note_revision(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
+pub fn note_snapshot(node: &Rc<Node>, headers: &HeaderMap, from: SocketAddrV4) {
     exchange::note_digest(node, headers, from);
-    let Some(theirs) = peer_headers::revision(headers) else {
+    let Some(theirs) = peer_headers::snapshot_version(headers) else {
         return;
     };
-    if theirs > node.revision() && !node.is_catching_up.replace(true) {
+    if node.snapshot_version().lacks(theirs) && !node.is_catching_up.replace(true) {
         tokio::task::spawn_local(asking::catch_up(node.clone(), theirs, from));
     }
 }
@@ -165,8 +164,8 @@
 /// If the source had nothing newer than what that node has, it had nothing newer
 /// than what this node has, which is the same or more.
 pub fn note_view(node: &Rc<Node>, headers: &HeaderMap, asked: Timestamp) {
-    let theirs = peer_headers::revision(headers);
-    if theirs.is_none_or(|theirs| theirs > node.revision()) {
+    let theirs = peer_headers::snapshot_version(headers);
+    if theirs.is_none_or(|theirs| theirs.revision > node.revision()) {
         return;
     }
     if let Some(named) = peer_headers::view(headers) {
--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -12,7 +12,7 @@
 use lifthollow_coordination::mesh::source_following::{Follower, Following, Known, Step};
 use lifthollow_coordination::mesh::watchers::{Place, nodes_to_ask, watchers};
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::{Change, ServerInstance, Snapshot};
+use lifthollow_state::mesh::{RevisedChange, Revision, ServerInstance, Snapshot};
 use slog::{info, warn};
 use thiserror::Error;
 use tokio::time::{sleep, timeout};
@@ -34,11 +34,11 @@
 /// What the source tells of what has changed.
 pub struct Changes {
     /// The revision that they lead to.
-    pub revision: u64,
+    pub revision: Revision,
     /// How many there are, also such as mean nothing to a node.
     pub told: usize,
-    /// Those that mean something, with the revisions that they were made at.
-    pub changes: Vec<(u64, Change)>,
+    /// Those that mean something.
+    pub changes: Vec<RevisedChange>,
 }
 
 /// The source of configuration and servers.
@@ -51,12 +51,12 @@
     fn read_all(&self) -> impl Future<Output = Result<Snapshot, SourceError>>;
 
     /// Reads the newest revision.
-    fn newest_revision(&self) -> impl Future<Output = Result<u64, SourceError>>;
+    fn newest_revision(&self) -> impl Future<Output = Result<Revision, SourceError>>;
 
     /// Asks for what has changed since `after`, and waits up to `wait` for something.
     fn changes(
         &self,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, SourceError>>;
 }
@@ -125,7 +125,7 @@
         if following != self.following {
             let age_ms = known.view_age.map(|age| age.as_millis() as u64);
             info!(self.node.log, "follows the source otherwise"; "now" => ?following,
-                "before" => ?self.following, "revision" => known.revision, "view_age_ms" => age_ms);
+                "before" => ?self.following, "revision" => %known.revision, "view_age_ms" => age_ms);
             self.following = following;
         }
         if following != Following::Starting {
@@ -135,7 +135,7 @@
 
     async fn ask_nodes(&mut self, limit: Duration) {
         let asking = async {
-            if self.node.revision() > 0 {
+            if self.node.has_snapshot() {
                 asking::ask_watchers(&self.node).await;
             } else {
                 asking::ask_for_snapshot(&self.node, self.nodes_to_ask()).await;
@@ -188,9 +188,9 @@
     /// Logs what was read beside what is known: which of them is newer decides what is kept.
     fn note_read(&self, read: &Snapshot) {
         let version = read.configuration.as_ref().map(|read| read.version);
-        info!(self.node.log, "read all of the source"; "revision" => read.revision,
+        info!(self.node.log, "read all of the source"; "revision" => %read.revision,
             "version" => version, "servers" => read.servers.len(),
-            "known_revision" => self.node.revision(),
+            "known_revision" => %self.node.revision(),
             "known_version" => self.node.configuration_version());
     }
 
@@ -235,14 +235,14 @@
     /// The source has something newer and does not tell the changes that led to it.
     fn fall_behind(&mut self, why: &str) {
         let (now, known) = (self.node.now(), self.known());
-        info!(self.node.log, "fell behind the source"; "why" => why, "revision" => known.revision);
+        info!(self.node.log, "fell behind the source"; "why" => why, "revision" => %known.revision);
         self.note_answer();
         let random = &mut self.node.state.borrow_mut().random;
         self.follower.fell_behind(now, known, random);
     }
 
     /// At `at`, `revision` was the source's newest, and the node has it.
-    fn brought_up_to_date(&mut self, revision: u64, at: Timestamp) {
+    fn brought_up_to_date(&mut self, revision: Revision, at: Timestamp) {
         self.confirm(revision, at);
         self.note_answer();
         let random = &mut self.node.state.borrow_mut().random;
@@ -250,7 +250,7 @@
     }
 
     /// At `at`, `revision` was the source's newest.
-    fn confirm(&self, revision: u64, at: Timestamp) {
+    fn confirm(&self, revision: Revision, at: Timestamp) {
         if revision == self.node.revision() {
             self.node.confirm_view(at);
         }
@@ -258,13 +258,13 @@
 
     fn note_answer(&mut self) {
         if std::mem::take(&mut self.is_lost) {
-            info!(self.node.log, "source regained"; "revision" => self.node.revision());
+            info!(self.node.log, "source regained"; "revision" => %self.node.revision());
         }
     }
 
     fn note_error(&mut self, error: &SourceError) {
         if !std::mem::replace(&mut self.is_lost, true) {
-            warn!(self.node.log, "source lost"; "error" => %error, "revision" => self.node.revision());
+            warn!(self.node.log, "source lost"; "error" => %error, "revision" => %self.node.revision());
         }
         let now = self.node.now();
         let random = &mut self.node.state.borrow_mut().random;
--- a/crates/proxy/src/source/watching.rs
+++ b/crates/proxy/src/source/watching.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lifthollow_coordination::mesh::view_freshness;
+use lifthollow_state::mesh::Revision;
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
@@ -58,7 +59,7 @@
     /// has something newer and the watch doesn't tell.
     async fn watch_answer(
         &self,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<Option<Result<Changes, SourceError>>, SourceError> {
         let mut watching = pin!(self.source.changes(after, wait));
@@ -78,7 +79,7 @@
     }
 
     /// Asks the source whether `revision` is its newest.
-    async fn is_newest(&self, revision: u64) -> Result<bool, SourceError> {
+    async fn is_newest(&self, revision: Revision) -> Result<bool, SourceError> {
         let asked = self.node.now();
         let newest = self.source.newest_revision().await?;
         self.confirm(newest, asked);
--- a/crates/proxy/src/tenants/lending.rs
+++ b/crates/proxy/src/tenants/lending.rs
@@ -141,7 +141,7 @@
         };
         info!(node.log, "{}", message; "tenant" => tenant, "limit" => quota.rate, "burst" => quota.burst,
             "requests_per_second" => demand, "standing" => format!("{standing:?}"),
-            "revision" => state.snapshots.snapshot().revision);
+            "revision" => %state.snapshots.snapshot().revision);
     }
     QuotaAnswer::Lent {
         tokens: loan.tokens,
--- a/crates/proxy/src/tenants/tokens.rs
+++ b/crates/proxy/src/tenants/tokens.rs
@@ -141,7 +141,7 @@
     });
     if loan.is_none() && node.may_log() {
         warn!(node.log, "no lender answers"; "tenant" => &tenant.name,
-            "lenders" => lenders.len(), "revision" => node.revision());
+            "lenders" => lenders.len(), "revision" => %node.revision());
     }
     let answered = node.state.borrow_mut().tenants.asking.remove(&tenant.name);
     if let Some(answered) = answered {
--- a/crates/state/src/mesh/mod.rs
+++ b/crates/state/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod configuration;
+mod revision;
 mod route;
 mod server_instance;
 mod snapshot;
@@ -12,6 +13,7 @@
 mod update;
 
 pub use configuration::{Configuration, ConfigurationError, RequestLimits, ServiceSettings};
+pub use revision::{Revision, SnapshotVersion};
 pub use route::{Destination, RequestKind, Route};
 pub use server_instance::{InstanceId, ServerInstance, ServerState};
 pub use snapshot::{KnownServer, Snapshot};
--- a/crates/state/src/mesh/snapshot.rs
+++ b/crates/state/src/mesh/snapshot.rs
@@ -5,6 +5,7 @@
 use minicbor::{Decode, Encode};
 
 use crate::mesh::configuration::Configuration;
+use crate::mesh::revision::{Revision, SnapshotVersion};
 use crate::mesh::server_instance::{InstanceId, ServerInstance};
 
 /// A server's announcement and the revision that it was written at.
@@ -15,7 +16,7 @@
     pub instance: ServerInstance,
     /// The revision of the announcement.
     #[n(1)]
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Configuration and servers as of one revision of the source. Of two snapshots
@@ -24,7 +25,7 @@
 pub struct Snapshot {
     /// The revision up to which the source's changes are included.
     #[n(0)]
-    pub revision: u64,
+    pub revision: Revision,
     /// The newest usable configuration; none before the first arrived.
     #[n(1)]
     pub configuration: Option<Configuration>,
@@ -34,6 +35,15 @@
 }
 
 impl Snapshot {
+    /// What a node with this snapshot says of it to others.
+    pub fn version(&self) -> SnapshotVersion {
+        let configuration = self.configuration.as_ref();
+        SnapshotVersion {
+            revision: self.revision,
+            configuration: configuration.map_or(0, |known| known.version),
+        }
+    }
+
     /// The server that announces itself as `id`, whenever it started.
     pub fn server(&self, id: &InstanceId) -> Option<&KnownServer> {
         let starts = self.servers.range(InstanceId::new(id.as_str())..);
--- a/crates/state/src/mesh/update.rs
+++ b/crates/state/src/mesh/update.rs
@@ -3,6 +3,7 @@
 use minicbor::{Decode, Encode};
 
 use crate::mesh::configuration::Configuration;
+use crate::mesh::revision::Revision;
 use crate::mesh::server_instance::{InstanceId, ServerInstance};
 use crate::mesh::snapshot::Snapshot;
 
@@ -28,7 +29,7 @@
 pub struct RevisedChange {
     /// The revision.
     #[n(0)]
-    pub revision: u64,
+    pub revision: Revision,
     /// The change.
     #[n(1)]
     pub change: Change,
@@ -40,15 +41,15 @@
 pub struct Gap {
     /// The last revision before it.
     #[n(0)]
-    pub after: u64,
+    pub after: Revision,
     /// The first revision past it.
     #[n(1)]
-    pub until: u64,
+    pub until: Revision,
 }
 
 impl Gap {
     /// Whether the changes since `revision` can't be told because of it.
-    pub fn hides_changes_since(self, revision: u64) -> bool {
+    pub fn hides_changes_since(self, revision: Revision) -> bool {
         self.after < revision && revision < self.until
     }
 }
@@ -64,7 +65,7 @@
     Difference {
         /// The revision that they lead to.
         #[n(0)]
-        revision: u64,
+        revision: Revision,
         /// The changes, in the order of their revisions.
         #[n(1)]
         changes: Vec<RevisedChange>,
