What a node knows does not go back with a source that comes back from an older copy

A copy says less than nodes were told: an older configuration, servers that have left since as if they were there, none of those that joined since. A node that took it in as it stands would go back on confirmed changes until the operators and the servers have written again.

--- a/crates/coordination/src/mesh/snapshot_store/mod.rs
+++ b/crates/coordination/src/mesh/snapshot_store/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! A node hears of changes from the source itself and, where the source doesn't
 //! answer it, from other nodes. Whatever the way, nothing older replaces
-//! anything newer.
+//! anything newer: also where the source comes back from an older copy of itself, and for a while
+//! says less than it did ([`departures`]).
 
 mod change_log;
+mod departures;
 
+use std::collections::HashMap;
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,12 +21,8 @@
 };
 
 use change_log::ChangeLog;
+use departures::{Departures, Missing};
 
-/// A server whose entry is gone without an announcement is remembered this long,
-/// and until the source has been available for as long: its entry may have run out
-/// while the source was away, and is back about two seconds after the source is,
-/// if the server lives. If its service has no other server, it is asked until then.
-const VANISHED_GRACE: Duration = Duration::from_millis(2500);
 /// What came of a change.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Applied {
@@ -42,7 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SnapshotStore {
     snapshot: Arc<Snapshot>,
-    vanished: BTreeMap<InstanceId, (ServerInstance, Timestamp)>,
+    departures: Departures,
     /// The revisions of the entries with an address, which are few.
     revisions_at: HashMap<SocketAddrV4, Vec<Revision>>,
     /// The last changes.
@@ -50,6 +48,15 @@
 }
 
 impl SnapshotStore {
+    /// Nothing, of a source in which an entry lasts for `entry_lifetime` if its server does not
+    /// renew it.
+    pub fn new(entry_lifetime: Duration) -> Self {
+        SnapshotStore {
+            departures: Departures::new(entry_lifetime),
+            ..SnapshotStore::default()
+        }
+    }
+
     /// The snapshot in force.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         &self.snapshot
@@ -131,11 +138,15 @@
         }
     }
 
-    /// Takes in a whole snapshot, if it is newer. It replaces all servers.
+    /// Takes in a whole snapshot, if it is newer. It replaces all servers. Its configuration counts
+    /// by its own version: an older snapshot may have a newer one, if the source lost that.
     pub fn replace(&mut self, now: Timestamp, mut newer: Snapshot) -> Vec<Applied> {
         if newer.revision < self.snapshot.revision {
-            return Vec::new();
+            let configuration = newer.configuration.into_iter();
+            let applied = configuration.map(|newest| self.apply_configuration(newest));
+            return applied.filter(|one| *one != Applied::Nothing).collect();
         }
+        self.departures.carry_over(now, &self.snapshot, &mut newer);
         self.changes.keep_difference(&self.snapshot, &newer);
         let mut applied = Vec::new();
         if let Some(configuration) = newer.configuration.take() {
@@ -143,66 +154,75 @@
         }
         let before = self.snapshot.servers.clone();
         if before != newer.servers {
+            let why = match newer.revision.era == self.snapshot.revision.era {
+                true => Missing::Removed,
+                false => Missing::Lost,
+            };
             for (id, known) in before {
                 if newer.server(&id).is_none() {
-                    self.vanished.insert(id, (known.instance, now));
+                    self.departures.note_missing(now, known, why);
                 }
             }
             Arc::make_mut(&mut self.snapshot).servers = newer.servers;
             self.index_addresses();
             applied.push(Applied::Servers);
         }
-        self.advance(newer.revision);
+        if newer.revision > self.snapshot.revision {
+            Arc::make_mut(&mut self.snapshot).revision = newer.revision;
+        }
         applied
     }
 
-    /// Forgets servers that vanished too long ago. True if there were any. The
-    /// source has been available since `available_since`; none while it is lost:
-    /// then nothing is forgotten, as no server can come back.
+    /// Forgets servers that vanished too long ago, and doubts about those that are listed all the
+    /// same. True if there were any. The source has been available since `available_since`; none
+    /// while it is lost: then nothing is forgotten, as no server can come back.
     pub fn forget_vanished(&mut self, now: Timestamp, available_since: Option<Timestamp>) -> bool {
-        let Some(available_since) = available_since else {
-            return false;
-        };
-        let before = self.vanished.len();
-        self.vanished.retain(|_, (_, vanished)| {
-            now.saturating_since(available_since.max(*vanished)) < VANISHED_GRACE
-        });
-        self.vanished.len() < before
+        available_since.is_some_and(|since| self.departures.forget_old(now, since))
     }
 
     /// Servers that vanished without announcing that they leave, and are not
     /// forgotten.
     pub fn recently_vanished(&self) -> Vec<ServerInstance> {
-        let ready = self.vanished.values().map(|(instance, _)| instance);
-        ready
-            .filter(|instance| instance.is_ready())
-            .cloned()
-            .collect()
+        self.departures.recently_vanished().cloned().collect()
     }
 
     /// The servers that exist, as far as is known: of the services that are configured,
     /// and of entries with one address only the newest, since a server that starts at an
-    /// address of before leaves the former one's entry to run out. A server that vanished without a word
-    /// is among them while its service has no other and its address isn't taken.
+    /// address of before leaves the former one's entry to run out. One whose entry the source lost
+    /// is among them while its address isn't taken. One that vanished without a word, and one that
+    /// had gone and is listed by a copy, are among them only while their service has no other.
     pub fn servers_in_force(&self) -> Vec<ServerInstance> {
-        let mut servers: Vec<ServerInstance> = self
-            .snapshot
-            .servers
-            .values()
-            .filter(|known| self.is_configured(known) && !self.is_superseded(known))
-            .map(|known| known.instance.clone())
-            .collect();
-        let is_replaced = |vanished: &ServerInstance| {
-            servers.iter().any(|server| {
-                server.service == vanished.service || server.address == vanished.address
+        let listed = self.snapshot.servers.values();
+        let listed = listed.filter(|known| self.is_configured(known) && !self.is_superseded(known));
+        let is_doubted = |known: &&KnownServer| self.departures.is_doubted(&known.instance.id);
+        let (doubted, trusted): (Vec<_>, Vec<_>) = listed.partition(is_doubted);
+        let trusted = trusted.into_iter().map(|known| known.instance.clone());
+        let mut servers: Vec<ServerInstance> = trusted.collect();
+        self.add_lost(&mut servers);
+        let vanished = self.departures.recently_vanished();
+        let doubted = doubted.into_iter().map(|known| &known.instance);
+        let last_resorts: Vec<ServerInstance> = vanished
+            .chain(doubted)
+            .filter(|instance| {
+                !servers.iter().any(|server| {
+                    server.service == instance.service || server.address == instance.address
+                })
             })
-        };
-        let mut still_used = self.recently_vanished();
-        still_used.retain(|vanished| !is_replaced(vanished));
-        servers.extend(still_used);
+            .cloned()
+            .collect();
+        servers.extend(last_resorts);
         servers
     }
 
+    fn add_lost(&self, servers: &mut Vec<ServerInstance>) {
+        for lost in self.departures.lost() {
+            let is_taken = servers.iter().any(|server| server.address == lost.address);
+            if !is_taken {
+                servers.push(lost.clone());
+            }
+        }
+    }
+
     /// Whether the server belongs to a service that the operators have named. Others get no
     /// requests, and their nodes must not be chosen to watch or lend for all.
     fn is_configured(&self, known: &KnownServer) -> bool {
@@ -268,8 +288,7 @@
             return Applied::Nothing;
         }
         let id = instance.id.clone();
-        self.vanished
-            .retain(|vanished, _| !vanished.is_same_server(&id));
+        self.departures.note_written(&id);
         // Of another start under the same identity nothing is left.
         while let Some(known) = self.snapshot.server(&id) {
             let former = known.instance.id.clone();
@@ -282,8 +301,7 @@
     fn server_gone(&mut self, now: Timestamp, revision: Revision, id: &InstanceId) -> Applied {
         match self.remove_server(revision, id) {
             Some(server) => {
-                let id = server.instance.id.clone();
-                self.vanished.insert(id, (server.instance, now));
+                self.departures.note_missing(now, server, Missing::Removed);
                 Applied::Servers
             }
             None => Applied::Nothing,
--- /dev/null
+++ b/crates/coordination/tests/mesh_eras.rs
@@ -0,0 +1,379 @@
+//! A source that comes back from an older copy of itself: its revisions go back and are given out
+//! again, and what nodes know does not go back with them.
+
+mod mesh_support;
+
+use std::time::Duration;
+
+use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
+use lifthollow_state::mesh::{
+    Change, KnownServer, Revision, ServerInstance, ServerState, Snapshot, SnapshotVersion, Update,
+};
+use mesh_support::{at, configuration, id, ms, route, server};
+use quickcheck::quickcheck;
+
+/// How long an entry lasts that nobody renews.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3000);
+/// By then what is doubted is listed no more, or right.
+const DOUBTED_UNTIL: u64 = 5000;
+
+fn draining(name: &str, last_octet: u8) -> ServerInstance {
+    ServerInstance {
+        state: ServerState::Draining,
+        ..server(name, "a", last_octet)
+    }
+}
+
+/// A node at revision 20 of the first era, with version 21 and three servers: one ready, one that
+/// leaves, one whose entry went without a word.
+fn node() -> SnapshotStore {
+    let mut node = SnapshotStore::new(ENTRY_LIFETIME);
+    let changes = [
+        (5, Change::Server(server("i-ready", "a", 1))),
+        (6, Change::Server(server("i-leaving", "a", 2))),
+        (7, Change::Server(server("i-gone", "a", 3))),
+        (17, Change::Server(draining("i-leaving", 2))),
+        (18, Change::ServerGone(id("i-gone"))),
+        (20, Change::Configuration(version(21))),
+    ];
+    for (number, change) in changes {
+        node.apply(at(number), Revision::new(1, number), change);
+        node.advance(Revision::new(1, number));
+    }
+    node
+}
+
+fn version(number: u64) -> lifthollow_state::mesh::Configuration {
+    configuration(number, vec![route("r", "/")])
+}
+
+/// What the source holds when it comes back from a copy that was made at revision 16.
+fn copy(era: u64) -> Snapshot {
+    let entries = [("i-ready", 1, 5), ("i-leaving", 2, 6), ("i-gone", 3, 7)];
+    let servers = entries.map(|(name, octet, number)| {
+        let known = KnownServer {
+            instance: server(name, "a", octet),
+            revision: Revision::new(era, number),
+        };
+        (id(name), known)
+    });
+    Snapshot {
+        revision: Revision::new(era, 16),
+        configuration: Some(version(18)),
+        servers: servers.into(),
+    }
+}
+
+fn version_at(node: &SnapshotStore) -> u64 {
+    node.version().configuration
+}
+
+fn usable(node: &SnapshotStore) -> Vec<String> {
+    let servers = node.servers_in_force();
+    let ready = servers.iter().filter(|server| server.is_ready());
+    let mut ready: Vec<String> = ready.map(|server| server.id.to_string()).collect();
+    ready.sort();
+    ready
+}
+
+#[test]
+fn a_snapshot_of_a_later_era_is_newer_whatever_its_number() {
+    let mut node = node();
+    node.replace(at(1000), copy(2));
+    assert_eq!(node.snapshot().revision, Revision::new(2, 16));
+    let late = Snapshot {
+        revision: Revision::new(1, 500),
+        ..Snapshot::default()
+    };
+    assert_eq!(node.replace(at(1001), late), []);
+    assert_eq!(node.snapshot().servers.len(), 3);
+}
+
+#[test]
+fn changes_of_another_era_are_not_applied() {
+    let mut node = node();
+    let joined = || Change::Server(server("i-new", "a", 4));
+    let other = Revision::new(2, 21);
+    assert_eq!(node.apply(at(1000), other, joined()), Applied::Nothing);
+    node.advance(other);
+    assert_eq!(node.snapshot().revision, Revision::new(1, 20));
+    node.replace(at(1001), copy(2));
+    let former = Revision::new(1, 21);
+    assert_eq!(node.apply(at(1002), former, joined()), Applied::Nothing);
+    let next = Revision::new(2, 17);
+    assert_eq!(node.apply(at(1003), next, joined()), Applied::Servers);
+}
+
+#[test]
+fn a_node_of_an_earlier_era_is_sent_the_whole() {
+    let mut reader = node();
+    let theirs = reader.version();
+    reader.replace(at(1000), copy(2));
+    reader.apply(
+        at(1001),
+        Revision::new(2, 30),
+        Change::Configuration(version(25)),
+    );
+    reader.advance(Revision::new(2, 30));
+    let update = reader.update_since(theirs);
+    assert!(matches!(update, Update::Whole(_)));
+    let mut behind = node();
+    behind.update(at(1002), update);
+    assert_eq!(behind.version(), reader.version());
+}
+
+#[test]
+fn a_configuration_stays_until_a_newer_one_is_written() {
+    let mut node = node();
+    node.replace(at(1000), copy(2));
+    assert_eq!(version_at(&node), 21);
+    let again = Change::Configuration(version(21));
+    assert_eq!(
+        node.apply(at(1001), Revision::new(2, 17), again),
+        Applied::Nothing
+    );
+    let newest = Change::Configuration(version(25));
+    assert_eq!(
+        node.apply(at(1002), Revision::new(2, 18), newest),
+        Applied::Configuration
+    );
+}
+
+#[test]
+fn a_node_that_knows_only_the_copy_is_sent_the_configuration_that_others_have() {
+    let mut carrying = node();
+    carrying.replace(at(1000), copy(2));
+    let mut started = SnapshotStore::new(ENTRY_LIFETIME);
+    started.replace(at(1000), copy(2));
+    assert_eq!(version_at(&started), 18);
+    assert!(started.version().lacks(carrying.version()));
+    started.update(at(1001), carrying.update_since(started.version()));
+    assert_eq!(version_at(&started), 21);
+    assert!(!started.version().lacks(carrying.version()));
+}
+
+#[test]
+fn a_node_that_is_behind_gives_the_newer_configuration_that_it_has() {
+    let behind = node();
+    let mut started = SnapshotStore::new(ENTRY_LIFETIME);
+    started.replace(at(1000), copy(2));
+    started.update(at(1001), behind.update_since(started.version()));
+    assert_eq!(version_at(&started), 21);
+    assert_eq!(started.snapshot().revision, Revision::new(2, 16));
+}
+
+#[test]
+fn a_server_that_leaves_does_not_come_back_with_a_copy() {
+    let mut node = node();
+    for era in [2, 3] {
+        node.replace(at(era * 1000), copy(era));
+        assert!(!usable(&node).contains(&"i-leaving".to_owned()), "{era}");
+        let known = node.snapshot().server(&id("i-leaving"));
+        assert!(known.is_some_and(|known| !known.instance.is_ready()));
+    }
+    // Others are told that it leaves.
+    let mut started = SnapshotStore::new(ENTRY_LIFETIME);
+    started.update(at(3001), node.update_since(SnapshotVersion::default()));
+    assert!(!usable(&started).contains(&"i-leaving".to_owned()));
+    // The same entry, read once more.
+    node.replace(at(3002), copy(3));
+    assert!(!usable(&node).contains(&"i-leaving".to_owned()));
+}
+
+#[test]
+fn a_server_that_announced_its_end_and_went_does_not_come_back_with_a_copy() {
+    let mut node = node();
+    let gone = Change::ServerGone(id("i-leaving"));
+    node.apply(at(21), Revision::new(1, 21), gone);
+    node.advance(Revision::new(1, 21));
+    node.replace(at(1000), copy(2));
+    node.forget_vanished(at(60_000), Some(at(0)));
+    assert!(!usable(&node).contains(&"i-leaving".to_owned()));
+}
+
+#[test]
+fn a_server_that_had_gone_is_not_used_until_its_entry_has_outlived_its_time() {
+    let mut node = node();
+    node.replace(at(1000), copy(2));
+    assert_eq!(usable(&node), ["i-ready"]);
+    assert!(!node.forget_vanished(at(1000 + 3000), Some(at(0))));
+    assert_eq!(usable(&node), ["i-ready"]);
+    assert!(node.forget_vanished(at(1000 + DOUBTED_UNTIL), Some(at(0))));
+    assert_eq!(usable(&node), ["i-gone", "i-ready"], "somebody renews it");
+}
+
+#[test]
+fn a_server_that_had_gone_and_writes_again_is_used_at_once() {
+    let mut node = node();
+    node.replace(at(1000), copy(2));
+    let written = Change::Server(server("i-gone", "a", 3));
+    node.apply(at(1001), Revision::new(2, 17), written.clone());
+    assert_eq!(usable(&node), ["i-gone", "i-ready"]);
+    // A node that reads the whole only after that.
+    let mut late = self::node();
+    let mut whole = copy(2);
+    let revision = Revision::new(2, 19);
+    whole.revision = revision;
+    let entry = whole.servers.get_mut(&id("i-gone")).expect("it is listed");
+    entry.revision = revision;
+    late.replace(at(1002), whole);
+    assert_eq!(usable(&late), ["i-gone", "i-ready"]);
+}
+
+#[test]
+fn a_server_that_had_gone_is_the_last_resort_of_its_service() {
+    let mut node = node();
+    let mut whole = copy(2);
+    whole.servers.remove(&id("i-ready"));
+    whole.servers.remove(&id("i-leaving"));
+    node.replace(at(1000), whole);
+    let removed = Change::ServerGone(id("i-ready"));
+    node.apply(at(1001), Revision::new(2, 17), removed);
+    node.forget_vanished(at(1000 + 3000), Some(at(0)));
+    assert_eq!(usable(&node), ["i-gone"]);
+}
+
+#[test]
+fn a_server_whose_entry_the_source_lost_stays_in_use_until_it_would_be_written_again() {
+    let mut node = node();
+    let joined = Change::Server(server("i-joined", "a", 4));
+    node.apply(at(21), Revision::new(1, 21), joined.clone());
+    node.advance(Revision::new(1, 21));
+    node.replace(at(1000), copy(2));
+    assert_eq!(usable(&node), ["i-joined", "i-ready"]);
+    let mut written = node.clone();
+    written.apply(at(1500), Revision::new(2, 17), joined);
+    for (mut node, expected) in [
+        (written, vec!["i-joined", "i-ready"]),
+        (node, vec!["i-ready"]),
+    ] {
+        node.forget_vanished(at(3600), Some(at(0)));
+        assert_eq!(usable(&node), expected);
+    }
+}
+
+#[test]
+fn a_server_whose_address_is_taken_is_not_kept() {
+    let mut node = node();
+    let joined = Change::Server(server("i-joined", "a", 4));
+    node.apply(at(21), Revision::new(1, 21), joined);
+    node.advance(Revision::new(1, 21));
+    node.replace(at(1000), copy(2));
+    let taken = Change::Server(server("i-other", "a", 4));
+    node.apply(at(1001), Revision::new(2, 17), taken);
+    assert_eq!(usable(&node), ["i-other", "i-ready"]);
+}
+
+#[test]
+fn a_later_start_of_a_server_stays() {
+    let start = |milliseconds| ServerInstance {
+        id: id("i-again").started_at(milliseconds),
+        ..server("i-again", "a", 5)
+    };
+    let mut node = node();
+    let again = Change::Server(start(200));
+    node.apply(at(21), Revision::new(1, 21), again);
+    node.advance(Revision::new(1, 21));
+    let mut whole = copy(2);
+    let former = KnownServer {
+        instance: start(100),
+        revision: Revision::new(2, 8),
+    };
+    whole.servers.insert(former.instance.id.clone(), former);
+    node.replace(at(1000), whole);
+    assert_eq!(usable(&node), ["i-again@200", "i-ready"]);
+}
+
+/// A source that can be copied, and go back to its copy.
+#[derive(Clone)]
+struct Source {
+    now: SnapshotStore,
+    copy: Snapshot,
+    version: u64,
+}
+
+impl Source {
+    fn new() -> Self {
+        Source {
+            now: SnapshotStore::default(),
+            copy: Snapshot {
+                revision: Revision::new(1, 1),
+                ..Snapshot::default()
+            },
+            version: 0,
+        }
+    }
+
+    fn write(&mut self, change: Change) {
+        let revision = match self.now.snapshot().revision {
+            Revision::NONE => Revision::new(1, 1),
+            newest => newest.next(),
+        };
+        self.now.apply(at(0), revision, change);
+        self.now.advance(revision);
+    }
+
+    fn go_back(&mut self) {
+        let mut copy = self.copy.clone();
+        copy.revision.era = self.now.snapshot().revision.era.max(1) + 1;
+        for known in copy.servers.values_mut() {
+            known.revision.era = copy.revision.era;
+        }
+        self.now = SnapshotStore::default();
+        self.now.replace(at(0), copy);
+    }
+}
+
+quickcheck! {
+    /// However often the source goes back, and whoever learns of it from whom: no node's
+    /// configuration or revision ever does, and all that end at the source's newest revision know
+    /// the servers that it lists.
+    fn nodes_go_forward_only(picks: Vec<(u8, u8, u8)>) -> bool {
+        let mut source = Source::new();
+        let mut nodes = vec![SnapshotStore::default(); 4];
+        for (kind, from, to) in picks {
+            match kind % 8 {
+                0 => source.copy = (**source.now.snapshot()).clone(),
+                1 => source.go_back(),
+                2 => {
+                    source.version += 1;
+                    source.write(Change::Configuration(version(source.version)));
+                }
+                3 => source.write(Change::ServerGone(id(&format!("i-{}", from % 5)))),
+                4 => {
+                    let name = format!("i-{}", from % 5);
+                    source.write(Change::Server(server(&name, "a", from % 5)));
+                }
+                5 => {
+                    let whole = (**source.now.snapshot()).clone();
+                    let before = nodes[usize::from(to) % 4].version();
+                    nodes[usize::from(to) % 4].replace(at(0), whole);
+                    let after = nodes[usize::from(to) % 4].version();
+                    if after.lacks(before) {
+                        return false;
+                    }
+                }
+                _ => {
+                    let (from, to) = (usize::from(from) % 4, usize::from(to) % 4);
+                    let before = nodes[to].version();
+                    let update = nodes[from].update_since(before);
+                    nodes[to].update(at(0), update);
+                    if nodes[to].version().lacks(before) || nodes[to].version().lacks(nodes[from].version()) {
+                        return false;
+                    }
+                }
+            }
+        }
+        source.write(Change::Configuration(version(source.version + 1)));
+        nodes.into_iter().all(|mut node| {
+            node.replace(at(0), (**source.now.snapshot()).clone());
+            node.version() == source.now.version()
+                && node.snapshot().servers.keys().eq(source.now.snapshot().servers.keys())
+        })
+    }
+}
+
+#[test]
+fn an_entry_lasts_no_longer_than_it_is_doubted() {
+    assert!(ENTRY_LIFETIME < ms(DOUBTED_UNTIL));
+}
