Revisions of a store that came back from an older copy are not compared with those before

What callers saw: after the store had been away for three seconds, configurations that it had confirmed were not in force for more than two seconds (a removed route still ran, an added one was answered 404), and a server that had left was sent requests until its process ended.

Cause: the store comes back from a copy and gives revisions out again. Nodes took nothing from a revision whose number was not above theirs, so they threw all that they read away until the store had made as many changes as it had lost; what was changed at numbers that they had already was never learned. The watching nodes read the whole 60 to 75 times a second meanwhile.

Change: each answer of the store names its era, and every revision carries it: what a node compares, keeps, asks with and tells others.

--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -185,7 +185,7 @@
         let clock = surroundings.clock;
         let random = surroundings.random;
         let state = TrafficState {
-            snapshots: SnapshotStore::default(),
+            snapshots: SnapshotStore::new(settings.entry_lifetime),
             view: ViewFreshness::default(),
             watchers: Vec::new(),
             zone_watchers: Vec::new(),
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -26,6 +26,8 @@
     pub readiness: SocketAddrV4,
     /// Where metrics are served; nowhere if not given.
     pub metrics: Option<SocketAddrV4>,
+    /// How long a server's entry at the source lasts that the server does not renew.
+    pub entry_lifetime: Duration,
     /// Repeats that all nodes together may send.
     pub retry_bound: FleetRetryBound,
     /// How old the view may be by which keys are taken; none if any will do.
--- a/crates/proxy/src/snapshots/mod.rs
+++ b/crates/proxy/src/snapshots/mod.rs
@@ -46,9 +46,11 @@
 pub fn replace(node: &Rc<Node>, from: &str, snapshot: Snapshot) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
+    let before = state.snapshots.version();
     let applied = state.snapshots.replace(now, snapshot);
     node.refresh(&mut state);
     drop(state);
+    log_new_era(node, from, before);
     note_applied(node, from, &applied);
 }
 
@@ -56,11 +58,13 @@
 fn take_update(node: &Rc<Node>, from: &str, update: Update) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
+    let before = state.snapshots.version();
     let applied = state.snapshots.update(now, update);
     if !applied.is_empty() {
         node.refresh(&mut state);
     }
     drop(state);
+    log_new_era(node, from, before);
     node.metrics
         .changes
         .with_label_values(&["node"])
@@ -74,6 +78,17 @@
     asking::tell_newcomers(node);
 }
 
+/// Logs that the source has lost changes, and what this node keeps of what it knew.
+fn log_new_era(node: &Rc<Node>, from: &str, before: SnapshotVersion) {
+    let after = node.snapshot_version();
+    if before.revision.is_none() || after.revision.era == before.revision.era {
+        return;
+    }
+    warn!(node.log, "source came back from an older copy"; "from" => from,
+        "revision" => %after.revision, "revision_before" => %before.revision,
+        "version" => after.configuration, "version_before" => before.configuration);
+}
+
 fn log_applied(node: &Rc<Node>, from: &str, applied: &[Applied]) {
     let revision = node.revision();
     for one in applied {
--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -206,12 +206,13 @@
         Ok(())
     }
 
-    /// Takes in what the source told when it was asked at `asked`, and says whether that
-    /// was anything. When its answer was given is not known: it may have waited,
+    /// Takes in what the source told of changes after `after` when it was asked at `asked`, and
+    /// says whether that was anything. When its answer was given is not known: it may have waited,
     /// here or on its way.
     fn take_changes(
         &mut self,
         answer: Result<Changes, SourceError>,
+        after: Revision,
         asked: Timestamp,
     ) -> Result<bool, SourceError> {
         let answer = match answer {
@@ -221,6 +222,11 @@
             }
             other => other?,
         };
+        if answer.revision.era != after.era {
+            // Numbers were given out again: changes up to `after` in the new era are not among these.
+            self.fall_behind("source came back from an older copy");
+            return Ok(false);
+        }
         let has_changes = answer.told > 0;
         if !has_changes && answer.revision > self.node.revision() {
             // Every change is told: some were left out.
--- a/crates/proxy/src/source/watching.rs
+++ b/crates/proxy/src/source/watching.rs
@@ -35,7 +35,7 @@
             self.fall_behind("a watch did not tell of changes");
             return Ok(());
         };
-        if !self.take_changes(answer, asked)? {
+        if !self.take_changes(answer, after, asked)? {
             return Ok(());
         }
         if !self.node.is_watcher() {
