A store that was away is asked by few nodes when it is back

What operators saw: when the store had been away, all nodes asked it as soon as it was back, and most read the whole: 115 calls of 60 nodes, 603 of 200 and 1,477 of 600 after three seconds, with or without a loss of changes (simulated fleets). That grows with the nodes, where what the store has to bear is to follow the changes and the zones.

Cause: after an error, nodes that learn from others tried the store again as soon as those that watch it (100 to 800 ms), so that none of these could tell them first that it is back.

Change: they try it after three seconds at most, a time that is seldom short, and go on asking those that watch every 300 ms. Those that watch, and those that start, try as before.

--- a/crates/coordination/src/mesh/source_following.rs
+++ b/crates/coordination/src/mesh/source_following.rs
@@ -47,6 +47,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after errors of the source.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// After an error of the source a node that learns from others asks it again after this time at
+/// most: those that watch do sooner, and one of them tells all others that it is back.
+const LISTENER_PAUSE: Duration = Duration::from_millis(3000);
 /// The shortest time for which it is worth to wait.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 /// The longest time until a node decides anew: what it knows may have changed.
@@ -140,6 +143,8 @@
     asked_in_vain: bool,
     /// The source is asked for nothing until then.
     paused_until: Timestamp,
+    /// The same while the node learns from others.
+    listener_paused_until: Timestamp,
     pause: Duration,
 }
 
@@ -167,6 +172,7 @@
             behind_since: None,
             asked_in_vain: false,
             paused_until: now,
+            listener_paused_until: now,
             pause: FIRST_PAUSE,
         }
     }
@@ -193,13 +199,13 @@
         };
         match step {
             Step::Wait(time) => Step::Wait(time.clamp(SHORTEST_WAIT, LONGEST_WAIT)),
-            step if step.asks_source() && self.is_paused(now) => self.pause(now, known),
+            step if step.asks_source() && now < self.pause_end(known) => self.pause(now, known),
             step => step,
         }
     }
 
     fn start(&mut self, now: Timestamp, known: Known, random: &mut impl Rng) -> Step {
-        let is_paused = self.is_paused(now);
+        let is_paused = now < self.paused_until;
         if now >= self.read_at && !is_paused {
             self.read_at = now + seldom_short(ALONE_LIMIT, random);
             return Step::ReadAll;
@@ -249,8 +255,15 @@
         Step::Wait(self.read_at.min(self.ask_at).saturating_since(now))
     }
 
-    fn is_paused(&self, now: Timestamp) -> bool {
-        now < self.paused_until
+    /// Until when the source is asked for nothing.
+    fn pause_end(&self, known: Known) -> Timestamp {
+        let learns_from_others = !known.is_watcher && known.knows_nodes;
+        match self.following(known) {
+            Following::Listening | Following::CatchingUp if learns_from_others => {
+                self.listener_paused_until
+            }
+            _ => self.paused_until,
+        }
     }
 
     /// The source was out of reach a moment ago. Other nodes may reach it, so a node whose view
@@ -262,8 +275,8 @@
             return Step::AskNodes(Duration::MAX);
         }
         let end = match may_ask {
-            true => self.paused_until.min(self.ask_at),
-            false => self.paused_until,
+            true => self.pause_end(known).min(self.ask_at),
+            false => self.pause_end(known),
         };
         Step::Wait(end.saturating_since(now).min(LONGEST_WAIT))
     }
@@ -327,6 +340,7 @@
     pub fn source_failed(&mut self, now: Timestamp, random: &mut impl Rng) {
         self.search_at = self.search_at.min(now + about(FAILED_SEARCH_PAUSE, random));
         self.paused_until = now + self.pause;
+        self.listener_paused_until = now + seldom_short(LISTENER_PAUSE, random);
         self.pause = (self.pause * 2).min(MAX_PAUSE);
     }
 
