A source whose reads don't help is read four times a second at most

What operators saw: nodes that watch a store which answered all that they asked read the whole of it 60 to 75 times a second each, 1,365 to 1,551 calls a second of three nodes.

Cause: the store told them after each read that their history was gone, and a node that watches reads at once then. Nothing bounded how often.

Change: 250 ms at least between two reads of all, whatever the store says. The first is at once, as before.

--- a/crates/coordination/src/mesh/source_following.rs
+++ b/crates/coordination/src/mesh/source_following.rs
@@ -41,6 +41,9 @@
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(200);
 /// Time between two rounds of questions of a node that catches up.
 const CATCH_UP_ASK_PAUSE: Duration = Duration::from_millis(100);
+/// The shortest time between two reads of all of the source: one whose reads don't help, as it
+/// forgets its history at once, must not be read without end.
+const READ_PAUSE: Duration = Duration::from_millis(250);
 /// A node that was told by a watcher asks none for this long.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// The first pause after an error of the source.
@@ -133,6 +136,8 @@
     ask_at: Timestamp,
     /// When all of the source is read, of a node that starts or catches up.
     read_at: Timestamp,
+    /// When all of the source was last read, or begun to be.
+    last_read: Option<Timestamp>,
     /// Whether a read that looks for others was answered.
     was_answered: bool,
     /// Whether a node that starts was chosen to watch by those that it has found.
@@ -167,6 +172,7 @@
             search_at: now,
             ask_at: now,
             read_at: now + seldom_short(UNANSWERED_LIMIT, random),
+            last_read: None,
             was_answered: false,
             is_chosen: false,
             behind_since: None,
@@ -197,11 +203,15 @@
             Following::Watching => Step::Watch,
             Following::CatchingUp => self.catch_up(now, known),
         };
-        match step {
+        let step = match step {
             Step::Wait(time) => Step::Wait(time.clamp(SHORTEST_WAIT, LONGEST_WAIT)),
             step if step.asks_source() && now < self.pause_end(known) => self.pause(now, known),
             step => step,
+        };
+        if step == Step::ReadAll {
+            self.last_read = Some(now);
         }
+        step
     }
 
     fn start(&mut self, now: Timestamp, known: Known, random: &mut impl Rng) -> Step {
@@ -330,10 +340,12 @@
         self.asked_in_vain = false;
         self.behind_since = Some(known.revision);
         self.ask_at = now;
-        self.read_at = match known.is_watcher {
+        let read_at = match known.is_watcher {
             true => now,
             false => now + seldom_short(CATCH_UP_LIMIT, random),
         };
+        let earliest = self.last_read.map_or(now, |last| last + READ_PAUSE);
+        self.read_at = read_at.max(earliest);
     }
 
     /// The source did not answer, or refused.
--- a/crates/coordination/tests/mesh_source_following.rs
+++ b/crates/coordination/tests/mesh_source_following.rs
@@ -12,6 +12,8 @@
 use rand::rngs::SmallRng;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
+/// How long the source takes to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
 
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp::from_micros(milliseconds * 1000)
@@ -221,6 +223,33 @@
     );
 }
 
+/// What operators saw: nodes that watch a store which answered all they asked read the whole 60 to
+/// 75 times a second each. Each time the store told them afterwards that their history was gone.
+#[test]
+fn a_source_that_has_always_forgotten_its_history_is_read_a_few_times_a_second() {
+    let watching = Known {
+        is_watcher: true,
+        ..LISTENING
+    };
+    let mut follower = Follower::new(at(0), &mut random(1));
+    let (mut now, mut reads) = (at(0), 0);
+    while now < at(10_000) {
+        let (when, step) = next(&mut follower, now, watching, 1);
+        now = when + ANSWER_TIME;
+        match step {
+            Step::Watch => follower.fell_behind(now, watching, &mut random(1)),
+            Step::ReadAll => {
+                reads += 1;
+                follower.brought_up_to_date(&mut random(1));
+            }
+            Step::AskNodes(_) => follower.nodes_asked(now, watching, &mut random(1)),
+            other => panic!("{other:?}"),
+        }
+    }
+    // The first, and four in each second.
+    assert!((10..=1 + 4 * 10).contains(&reads), "{reads} in 10 s");
+}
+
 #[test]
 fn a_watcher_that_the_source_refuses_learns_from_the_others() {
     let refused = Known {
