Contents that crashed servers are tried one after the other

Would be seen: two contents whose blocks end at the same moment are tried at the same server (both hashes may name it); it crashes under the one, and the other, which harms nobody, gets a trial's crash too and is blocked for five minutes instead of being admitted.

Cause: a node bounded the trials of one content to one in 2 s, not those of all.

Change: one trial at a node's server at a time, of whatever content; the next may begin 2 s after its start, or as soon as it ran well, so that many contents don't wait for each other.

Test `contents_are_tried_one_after_the_other`, which failed before.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -20,7 +20,7 @@
 /// At most so many contents are kept, about 200 bytes each. A crash names those that ran
 /// there, 140 at the largest servers seen. The ones with the fewest crashes go first.
 const MAX_SUSPECTS: usize = 1024;
-/// A node lets one trial of a content run in this time. A server may crash a moment after it
+/// A node lets one trial run in this time, unless it ends well sooner. A server may crash a moment after it
 /// has broken off its answer.
 pub const TRIAL_PAUSE: Duration = Duration::from_secs(2);
 
@@ -59,15 +59,23 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     suspicion: Suspicion,
-    last_trial: Option<Timestamp>,
     /// The callers for whom it was blocked when changes were last asked for.
     told_blocked: Vec<ServiceName>,
 }
 
+/// A run that shows whether a content still crashes servers.
+#[derive(Clone, Debug)]
+struct Trial {
+    content: ContentFingerprint,
+    began: Timestamp,
+}
+
 /// All that a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: HashMap<ContentFingerprint, Suspect>,
+    /// The last one at the server beside this node, unless it ran well.
+    trial: Option<Trial>,
     digest: u64,
 }
 
@@ -92,6 +100,7 @@
 
     /// A server ran `request` well at `at`.
     pub fn note_served(&mut self, at: Timestamp, request: &CallerContent) {
+        self.end_trial(at, &request.content);
         let Some(suspect) = self.suspects.get_mut(&request.content) else {
             return;
         };
@@ -173,18 +182,24 @@
         suspect.map_or(0, |suspect| suspect.suspicion.servers().len())
     }
 
-    /// A trial of `content` asks to run at this node's server. False if one has run a
-    /// moment ago.
+    /// A trial of `content` asks to run at this node's server. False if one of any content has
+    /// begun a moment ago and has not ended well: a crash under both would speak against both.
     pub fn begin_trial(&mut self, now: Timestamp, content: &ContentFingerprint) -> bool {
-        let Some(suspect) = self.suspects.get_mut(content) else {
-            return true;
-        };
-        let last = suspect.last_trial;
-        let may_run = last.is_none_or(|last| now.saturating_since(last) >= TRIAL_PAUSE);
-        if may_run {
-            suspect.last_trial = Some(now);
+        let is_recent = |trial: &Trial| now.saturating_since(trial.began) < TRIAL_PAUSE;
+        if self.trial.as_ref().is_some_and(is_recent) {
+            return false;
         }
-        may_run
+        self.trial = Some(Trial {
+            content: *content,
+            began: now,
+        });
+        true
+    }
+
+    /// A trial that runs well makes way for the next one.
+    fn end_trial(&mut self, at: Timestamp, content: &ContentFingerprint) {
+        self.trial
+            .take_if(|trial| trial.content == *content && at >= trial.began);
     }
 
     /// Tells what is known apart from what another node knows; zero if nothing is.
--- a/crates/coordination/tests/mesh_poison_suspects.rs
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -168,6 +168,22 @@
     assert!(suspects.begin_trial(at(42.0), &poison().content));
 }
 
+/// Two contents were tried at one server at the same moment: it crashed under the one, and the
+/// other, which harms nobody, was blocked for five minutes with it.
+#[test]
+fn contents_are_tried_one_after_the_other() {
+    let mut suspects = after_crashes(3);
+    let hot = request(8);
+    assert!(suspects.begin_trial(at(40.0), &poison().content));
+    assert!(!suspects.begin_trial(at(41.9), &hot.content));
+    assert!(suspects.begin_trial(at(42.0), &hot.content));
+    // What was served before it began doesn't end it.
+    suspects.note_served(at(41.0), &hot);
+    assert!(!suspects.begin_trial(at(42.1), &poison().content));
+    suspects.note_served(at(42.2), &hot);
+    assert!(suspects.begin_trial(at(42.2), &poison().content));
+}
+
 #[test]
 fn all_nodes_name_the_same_server_for_a_trial_and_never_the_last_one() {
     let servers: Vec<InstanceId> = (0..5).map(server).collect();
