What others may have caused is tried soon, so that a hot request is not blocked for 30 s with them

A hot request that had run well for nobody yet was aboard of the first three crashes of an outbreak of several causes; it was blocked for all callers until its trial 30 s later: a third of all requests refused.

Change: a proof is doubtful while other contents that crashed two servers or more, and never ran well, may have caused so many of its crashes that the rest are fewer than a proof. The first trial of such a content comes after 12 s (was 30). This is longer than a wave of crashes (10 s), so a crash under the trial counts as a trial's and blocks for five minutes: real causes are not tried more often than before, only the first time sooner.

Why it works: two contents that explain each other can be told apart by nothing but a run, and servers are back after seconds.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -114,10 +114,7 @@
 
     /// What may be done with a request.
     pub fn verdict(&self, now: Timestamp, request: &CallerContent) -> Verdict {
-        let suspect = self.suspects.get(&request.content);
-        let blocked =
-            suspect.and_then(|suspect| suspect.suspicion.blocked_for(&request.caller, now));
-        match blocked {
+        match self.blocked_for(now, request) {
             None => Verdict::Admitted,
             Some(_) if self.is_explained(request) => Verdict::Admitted,
             Some(Duration::ZERO) => Verdict::OnTrial,
@@ -125,6 +122,23 @@
         }
     }
 
+    /// How long a request is still blocked if nothing but a trial ends that; zero once it may be
+    /// tried.
+    fn blocked_for(&self, now: Timestamp, request: &CallerContent) -> Option<Duration> {
+        let suspicion = &self.suspects.get(&request.content)?.suspicion;
+        let is_doubtful = || self.is_doubtful(&request.content);
+        suspicion.blocked_for(&request.caller, now, is_doubtful)
+    }
+
+    /// Whether other contents may have caused so many of the crashes that speak against this one
+    /// that the rest prove nothing. It may be the cause of all the same.
+    fn is_doubtful(&self, content: &ContentFingerprint) -> bool {
+        let explained = self.explained_servers(content);
+        let crashed = self.suspects.get(content).into_iter();
+        let crashed = crashed.flat_map(|suspect| suspect.suspicion.servers());
+        crashed.filter(|server| !explained.contains(server)).count() < PROOF
+    }
+
     /// Whether other contents explain so many of the crashes that speak against this request
     /// that the rest prove nothing, while this one's content runs well for other callers. A
     /// crash that nothing else can have caused is never explained.
@@ -140,7 +154,7 @@
         if !suspect.suspicion.has_run_well() {
             return false;
         }
-        let explained = self.explained_servers();
+        let explained = self.explained_servers(&request.content);
         let crashed = suspect.suspicion.servers_of(&request.caller);
         let unexplained: Vec<_> = crashed.difference(&explained).collect();
         unexplained.len() < PROOF
@@ -157,10 +171,11 @@
         never_served.any(|(_, other)| other.suspicion.servers().contains(server))
     }
 
-    /// The servers whose crashes a content may have caused that crashed others too and never
-    /// ran well for anybody.
-    fn explained_servers(&self) -> BTreeSet<&InstanceId> {
-        let suspicions = self.suspects.values().map(|suspect| &suspect.suspicion);
+    /// The servers whose crashes a content other than `content` may have caused that crashed
+    /// others too and never ran well for anybody.
+    fn explained_servers(&self, content: &ContentFingerprint) -> BTreeSet<&InstanceId> {
+        let others = self.suspects.iter().filter(|(other, _)| *other != content);
+        let suspicions = others.map(|(_, suspect)| &suspect.suspicion);
         let never_served = suspicions.filter(|suspicion| !suspicion.has_run_well());
         let servers = never_served.map(Suspicion::servers);
         let explaining = servers.filter(|servers| servers.len() >= EXPLAINING);
@@ -283,20 +298,18 @@
         let mut changes = Vec::new();
         for content in self.suspects.keys().copied().collect::<Vec<_>>() {
             let blocked = self.blocked_callers(&content);
+            let blocked_for = self.longest_block(now, content, &blocked);
             let Some(suspect) = self.suspects.get_mut(&content) else {
                 continue;
             };
             if suspect.told_blocked == blocked {
                 continue;
             }
-            let suspicion = &suspect.suspicion;
-            let times = blocked
-                .iter()
-                .filter_map(|caller| suspicion.blocked_for(caller, now));
+            let servers = suspect.suspicion.servers();
             changes.push(Change {
                 content,
-                servers: suspicion.servers().into_iter().cloned().collect(),
-                blocked_for: times.max().unwrap_or_default(),
+                servers: servers.into_iter().cloned().collect(),
+                blocked_for,
                 blocked_callers: blocked.clone(),
             });
             suspect.told_blocked = blocked;
@@ -304,6 +317,20 @@
         changes
     }
 
+    fn longest_block(
+        &self,
+        now: Timestamp,
+        content: ContentFingerprint,
+        callers: &[ServiceName],
+    ) -> Duration {
+        let requests = callers.iter().map(|caller| CallerContent {
+            content,
+            caller: caller.clone(),
+        });
+        let times = requests.filter_map(|request| self.blocked_for(now, &request));
+        times.max().unwrap_or_default()
+    }
+
     fn blocked_callers(&self, content: &ContentFingerprint) -> Vec<ServiceName> {
         let suspect = self.suspects.get(content);
         let proven = suspect.map(|suspect| suspect.suspicion.proven_callers());
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -29,6 +29,10 @@
     Duration::from_secs(60 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
+/// How long a content is blocked at first if others may have caused most of its crashes. Only a
+/// run tells which of them is the cause. Longer than [`ONE_WAVE`] and than news takes, so that a
+/// crash under that run counts as a trial's.
+const DOUBTFUL_BLOCK: Duration = Duration::from_secs(12);
 /// What is not proven is forgotten after this time: most of it shared a server with the
 /// cause and never comes again.
 const SUSPECTED_FOR: Duration = Duration::from_secs(10 * 60);
@@ -156,11 +160,21 @@
     }
 
     /// How long it is still blocked for requests of `caller`'s machines; zero once it may be
-    /// tried, and none if it isn't proven.
-    pub fn blocked_for(&self, caller: &ServiceName, now: Timestamp) -> Option<Duration> {
+    /// tried, and none if it isn't proven. `is_doubtful` tells whether other contents may be the
+    /// cause; it is asked only if that matters.
+    pub fn blocked_for(
+        &self,
+        caller: &ServiceName,
+        now: Timestamp,
+        is_doubtful: impl FnOnce() -> bool,
+    ) -> Option<Duration> {
         let crashes = self.proof(caller)?;
         let last = crashes.last()?;
-        Some(last.left_of(block_length(&crashes), now))
+        let length = match trials(&crashes) == 0 && is_doubtful() {
+            true => DOUBTFUL_BLOCK,
+            false => block_length(&crashes),
+        };
+        Some(last.left_of(length, now))
     }
 
     /// The time since the last of the crashes that prove it for requests of `caller`'s
--- a/crates/coordination/tests/mesh_poison_suspects.rs
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -184,6 +184,44 @@
     assert!(suspects.begin_trial(at(42.2), &poison().content));
 }
 
+/// An outbreak of two causes began before a hot request had run well anywhere. It was aboard of
+/// the first three crashes, each with one of the causes, and was blocked for all callers for 30 s,
+/// as only a good run could tell it from the causes.
+#[test]
+fn what_others_may_have_caused_is_tried_soon_and_once() {
+    let (hot, second) = (request(8), request(9));
+    let mut suspects = Suspects::default();
+    for (number, cause) in (0..).zip([poison(), poison(), second]) {
+        suspects.note_crash(
+            at(f64::from(number)),
+            &[cause, hot.clone()],
+            &server(number),
+        );
+    }
+    let soon = Duration::from_secs(12);
+    assert_eq!(suspects.verdict(at(2.0), &hot), Verdict::Blocked(soon));
+    assert_eq!(suspects.take_changes(at(2.0))[0].blocked_for, soon);
+    assert_eq!(suspects.verdict(at(14.0), &hot), Verdict::OnTrial);
+    let mut crashed = suspects.clone();
+    crashed.note_crash(at(14.1), std::slice::from_ref(&hot), &server(3));
+    let five_minutes = Verdict::Blocked(Duration::from_secs(300));
+    assert_eq!(crashed.verdict(at(14.1), &hot), five_minutes);
+    suspects.note_served(at(14.1), &hot);
+    assert_eq!(suspects.verdict(at(14.1), &hot), Verdict::Admitted);
+}
+
+/// Other requests that were aboard of one crash each are no other causes.
+#[test]
+fn what_nothing_else_may_have_caused_is_not_tried_sooner() {
+    let mut suspects = Suspects::default();
+    for number in 0..3 {
+        let aboard = [poison(), request(100 + u128::from(number))];
+        suspects.note_crash(at(f64::from(number)), &aboard, &server(number));
+    }
+    let blocked = suspects.verdict(at(2.0), &poison());
+    assert_eq!(blocked, Verdict::Blocked(FIRST_BLOCK));
+}
+
 #[test]
 fn all_nodes_name_the_same_server_for_a_trial_and_never_the_last_one() {
     let servers: Vec<InstanceId> = (0..5).map(server).collect();
