A blocked request costs no look at all suspects

Change: which proofs are doubtful is found out when knowledge changes (a crash, a good run that counts, another node's news, what is forgotten) and kept.

`a_cause_that_nothing_explains_any_more_is_blocked_as_long_as_ever` holds that what is kept follows a good run.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -5,7 +5,7 @@
 //! Knowledge only grows until it is over, and is joined entry by entry, so that all
 //! nodes that are in touch end with the same.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -20,8 +20,8 @@
 /// At most so many contents are kept, about 200 bytes each. A crash names those that ran
 /// there, 140 at the largest servers seen. The ones with the fewest crashes go first.
 const MAX_SUSPECTS: usize = 1024;
-/// A node lets one trial run in this time, unless it ends well sooner. A server may crash a moment after it
-/// has broken off its answer.
+/// A node lets one trial run in this time, unless it ends well sooner. A server may crash a moment
+/// after it has broken off its answer.
 pub const TRIAL_PAUSE: Duration = Duration::from_secs(2);
 
 /// Two crashes of a content that never ran well explain each other; one may be chance, as what
@@ -74,6 +74,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: HashMap<ContentFingerprint, Suspect>,
+    /// Those proven contents whose crashes others may have caused. Kept, as finding out takes a
+    /// look at all suspects, and a blocked request must cost little.
+    doubtful: HashSet<ContentFingerprint>,
     /// The last one at the server beside this node, unless it ran well.
     trial: Option<Trial>,
     digest: u64,
@@ -105,11 +108,15 @@
             return;
         };
         let at = Moment::before(at, Duration::ZERO);
-        let before = digest(&request.content, &suspect.suspicion);
-        let evidence = suspect.suspicion.evidence_mut(&request.caller);
-        evidence.note_served(at);
-        let after = digest(&request.content, &suspect.suspicion);
+        let suspicion = &mut suspect.suspicion;
+        let before = digest(&request.content, suspicion);
+        let had_run_well = suspicion.has_run_well();
+        suspicion.evidence_mut(&request.caller).note_served(at);
+        let after = digest(&request.content, suspicion);
         self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
+        if after != before || !had_run_well {
+            self.refresh_doubts();
+        }
     }
 
     /// What may be done with a request.
@@ -126,7 +133,7 @@
     /// tried.
     fn blocked_for(&self, now: Timestamp, request: &CallerContent) -> Option<Duration> {
         let suspicion = &self.suspects.get(&request.content)?.suspicion;
-        let is_doubtful = || self.is_doubtful(&request.content);
+        let is_doubtful = self.doubtful.contains(&request.content);
         suspicion.blocked_for(&request.caller, now, is_doubtful)
     }
 
@@ -216,7 +223,7 @@
     /// How many contents are suspected, and how many of them are proven.
     pub fn counts(&self) -> (usize, usize) {
         let suspects = self.suspects.values();
-        let proven = suspects.filter(|suspect| !suspect.suspicion.proven_callers().is_empty());
+        let proven = suspects.filter(|suspect| suspect.suspicion.is_proven());
         (self.suspects.len(), proven.count())
     }
 
@@ -276,6 +283,7 @@
             .retain(|_, suspect| !suspect.suspicion.is_over(now));
         if self.suspects.len() != before {
             self.refresh_digest();
+            self.refresh_doubts();
         }
     }
 
@@ -335,6 +343,7 @@
             self.drop_least_suspected();
         }
         self.refresh_digest();
+        self.refresh_doubts();
     }
 
     fn drop_least_suspected(&mut self) {
@@ -355,6 +364,13 @@
         }
     }
 
+    fn refresh_doubts(&mut self) {
+        let proven = self.suspects.iter();
+        let proven = proven.filter(|(_, suspect)| suspect.suspicion.is_proven());
+        let proven = proven.map(|(content, _)| *content);
+        self.doubtful = proven.filter(|one| self.is_doubtful(one)).collect();
+    }
+
     fn refresh_digest(&mut self) {
         let suspects = self.suspects.iter();
         let digests = suspects.map(|(content, suspect)| digest(content, &suspect.suspicion));
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -151,6 +151,11 @@
         served.next().is_some()
     }
 
+    /// Whether requests of any caller are proven to crash servers.
+    pub fn is_proven(&self) -> bool {
+        !self.proven_callers().is_empty()
+    }
+
     /// The callers whose requests are proven to crash servers.
     pub fn proven_callers(&self) -> Vec<&ServiceName> {
         let callers = self.by_caller.keys();
@@ -160,17 +165,16 @@
     }
 
     /// How long it is still blocked for requests of `caller`'s machines; zero once it may be
-    /// tried, and none if it isn't proven. `is_doubtful` tells whether other contents may be the
-    /// cause; it is asked only if that matters.
+    /// tried, and none if it isn't proven. `is_doubtful` if other contents may be the cause.
     pub fn blocked_for(
         &self,
         caller: &ServiceName,
         now: Timestamp,
-        is_doubtful: impl FnOnce() -> bool,
+        is_doubtful: bool,
     ) -> Option<Duration> {
         let crashes = self.proof(caller)?;
         let last = crashes.last()?;
-        let length = match trials(&crashes) == 0 && is_doubtful() {
+        let length = match is_doubtful && trials(&crashes) == 0 {
             true => DOUBTFUL_BLOCK,
             false => block_length(&crashes),
         };
--- a/crates/coordination/tests/mesh_poison_suspects.rs
+++ b/crates/coordination/tests/mesh_poison_suspects.rs
@@ -229,6 +229,22 @@
     assert_eq!(suspects.verdict(at(14.1), &hot), Verdict::Admitted);
 }
 
+/// A good run of the other leaves no doubt of the cause.
+#[test]
+fn a_cause_that_nothing_explains_any_more_is_blocked_as_long_as_ever() {
+    let hot = request(8);
+    let mut suspects = Suspects::default();
+    for number in 0..3 {
+        let aboard = [poison(), hot.clone()];
+        suspects.note_crash(at(f64::from(number)), &aboard, &server(number));
+    }
+    let doubtful = Verdict::Blocked(Duration::from_secs(11));
+    assert_eq!(suspects.verdict(at(3.0), &poison()), doubtful);
+    suspects.note_served(at(3.0), &hot);
+    let certain = Verdict::Blocked(Duration::from_secs(29));
+    assert_eq!(suspects.verdict(at(3.0), &poison()), certain);
+}
+
 /// Other requests that were aboard of one crash each are no other causes.
 #[test]
 fn what_nothing_else_may_have_caused_is_not_tried_sooner() {
