--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -17,8 +17,7 @@
 use crate::mesh::poison::content::{CallerContent, ContentFingerprint};
 use crate::mesh::poison::suspicion::{Evidence, Moment, PROOF, Suspicion};
 
-/// At most so many contents are kept, about 200 bytes each. A crash names those that ran
-/// there, 140 at the largest servers seen. The ones with the fewest crashes go first.
+/// Contents that are kept, about 200 bytes each. The ones with the fewest crashes go first.
 const MAX_SUSPECTS: usize = 1024;
 /// A node lets one trial run in this time, unless it ends well sooner. A server may crash a moment
 /// after it has broken off its answer.
@@ -28,8 +27,7 @@
 /// is asked once only is aboard of one crash at most.
 const EXPLAINING: usize = 2;
 /// No request is refused for a proof that is younger: a node may know of the third crash before
-/// it knows of good runs at others. Two of 4,146 requests were refused within 1 ms of a proof
-/// (test `poison_soak`, seed 123). News took 12 ms to all of 12 nodes; requests wait meanwhile.
+/// it knows of good runs at others. Requests wait meanwhile.
 pub const SETTLING: Duration = Duration::from_millis(100);
 
 /// What may be done with a request.
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -12,17 +12,15 @@
 pub const PROOF: usize = 3;
 /// A good run counts against all crashes before it, and those of this time after it: what
 /// runs well everywhere is also aboard when a rack of servers loses power at once, and while
-/// another request crashes all servers as soon as they are back nothing runs well. With 1 s, a
-/// request that came 12 times a second was refused for 30 s in two of five runs of such an
-/// outbreak on eight machines (test `poison_soak`, seed 123). A request that ran well and
-/// crashes servers from some moment on costs those of this time more.
+/// another request crashes all servers as soon as they are back nothing runs well. A request
+/// that ran well and crashes servers from some moment on costs those of this time more.
 pub const GOOD_RUN_COVERS: Duration = Duration::from_secs(10);
 /// Crashes that are closer together than this come of one time at which the content was let
 /// run: of copies that were under way when it was proven.
 const ONE_WAVE: Duration = Duration::from_secs(10);
 /// How long a proven content is blocked, by the times at which it was let run. The first is
 /// long enough for servers to be back and warm; then one run is tried, so that a wrong
-/// block ends. Trials that crash their server become rare: three in the first 66 minutes.
+/// block ends. Trials that crash their server become rare.
 const BLOCKED_FOR: [Duration; 4] = [
     Duration::from_secs(30),
     Duration::from_secs(5 * 60),
@@ -203,9 +201,8 @@
 
     /// The crashes that prove that it crashes servers when `caller`'s machines ask for it,
     /// oldest first. Those of all callers count together if they are of two at least, so that
-    /// the caller can't be what matters, and it ran well for none meanwhile. Without that, each
-    /// of five services' machines cost three crashes and 7 late arrivals came (test
-    /// `a_request_that_comes_from_many_services_is_known_as_one`).
+    /// the caller can't be what matters, and it ran well for none meanwhile. Otherwise the machines
+    /// of each service cost as many crashes again.
     fn proof(&self, caller: &ServiceName) -> Option<Vec<Moment>> {
         if self.is_proven_for_all() {
             let together: BTreeMap<_, _> = self.counted().collect();
