--- /dev/null
+++ b/crates/coordination/tests/mesh_snapshot_updates.rs
@@ -0,0 +1,306 @@
+//! What nodes know of the source's items, and how they tell each other only what they lack.
+
+mod mesh_support;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
+use lifthollow_state::mesh::{Change, InstanceId, KnownServer, Revision, ServerInstance, Update};
+use mesh_support::{at, at_revision, configuration, id, route, server, version_of};
+use quickcheck::quickcheck;
+
+fn store_of(count: u64) -> SnapshotStore {
+    let mut store = SnapshotStore::default();
+    for revision in 1..=count {
+        let name = format!("i-{revision}");
+        let change = Change::Server(server(&name, "a", (revision % 250) as u8));
+        store.apply(at(revision), at_revision(revision), change);
+        store.advance(at_revision(revision));
+    }
+    store
+}
+
+#[test]
+fn a_node_that_is_behind_is_sent_only_what_it_lacks() {
+    let store = store_of(9);
+    let Update::Difference {
+        revision, changes, ..
+    } = store.update_since(version_of(7))
+    else {
+        panic!("the whole was sent");
+    };
+    assert_eq!(revision, at_revision(9));
+    let revisions: Vec<Revision> = changes.iter().map(|change| change.revision).collect();
+    assert_eq!(revisions, [at_revision(8), at_revision(9)]);
+}
+
+#[test]
+fn a_node_that_knows_nothing_or_is_too_far_behind_is_sent_the_whole() {
+    let store = store_of(2000);
+    assert!(matches!(
+        store.update_since(version_of(0)),
+        Update::Whole(_)
+    ));
+    assert!(matches!(
+        store.update_since(version_of(100)),
+        Update::Whole(_)
+    ));
+    assert!(matches!(
+        store.update_since(version_of(1500)),
+        Update::Difference { .. }
+    ));
+}
+
+#[test]
+fn a_node_that_read_the_whole_tells_others_only_what_they_lack() {
+    let mut reader = store_of(2000);
+    let mut behind = reader.clone();
+    let mut newer = (**reader.snapshot()).clone();
+    newer.revision = at_revision(2500);
+    newer.servers.remove(&id("i-1"));
+    let joined = KnownServer {
+        instance: server("i-new", "a", 251),
+        revision: at_revision(2400),
+    };
+    newer.servers.insert(id("i-new"), joined);
+    newer.configuration = Some(configuration(3, vec![route("r", "/")]));
+    reader.replace(at(3000), newer.clone());
+    let update = reader.update_since(version_of(2000));
+    let Update::Difference { changes, .. } = &update else {
+        panic!("the whole was sent");
+    };
+    assert_eq!(changes.len(), 3, "{changes:?}");
+    behind.update(at(3001), update);
+    assert_eq!(**behind.snapshot(), newer);
+    assert!(matches!(
+        reader.update_since(version_of(100)),
+        Update::Whole(_)
+    ));
+}
+
+#[test]
+fn a_node_that_knew_nothing_or_little_of_the_whole_sends_the_whole() {
+    let whole = (**store_of(2000).snapshot()).clone();
+    for known in [0, 3] {
+        let mut store = store_of(known);
+        store.replace(at(3000), whole.clone());
+        assert!(matches!(
+            store.update_since(version_of(known)),
+            Update::Whole(_)
+        ));
+    }
+}
+
+#[test]
+fn a_node_between_what_was_read_and_what_was_known_before_is_sent_the_whole() {
+    let mut between = store_of(5);
+    let mut reader = between.clone();
+    let mut newer = (**reader.snapshot()).clone();
+    newer.revision = at_revision(9);
+    reader.replace(at(20), newer.clone());
+    let mut told = between.clone();
+    told.update(at(21), reader.update_since(version_of(5)));
+    // A server came at 7, and went again before the whole was read.
+    between.apply(
+        at(7),
+        at_revision(7),
+        Change::Server(server("i-short", "a", 251)),
+    );
+    between.advance(at_revision(7));
+    for store in [&reader, &told] {
+        assert!(matches!(
+            store.update_since(version_of(7)),
+            Update::Whole(_)
+        ));
+        let mut one = between.clone();
+        one.update(at(22), store.update_since(version_of(7)));
+        assert_eq!(**one.snapshot(), newer);
+    }
+}
+
+#[test]
+fn an_item_newer_than_the_snapshot_it_was_told_with_reaches_all() {
+    let mut reader = store_of(10);
+    let mut behind = reader.clone();
+    let mut newer = (**reader.snapshot()).clone();
+    newer.revision = at_revision(12);
+    newer.servers.remove(&id("i-2"));
+    let joined = KnownServer {
+        instance: server("i-new", "a", 251),
+        revision: at_revision(14),
+    };
+    newer.servers.insert(id("i-new"), joined);
+    reader.replace(at(20), newer);
+    behind.update(at(21), reader.update_since(version_of(10)));
+    let servers = |store: &SnapshotStore| -> Vec<InstanceId> {
+        store.snapshot().servers.keys().cloned().collect()
+    };
+    assert_eq!(servers(&behind), servers(&reader));
+}
+
+#[test]
+fn what_the_snapshot_includes_is_not_applied_again() {
+    let mut store = store_of(3);
+    store.apply(at(10), at_revision(4), Change::ServerGone(id("i-2")));
+    store.advance(at_revision(4));
+    let late = Change::Server(server("i-2", "a", 2));
+    assert_eq!(store.apply(at(11), at_revision(2), late), Applied::Nothing);
+    assert!(!store.snapshot().servers.contains_key(&id("i-2")));
+}
+
+/// Changes of one fleet, each server at an address of its own, made in a store and in two maps
+/// of the same size.
+struct ChangingFleet {
+    servers: u64,
+    revision: u64,
+    store: SnapshotStore,
+    by_id: BTreeMap<InstanceId, ServerInstance>,
+    by_address: HashMap<SocketAddrV4, Revision>,
+}
+
+impl ChangingFleet {
+    fn new(servers: u64) -> Self {
+        let mut fleet = ChangingFleet {
+            servers,
+            revision: 0,
+            store: SnapshotStore::default(),
+            by_id: BTreeMap::new(),
+            by_address: HashMap::new(),
+        };
+        for number in 1..=servers {
+            fleet.change_store(number);
+            fleet.change_maps(number);
+        }
+        fleet
+    }
+
+    fn next_change(&mut self, number: u64) -> (Revision, ServerInstance) {
+        self.revision += 1;
+        let mut one = server(&format!("i-{number}"), "a", 1);
+        let octets = (number as u32).to_be_bytes();
+        one.address
+            .set_ip([10, octets[1], octets[2], octets[3]].into());
+        one.slots = self.revision as u32;
+        (at_revision(self.revision), one)
+    }
+
+    fn change_store(&mut self, number: u64) {
+        let (revision, one) = self.next_change(number);
+        let now = at(self.revision);
+        let applied = self.store.apply(now, revision, Change::Server(one));
+        assert_eq!(applied, Applied::Servers);
+        self.store.advance(revision);
+    }
+
+    fn change_maps(&mut self, number: u64) {
+        let (revision, one) = self.next_change(number);
+        self.by_address.insert(one.address, revision);
+        self.by_id.remove(&one.id);
+        self.by_id.insert(one.id.clone(), one);
+    }
+
+    /// The times that a round of changes all over the fleet takes, in the store and in the maps.
+    fn round(&mut self) -> [Duration; 2] {
+        const CHANGES: u64 = 500;
+        let servers = self.servers;
+        let numbers = || (0..CHANGES).map(|place| place * servers / CHANGES + 1);
+        let began = Instant::now();
+        numbers().for_each(|number| self.change_store(number));
+        let in_store = began.elapsed();
+        let began = Instant::now();
+        numbers().for_each(|number| self.change_maps(number));
+        [in_store, began.elapsed()]
+    }
+}
+
+/// How many times as long as in maps a change takes in the store, by the best rounds.
+fn cost_of_a_change(rounds: &[[Duration; 2]]) -> f64 {
+    let best = |kind: usize| rounds.iter().map(|round| round[kind]).min();
+    let (store, maps) = (best(0).expect("rounds"), best(1).expect("rounds"));
+    println!("{store:?} in the store, {maps:?} in maps");
+    store.as_secs_f64() / maps.as_secs_f64()
+}
+
+/// Each change walked all servers of the fleet, so that the start of a fleet cost each node the
+/// square of its size. Twice as much at ten times the size is allowed, of what plain maps of that
+/// size cost: these feel a cold cache and a busy machine as the store does.
+#[test]
+fn the_work_of_a_change_does_not_grow_with_the_fleet() {
+    const ROUNDS: usize = 20;
+    let mut small = ChangingFleet::new(1_000);
+    let mut large = ChangingFleet::new(10_000);
+    let (mut few, mut many) = (Vec::new(), Vec::new());
+    for _ in 0..ROUNDS {
+        few.push(small.round());
+        many.push(large.round());
+    }
+    let (few, many) = (cost_of_a_change(&few), cost_of_a_change(&many));
+    assert!(many < few * 2.0, "{many} against {few} times a map's");
+}
+
+/// Changes as a source makes them: servers come, change and go.
+fn change(pick: u8) -> Change {
+    let name = format!("i-{}", pick % 7);
+    match pick % 5 {
+        0 => Change::ServerGone(id(&name)),
+        1 => Change::Configuration(configuration(u64::from(pick) + 1, vec![route("r", "/")])),
+        _ => {
+            let mut one = server(&name, "a", pick % 7);
+            one.slots = u32::from(pick);
+            Change::Server(one)
+        }
+    }
+}
+
+quickcheck! {
+    /// Some nodes read the whole from the source, the others ask these for what they lack.
+    fn differences_of_wholes_lead_to_the_same_snapshot(picks: Vec<u8>, reads: Vec<(u8, u8)>) -> bool {
+        let mut source = SnapshotStore::default();
+        let mut nodes = vec![SnapshotStore::default(); 4];
+        let mut reads = reads.into_iter();
+        for (place, pick) in picks.into_iter().enumerate() {
+            let revision = place as u64 + 1;
+            source.apply(at(revision), at_revision(revision), change(pick));
+            source.advance(at_revision(revision));
+            if let Some((reader, asking)) = reads.next() {
+                let (reader, asking) = (usize::from(reader) % 4, usize::from(asking) % 4);
+                nodes[reader].replace(at(revision), (**source.snapshot()).clone());
+                let update = nodes[reader].update_since(nodes[asking].version());
+                nodes[asking].update(at(revision), update);
+                if nodes[asking].snapshot() != nodes[reader].snapshot() {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// However nodes take turns at asking each other, all that end at the newest
+    /// revision know the same.
+    fn updates_lead_to_the_same_snapshot(picks: Vec<u8>, asking: Vec<(u8, u8)>) -> bool {
+        let mut source = SnapshotStore::default();
+        let mut nodes = vec![SnapshotStore::default(); 4];
+        let mut asking = asking.into_iter();
+        for (place, pick) in picks.into_iter().enumerate() {
+            let revision = place as u64 + 1;
+            source.apply(at(revision), at_revision(revision), change(pick));
+            source.advance(at_revision(revision));
+            if let Some((from, to)) = asking.next() {
+                let (from, to) = (usize::from(from) % 5, usize::from(to) % 4);
+                let mine = nodes[to].version();
+                let update = match nodes.get(from) {
+                    Some(node) => node.update_since(mine),
+                    None => source.update_since(mine),
+                };
+                nodes[to].update(at(revision), update);
+            }
+        }
+        nodes.into_iter().all(|mut node| {
+            let update = source.update_since(node.version());
+            node.update(at(10_000), update);
+            node.snapshot() == source.snapshot()
+        })
+    }
+}
