Finding out which proofs are doubtful is one pass, and none where nothing is proven

Would be seen: found by the time of a test.

Change: what can't be proven or explain others for the number of its crashes is passed over without a look at which; nothing more is done while nothing is proven; otherwise one pass over those that explain serves all that are proven. Explained servers come of the same list.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -135,15 +135,6 @@
         suspicion.blocked_for(&request.caller, now, is_doubtful)
     }
 
-    /// Whether other contents may have caused so many of the crashes that speak against this one
-    /// that the rest prove nothing. It may be the cause of all the same.
-    fn is_doubtful(&self, content: &ContentFingerprint) -> bool {
-        let explained = self.explained_servers(content);
-        let crashed = self.suspects.get(content).into_iter();
-        let crashed = crashed.flat_map(|suspect| suspect.suspicion.servers());
-        crashed.filter(|server| !explained.contains(server)).count() < PROOF
-    }
-
     /// Whether other contents explain so many of the crashes that speak against this request
     /// that the rest prove nothing, while this one's content runs well for other callers.
     ///
@@ -165,12 +156,15 @@
     /// The servers whose crashes a content other than `content` may have caused that crashed
     /// others too and never ran well for anybody.
     fn explained_servers(&self, content: &ContentFingerprint) -> BTreeSet<&InstanceId> {
-        let others = self.suspects.iter().filter(|(other, _)| *other != content);
-        let suspicions = others.map(|(_, suspect)| &suspect.suspicion);
-        let never_served = suspicions.filter(|suspicion| !suspicion.has_run_well());
-        let servers = never_served.map(Suspicion::servers);
-        let explaining = servers.filter(|servers| servers.len() >= EXPLAINING);
-        explaining.flatten().collect()
+        let others = self.explaining().filter(|(other, _)| *other != content);
+        others.flat_map(|(_, servers)| servers).collect()
+    }
+
+    /// The contents that may have caused crashes of others too, each with its servers.
+    fn explaining(&self) -> impl Iterator<Item = (&ContentFingerprint, BTreeSet<&InstanceId>)> {
+        let suspects = self.suspects.iter();
+        let explaining = suspects.filter(|(_, one)| one.suspicion.explains_others(EXPLAINING));
+        explaining.map(|(content, suspect)| (content, suspect.suspicion.servers()))
     }
 
     /// How long to wait before a request is refused for a proof that is this young; zero if
@@ -363,10 +357,32 @@
     }
 
     fn refresh_doubts(&mut self) {
-        let proven = self.suspects.iter();
-        let proven = proven.filter(|(_, suspect)| suspect.suspicion.is_proven());
-        let proven = proven.map(|(content, _)| *content);
-        self.doubtful = proven.filter(|one| self.is_doubtful(one)).collect();
+        self.doubtful = self.find_doubtful();
+    }
+
+    /// The proven contents of whose crashes others may have caused so many that the rest prove
+    /// nothing. They may be the cause all the same.
+    fn find_doubtful(&self) -> HashSet<ContentFingerprint> {
+        let suspects = self.suspects.iter();
+        let proven = suspects.filter(|(_, suspect)| suspect.suspicion.is_proven());
+        let proven: Vec<_> = proven.collect();
+        if proven.is_empty() {
+            return HashSet::new();
+        }
+        let mut causes: HashMap<&InstanceId, usize> = HashMap::new();
+        for (_, servers) in self.explaining() {
+            for server in servers {
+                *causes.entry(server).or_default() += 1;
+            }
+        }
+        let is_doubtful = |(_, suspect): &(&ContentFingerprint, &Suspect)| {
+            let own = usize::from(suspect.suspicion.explains_others(EXPLAINING));
+            let servers = suspect.suspicion.servers().into_iter();
+            let other_causes = |server| causes.get(server).copied().unwrap_or_default() - own;
+            servers.filter(|server| other_causes(*server) == 0).count() < PROOF
+        };
+        let doubtful = proven.into_iter().filter(is_doubtful);
+        doubtful.map(|(content, _)| *content).collect()
     }
 
     fn refresh_digest(&mut self) {
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -151,7 +151,19 @@
 
     /// Whether requests of any caller are proven to crash servers.
     pub fn is_proven(&self) -> bool {
-        !self.proven_callers().is_empty()
+        self.most_servers() >= PROOF && !self.proven_callers().is_empty()
+    }
+
+    /// Whether it may have caused crashes of others too, as it crashed `servers` or more and never
+    /// ran well for anybody.
+    pub fn explains_others(&self, servers: usize) -> bool {
+        self.most_servers() >= servers && !self.has_run_well() && self.servers().len() >= servers
+    }
+
+    /// No more servers than these crashed with it aboard. Costs less than to look which.
+    fn most_servers(&self) -> usize {
+        let callers = self.by_caller.values();
+        callers.map(|evidence| evidence.crashes.len()).sum()
     }
 
     /// The callers whose requests are proven to crash servers.
