Doubt and explanation of crashes go by one list, and knowledge is gone through once

That `is_explained` left the content itself out was dead: it asks only of what ran well, which is no cause. - A crash refreshed digest and doubts twice if something was over by then; `forget_old` and `bound` share what drops it. - How long a block lasts is in one place (`block_length`), also the doubtful one; the time told with a change is worked out only if there is one, from the caller's evidence, without a copy of its requests. - The number of crashes that explains stands beside the one that proves.

--- a/crates/coordination/src/mesh/poison/suspects.rs
+++ b/crates/coordination/src/mesh/poison/suspects.rs
@@ -5,7 +5,7 @@
 //! Knowledge only grows until it is over, and is joined entry by entry, so that all
 //! nodes that are in touch end with the same.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -23,9 +23,6 @@
 /// after it has broken off its answer.
 pub const TRIAL_PAUSE: Duration = Duration::from_secs(2);
 
-/// Two crashes of a content that never ran well explain each other; one may be chance, as what
-/// is asked once only is aboard of one crash at most.
-const EXPLAINING: usize = 2;
 /// No request is refused for a proof that is younger: a node may know of the third crash before
 /// it knows of good runs at others. Requests wait meanwhile.
 pub const SETTLING: Duration = Duration::from_millis(100);
@@ -113,7 +110,7 @@
         let after = digest(&request.content, suspicion);
         self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
         if after != before || !had_run_well {
-            self.refresh_doubts();
+            self.doubtful = self.find_doubtful();
         }
     }
 
@@ -148,23 +145,24 @@
         if !suspect.suspicion.has_run_well() {
             return false;
         }
-        let explained = self.explained_servers(&request.content);
-        let crashed = suspect.suspicion.servers_of(&request.caller);
-        crashed.difference(&explained).count() < PROOF
+        let causes = self.possible_causes();
+        let crashed = suspect.suspicion.servers_of(&request.caller).into_iter();
+        crashed
+            .filter(|server| !causes.contains_key(server))
+            .count()
+            < PROOF
     }
 
-    /// The servers whose crashes a content other than `content` may have caused that crashed
-    /// others too and never ran well for anybody.
-    fn explained_servers(&self, content: &ContentFingerprint) -> BTreeSet<&InstanceId> {
-        let others = self.explaining().filter(|(other, _)| *other != content);
-        others.flat_map(|(_, servers)| servers).collect()
-    }
-
-    /// The contents that may have caused crashes of others too, each with its servers.
-    fn explaining(&self) -> impl Iterator<Item = (&ContentFingerprint, BTreeSet<&InstanceId>)> {
-        let suspects = self.suspects.iter();
-        let explaining = suspects.filter(|(_, one)| one.suspicion.explains_others(EXPLAINING));
-        explaining.map(|(content, suspect)| (content, suspect.suspicion.servers()))
+    /// The servers that contents may have crashed which crashed others too and never ran well for
+    /// anybody, and how many such contents.
+    fn possible_causes(&self) -> HashMap<&InstanceId, usize> {
+        let suspicions = self.suspects.values().map(|suspect| &suspect.suspicion);
+        let explaining = suspicions.filter(|suspicion| suspicion.explains_others());
+        let mut causes = HashMap::new();
+        for server in explaining.flat_map(Suspicion::servers) {
+            *causes.entry(server).or_default() += 1;
+        }
+        causes
     }
 
     /// How long to wait before a request is refused for a proof that is this young; zero if
@@ -271,31 +269,37 @@
     /// Forgets what is over.
     pub fn forget_old(&mut self, now: Timestamp) {
         let before = self.suspects.len();
-        self.suspects
-            .retain(|_, suspect| !suspect.suspicion.is_over(now));
+        self.drop_over(now);
         if self.suspects.len() != before {
-            self.refresh_digest();
-            self.refresh_doubts();
+            self.refresh();
         }
     }
 
+    fn drop_over(&mut self, now: Timestamp) {
+        self.suspects
+            .retain(|_, suspect| !suspect.suspicion.is_over(now));
+    }
+
     /// The contents that were blocked, or admitted again, since this was last asked.
     pub fn take_changes(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
         for content in self.suspects.keys().copied().collect::<Vec<_>>() {
             let blocked = self.blocked_callers(&content);
-            let blocked_for = self.longest_block(now, content, &blocked);
+            let is_doubtful = self.doubtful.contains(&content);
             let Some(suspect) = self.suspects.get_mut(&content) else {
                 continue;
             };
             if suspect.told_blocked == blocked {
                 continue;
             }
-            let servers = suspect.suspicion.servers();
+            let suspicion = &suspect.suspicion;
+            let times = blocked
+                .iter()
+                .filter_map(|caller| suspicion.blocked_for(caller, now, is_doubtful));
             changes.push(Change {
                 content,
-                servers: servers.into_iter().cloned().collect(),
-                blocked_for,
+                servers: suspicion.servers().into_iter().cloned().collect(),
+                blocked_for: times.max().unwrap_or_default(),
                 blocked_callers: blocked.clone(),
             });
             suspect.told_blocked = blocked;
@@ -303,20 +307,6 @@
         changes
     }
 
-    fn longest_block(
-        &self,
-        now: Timestamp,
-        content: ContentFingerprint,
-        callers: &[ServiceName],
-    ) -> Duration {
-        let requests = callers.iter().map(|caller| CallerContent {
-            content,
-            caller: caller.clone(),
-        });
-        let times = requests.filter_map(|request| self.blocked_for(now, &request));
-        times.max().unwrap_or_default()
-    }
-
     fn blocked_callers(&self, content: &ContentFingerprint) -> Vec<ServiceName> {
         let suspect = self.suspects.get(content);
         let proven = suspect.map(|suspect| suspect.suspicion.proven_callers());
@@ -330,12 +320,11 @@
     }
 
     fn bound(&mut self, now: Timestamp) {
-        self.forget_old(now);
+        self.drop_over(now);
         if self.suspects.len() > MAX_SUSPECTS {
             self.drop_least_suspected();
         }
-        self.refresh_digest();
-        self.refresh_doubts();
+        self.refresh();
     }
 
     fn drop_least_suspected(&mut self) {
@@ -356,7 +345,11 @@
         }
     }
 
-    fn refresh_doubts(&mut self) {
+    /// Finds out anew what is kept of all suspects together.
+    fn refresh(&mut self) {
+        let suspects = self.suspects.iter();
+        let digests = suspects.map(|(content, suspect)| digest(content, &suspect.suspicion));
+        self.digest = digests.fold(0, u64::wrapping_add);
         self.doubtful = self.find_doubtful();
     }
 
@@ -369,14 +362,9 @@
         if proven.is_empty() {
             return HashSet::new();
         }
-        let mut causes: HashMap<&InstanceId, usize> = HashMap::new();
-        for (_, servers) in self.explaining() {
-            for server in servers {
-                *causes.entry(server).or_default() += 1;
-            }
-        }
+        let causes = self.possible_causes();
         let is_doubtful = |(_, suspect): &(&ContentFingerprint, &Suspect)| {
-            let own = usize::from(suspect.suspicion.explains_others(EXPLAINING));
+            let own = usize::from(suspect.suspicion.explains_others());
             let servers = suspect.suspicion.servers().into_iter();
             let other_causes = |server| causes.get(server).copied().unwrap_or_default() - own;
             servers.filter(|server| other_causes(*server) == 0).count() < PROOF
@@ -384,12 +372,6 @@
         let doubtful = proven.into_iter().filter(is_doubtful);
         doubtful.map(|(content, _)| *content).collect()
     }
-
-    fn refresh_digest(&mut self) {
-        let suspects = self.suspects.iter();
-        let digests = suspects.map(|(content, suspect)| digest(content, &suspect.suspicion));
-        self.digest = digests.fold(0, u64::wrapping_add);
-    }
 }
 
 /// Does not depend on moments, which differ a little from node to node.
--- a/crates/coordination/src/mesh/poison/suspicion.rs
+++ b/crates/coordination/src/mesh/poison/suspicion.rs
@@ -10,6 +10,9 @@
 /// is their cause. With two, a request that shared one server with the cause and was
 /// sent again would be blocked as well.
 pub const PROOF: usize = 3;
+/// Two crashes of a content that never ran well explain each other; one may be chance, as what
+/// is asked once only is aboard of one crash at most.
+const EXPLAINING: usize = 2;
 /// A good run counts against all crashes before it, and those of this time after it: what
 /// runs well everywhere is also aboard when a rack of servers loses power at once, and while
 /// another request crashes all servers as soon as they are back nothing runs well. A request
@@ -154,10 +157,12 @@
         self.most_servers() >= PROOF && !self.proven_callers().is_empty()
     }
 
-    /// Whether it may have caused crashes of others too, as it crashed `servers` or more and never
-    /// ran well for anybody.
-    pub fn explains_others(&self, servers: usize) -> bool {
-        self.most_servers() >= servers && !self.has_run_well() && self.servers().len() >= servers
+    /// Whether it may be the cause of crashes with other contents aboard: it crashed several
+    /// servers and never ran well for anybody.
+    pub fn explains_others(&self) -> bool {
+        self.most_servers() >= EXPLAINING
+            && !self.has_run_well()
+            && self.servers().len() >= EXPLAINING
     }
 
     /// No more servers than these crashed with it aboard. Costs less than to look which.
@@ -184,11 +189,7 @@
     ) -> Option<Duration> {
         let crashes = self.proof(caller)?;
         let last = crashes.last()?;
-        let length = match is_doubtful && trials(&crashes) == 0 {
-            true => DOUBTFUL_BLOCK,
-            false => block_length(&crashes),
-        };
-        Some(last.left_of(length, now))
+        Some(last.left_of(block_length(&crashes, is_doubtful), now))
     }
 
     /// The time since the last of the crashes that prove it for requests of `caller`'s
@@ -204,7 +205,7 @@
             .by_caller
             .keys()
             .filter_map(|caller| self.proof(caller));
-        let longest = proofs.map(|crashes| block_length(&crashes)).max();
+        let longest = proofs.map(|crashes| block_length(&crashes, false)).max();
         let kept = longest.map_or(SUSPECTED_FOR, |block| block + REMEMBERED_AFTER_BLOCK);
         let all = self.by_caller.values().flat_map(Evidence::crashes);
         let last = all.map(|(_, at)| at).max();
@@ -248,8 +249,11 @@
     moments
 }
 
-fn block_length(crashes: &[Moment]) -> Duration {
-    BLOCKED_FOR[trials(crashes).min(BLOCKED_FOR.len() - 1)]
+fn block_length(crashes: &[Moment], is_doubtful: bool) -> Duration {
+    match trials(crashes) {
+        0 if is_doubtful => DOUBTFUL_BLOCK,
+        trials => BLOCKED_FOR[trials.min(BLOCKED_FOR.len() - 1)],
+    }
 }
 
 /// The times at which a content crashed servers after it had been proven by the first of
