--- a/crates/coordination/src/mesh/snapshot_store/departures.rs
+++ b/crates/coordination/src/mesh/snapshot_store/departures.rs
@@ -145,17 +145,20 @@
 
     /// Servers that vanished without announcing that they leave, and are not forgotten.
     pub(super) fn recently_vanished(&self) -> impl Iterator<Item = &ServerInstance> {
-        let all = self.vanished.values().map(|vanished| &vanished.instance);
-        all.filter(|instance| instance.is_ready())
+        self.vanished_ready().map(|vanished| &vanished.instance)
     }
 
     /// Those of them whose entries the source has lost: they are in use until it is clear that
     /// they don't write them again.
     pub(super) fn lost(&self) -> impl Iterator<Item = &ServerInstance> {
-        let lost = self.vanished.values();
+        let lost = self.vanished_ready();
         let lost = lost.filter(|vanished| vanished.why == Missing::Lost);
-        let lost = lost.map(|vanished| &vanished.instance);
-        lost.filter(|instance| instance.is_ready())
+        lost.map(|vanished| &vanished.instance)
+    }
+
+    fn vanished_ready(&self) -> impl Iterator<Item = &Vanished> {
+        let all = self.vanished.values();
+        all.filter(|vanished| vanished.instance.is_ready())
     }
 
     /// Whether a server that is listed had gone when the source still knew.
