--- a/crates/coordination/tests/mesh_routes.rs
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -5,7 +5,9 @@
 use lifthollow_coordination::mesh::route_table::RouteTable;
 use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::mesh::{Change, ConfigurationError, KnownServer, ServerState, Snapshot};
+use lifthollow_state::mesh::{
+    Change, ConfigurationError, KnownServer, ServerInstance, ServerState, Snapshot,
+};
 use mesh_support::{at, at_revision, configuration, id, part, random, route, server};
 
 #[test]
@@ -95,11 +97,7 @@
 #[test]
 fn older_snapshot_is_left_out_as_a_whole() {
     let mut store = SnapshotStore::default();
-    store.apply(
-        at(0),
-        at_revision(20),
-        Change::Server(server("i-1", "a", 1)),
-    );
+    announce(&mut store, 0, 20, server("i-1", "a", 1));
     store.advance(at_revision(20));
     assert!(
         store
@@ -162,11 +160,11 @@
 #[test]
 fn late_news_of_a_server_does_not_bring_it_back() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), at_revision(5), Change::Server(server("i-1", "a", 1)));
+    announce(&mut store, 0, 5, server("i-1", "a", 1));
     let mut draining = server("i-1", "a", 1);
     draining.state = ServerState::Draining;
-    store.apply(at(1), at_revision(8), Change::Server(draining));
-    let applied = store.apply(at(2), at_revision(6), Change::Server(server("i-1", "a", 1)));
+    announce(&mut store, 1, 8, draining);
+    let applied = announce(&mut store, 2, 6, server("i-1", "a", 1));
     assert_eq!(applied, Applied::Nothing);
     assert!(!store.snapshot().servers[&id("i-1")].instance.is_ready());
 }
@@ -174,7 +172,7 @@
 /// A store that saw the only server's entry go at 1 s.
 fn store_without_its_server() -> SnapshotStore {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), at_revision(5), Change::Server(server("i-1", "a", 1)));
+    announce(&mut store, 0, 5, server("i-1", "a", 1));
     store.apply(at(1000), at_revision(6), Change::ServerGone(id("i-1")));
     assert!(store.snapshot().servers.is_empty());
     store
@@ -204,11 +202,7 @@
 #[test]
 fn server_that_is_back_is_no_longer_a_vanished_one() {
     let mut store = store_without_its_server();
-    store.apply(
-        at(2500),
-        at_revision(7),
-        Change::Server(server("i-1", "a", 1)),
-    );
+    announce(&mut store, 2500, 7, server("i-1", "a", 1));
     assert!(!store.forget_vanished(at(9_000), Some(at(0))));
     assert_eq!(ids_in_force(&store), ["i-1"]);
 }
@@ -218,11 +212,16 @@
     let mut store = SnapshotStore::default();
     let mut draining = server("i-1", "a", 1);
     draining.state = ServerState::Draining;
-    store.apply(at(0), at_revision(5), Change::Server(draining));
+    announce(&mut store, 0, 5, draining);
     store.apply(at(1000), at_revision(6), Change::ServerGone(id("i-1")));
     assert!(store.recently_vanished().is_empty());
 }
 
+/// The source tells at `now`, in milliseconds, of an entry of revision `number`.
+fn announce(store: &mut SnapshotStore, now: u64, number: u64, one: ServerInstance) -> Applied {
+    store.apply(at(now), at_revision(number), Change::Server(one))
+}
+
 fn ids_in_force(store: &SnapshotStore) -> Vec<String> {
     let servers = store.servers_in_force();
     servers.iter().map(|server| server.id.to_string()).collect()
@@ -231,35 +230,19 @@
 #[test]
 fn of_entries_with_one_address_the_newest_is_in_force() {
     let mut store = SnapshotStore::default();
-    store.apply(
-        at(0),
-        at_revision(5),
-        Change::Server(server("i-old", "a", 1)),
-    );
-    store.apply(
-        at(1),
-        at_revision(7),
-        Change::Server(server("i-new", "a", 1)),
-    );
-    store.apply(
-        at(2),
-        at_revision(6),
-        Change::Server(server("i-other", "a", 2)),
-    );
+    announce(&mut store, 0, 5, server("i-old", "a", 1));
+    announce(&mut store, 1, 7, server("i-new", "a", 1));
+    announce(&mut store, 2, 6, server("i-other", "a", 2));
     assert_eq!(ids_in_force(&store), ["i-new", "i-other"]);
 }
 
 #[test]
 fn address_that_went_to_another_service_no_longer_serves_the_former() {
     let mut store = SnapshotStore::default();
-    store.apply(
-        at(0),
-        at_revision(5),
-        Change::Server(server("i-feeds", "a", 1)),
-    );
+    announce(&mut store, 0, 5, server("i-feeds", "a", 1));
     let mut taken_over = server("i-media", "a", 1);
     taken_over.service = "media".to_owned();
-    store.apply(at(1), at_revision(6), Change::Server(taken_over));
+    announce(&mut store, 1, 6, taken_over);
     assert_eq!(ids_in_force(&store), ["i-media"]);
     store.apply(at(2), at_revision(7), Change::ServerGone(id("i-feeds")));
     assert_eq!(ids_in_force(&store), ["i-media"], "its address is taken");
@@ -268,14 +251,10 @@
 #[test]
 fn draining_server_with_the_newest_entry_keeps_its_address() {
     let mut store = SnapshotStore::default();
-    store.apply(
-        at(0),
-        at_revision(5),
-        Change::Server(server("i-old", "a", 1)),
-    );
+    announce(&mut store, 0, 5, server("i-old", "a", 1));
     let mut draining = server("i-new", "a", 1);
     draining.state = ServerState::Draining;
-    store.apply(at(1), at_revision(6), Change::Server(draining));
+    announce(&mut store, 1, 6, draining);
     assert_eq!(ids_in_force(&store), ["i-new"]);
     assert!(!store.servers_in_force()[0].is_ready());
 }
@@ -283,16 +262,8 @@
 #[test]
 fn older_entry_is_in_force_again_when_the_newer_one_is_gone() {
     let mut store = SnapshotStore::default();
-    store.apply(
-        at(0),
-        at_revision(5),
-        Change::Server(server("i-old", "a", 1)),
-    );
-    store.apply(
-        at(1),
-        at_revision(6),
-        Change::Server(server("i-new", "a", 1)),
-    );
+    announce(&mut store, 0, 5, server("i-old", "a", 1));
+    announce(&mut store, 1, 6, server("i-new", "a", 1));
     store.apply(at(2), at_revision(7), Change::ServerGone(id("i-new")));
     assert_eq!(ids_in_force(&store), ["i-old"]);
 }
@@ -300,10 +271,10 @@
 #[test]
 fn vanished_server_stays_in_force_only_while_its_service_has_no_other() {
     let mut store = SnapshotStore::default();
-    store.apply(at(0), at_revision(5), Change::Server(server("i-1", "a", 1)));
+    announce(&mut store, 0, 5, server("i-1", "a", 1));
     store.apply(at(1), at_revision(6), Change::ServerGone(id("i-1")));
     assert_eq!(ids_in_force(&store), ["i-1"]);
-    store.apply(at(2), at_revision(7), Change::Server(server("i-2", "a", 2)));
+    announce(&mut store, 2, 7, server("i-2", "a", 2));
     assert_eq!(ids_in_force(&store), ["i-2"]);
 }
 
@@ -315,7 +286,7 @@
         at_revision(1),
         Change::Configuration(configuration(3, vec![route("r", "/a/")])),
     );
-    store.apply(at(0), at_revision(2), Change::Server(server("i-1", "a", 1)));
+    announce(&mut store, 0, 2, server("i-1", "a", 1));
     store.advance(at_revision(2));
     let bytes = minicbor::to_vec(&**store.snapshot()).expect("encoded");
     let decoded: Snapshot = minicbor::decode(&bytes).expect("decoded");
