Logs and metrics tell what the server beside a node says of itself

Nothing told which servers name a limit or leave, or what they get, so that the hypotheses of the incident could not be told apart on a deployment where the header is read. The server's node now logs each change of the limit that its server names and of whether it leaves, a limit that is no number once for each server and value, and counts the requests that reach the server (lifthollow_server_requests_total, _server_limit, _server_limited_since_seconds, _server_leaving). No decision is changed.

--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -3,6 +3,7 @@
 //! - [`peer_port`]: attempts of other nodes, and what else they ask;
 //! - [`admission`]: places in the queue and slots at the server;
 //! - [`server_run`]: an attempt at the server, and what its answer says;
+//! - [`server_notice`]: what the server says of itself in its answers;
 //! - [`crash_detector`]: whether a server that lost an answer has crashed;
 //! - [`in_progress`]: which requests other nodes have an attempt of here.
 
@@ -10,6 +11,7 @@
 pub mod crash_detector;
 pub mod in_progress;
 mod peer_port;
+pub mod server_notice;
 mod server_run;
 
 pub use peer_port::Inbound;
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -16,7 +16,7 @@
 use crate::http::headers::remove_single_connection;
 use crate::http::pool::{Lease, Reuse, SendError};
 use crate::inbound::admission::Permit;
-use crate::inbound::{Attempt, AttemptOutcome, crash_detector, milliseconds_value};
+use crate::inbound::{Attempt, AttemptOutcome, crash_detector, milliseconds_value, server_notice};
 use crate::node::Node;
 use crate::peer_headers;
 
@@ -53,6 +53,7 @@
         .borrow_mut()
         .server_runs
         .started(permit.run, attempt.content, &server);
+    node.metrics.server_requests.inc();
     let sending = connections.send(node.settings.server_address, attempt.request, reuse);
     let sent = note_overdue(node, &permit, attempt.tree.is_nested, sending).await;
     permit.end = RunEnd::Failed;
@@ -68,6 +69,7 @@
             return AttemptOutcome::unknown(reason);
         }
     };
+    server_notice::note_answer(node, &server, response.headers());
     let is_failure = response.status().is_server_error();
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     node.state.borrow_mut().admission.answered(
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use anyhow::Result;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the buckets of durations, seconds.
@@ -21,6 +21,10 @@
     pub attempts: IntCounterVec,
     /// Time that the server beside this node took to answer.
     pub server_duration: Histogram,
+    /// Requests that reached the server beside this node.
+    pub server_requests: IntCounter,
+    /// What the server beside this node says of itself.
+    pub server_notice: ServerNoticeMetrics,
     /// Attempts that were repeats.
     pub repeats: IntCounter,
     /// Crashes of the server beside this node.
@@ -47,6 +51,45 @@
     pub log_lines_left_out: IntCounter,
 }
 
+/// What the server beside a node says of itself in its answers.
+pub struct ServerNoticeMetrics {
+    /// Requests a second that it takes; [`NO_LIMIT`] if it names none.
+    pub limit: Gauge,
+    /// Since when it has named a limit, Unix seconds; 0 if it names none.
+    pub limited_since: Gauge,
+    /// Whether it leaves.
+    pub is_leaving: IntGauge,
+}
+
+/// The limit of a server that names none.
+pub const NO_LIMIT: f64 = -1.0;
+
+impl ServerNoticeMetrics {
+    fn new(registry: &Registry) -> Result<Self> {
+        let limit = gauge(
+            registry,
+            "lifthollow_server_limit",
+            "Requests a second that the server takes from all nodes together; -1 if it names no limit.",
+        )?;
+        limit.set(NO_LIMIT);
+        let limited_since = gauge(
+            registry,
+            "lifthollow_server_limited_since_seconds",
+            "Unix time since when the server has named a limit; 0 if it names none.",
+        )?;
+        let is_leaving = IntGauge::new(
+            "lifthollow_server_leaving",
+            "Whether the server says in its answers that it leaves.",
+        )?;
+        registry.register(Box::new(is_leaving.clone()))?;
+        Ok(ServerNoticeMetrics {
+            limit,
+            limited_since,
+            is_leaving,
+        })
+    }
+}
+
 impl Metrics {
     /// Metrics that are all zero.
     pub fn new() -> Result<Self> {
@@ -74,6 +117,12 @@
                 "lifthollow_server_duration_seconds",
                 "Time that the server beside this node took to answer.",
             )?,
+            server_requests: counter(
+                &registry,
+                "lifthollow_server_requests_total",
+                "Requests that reached the server beside this node.",
+            )?,
+            server_notice: ServerNoticeMetrics::new(&registry)?,
             repeats: IntCounter::new("lifthollow_repeats_total", "Attempts that were repeats.")?,
             server_crashes: IntCounter::new(
                 "lifthollow_server_crashes_total",
@@ -162,6 +211,18 @@
     }
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<Gauge> {
+    let gauge = Gauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> Result<IntCounterVec> {
     let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
     registry.register(Box::new(counters.clone()))?;
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -37,6 +37,7 @@
 use crate::http::server::ConnectionLimits;
 use crate::inbound::crash_detector::CrashDetector;
 use crate::inbound::in_progress::AttemptsInProgress;
+use crate::inbound::server_notice::NoticeLog;
 use crate::logging::LineLimit;
 use crate::metrics::Metrics;
 use crate::network::{Network, SystemNetwork};
@@ -150,6 +151,8 @@
     pub attempts_in_progress: AttemptsInProgress,
     /// Whether the server beside this node has crashed.
     pub crash_detector: CrashDetector,
+    /// What was logged of what the server beside this node says of itself.
+    pub notice_log: NoticeLog,
     /// How far this node is with learning which requests crash servers.
     pub learning: Learning,
     /// Counters.
@@ -214,6 +217,7 @@
             peer_connections: Pool::new(network.clone(), clock, PEER_CONNECT_LIMIT),
             attempts_in_progress: AttemptsInProgress::default(),
             crash_detector: CrashDetector::default(),
+            notice_log: NoticeLog::default(),
             learning: Learning::default(),
             metrics,
             log,
--- a/crates/proxy/src/wire_names.rs
+++ b/crates/proxy/src/wire_names.rs
@@ -17,6 +17,12 @@
     pub expected_instance: HeaderName,
     /// Says in a server's answer that it has not run the request.
     pub not_run: HeaderName,
+    /// In a server's answers: the requests a second that it takes from all nodes together.
+    pub server_limit: HeaderName,
+    /// In a server's answers: [`WireNames::leaving_word`] if it leaves.
+    pub server_leaving: HeaderName,
+    /// What a server says there if it leaves.
+    pub leaving_word: &'static str,
     /// The service of the machine that the request started on.
     pub caller_service: HeaderName,
     /// Tells a server whose request it is.
--- a/crates/state/src/mesh/mod.rs
+++ b/crates/state/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 mod revision;
 mod route;
 mod server_instance;
+mod server_notice;
 mod snapshot;
 mod tenant;
 mod update;
@@ -16,6 +17,7 @@
 pub use revision::{Revision, SnapshotVersion};
 pub use route::{Destination, RequestKind, Route};
 pub use server_instance::{InstanceId, ServerInstance, ServerState};
+pub use server_notice::{InvalidRate, RequestRate, ServerNotice};
 pub use snapshot::{KnownServer, Snapshot};
 pub use tenant::{KeyDigest, RateLimit, Tenant};
 pub use update::{Change, Gap, RevisedChange, Update};
