A server gets no more requests than the limit that it names, from all nodes together

Cause: nothing read the limit. Admission at the node beside a server knew slots and times, selection at callers' nodes occupancy and losses. A rate was not among the things that bound a server.

Change: every request for a server passes the node beside it, so that node keeps the bound in its queue, with a token bucket (rate_limits::RateGate): first tries, repeats, hedges, calls of servers and trials of an ill server all take a place there. What can go elsewhere is refused there at once, as not run; what can't waits in the queue by rank, and the admission level follows, so that the least urgent are refused at their own node. Callers' nodes pass a server at its limit by, and try it at a pace of their own that follows what is turned away (rate_limits::SendPace), at least each second, so that they learn when it takes more. A node that has started anew is reminded of the limit by the attempts of nodes that were told. A server gets one request in 1.1 s whatever it names. While nobody names anything, attempts carry nothing more. No call to the store is made for it.

Why it works: the bound is kept where the sum is known, so that no message has to arrive for it to hold. What a restart forgets is what the bucket holds, half a second of the rate, and it begins with nothing.

--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::RequestRate;
 
 use crate::latency::LatencyEstimate;
+use crate::mesh::rate_limits::RateGate;
 
 /// How requests are ordered: first by class (lower first), then by arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -52,6 +54,8 @@
     next_ticket: u64,
     waiting: BTreeMap<(Rank, Ticket), Timestamp>,
     service_time: LatencyEstimate,
+    /// What the server takes a second, if it names that.
+    gate: RateGate,
     /// When the server last answered, or began to have something to answer.
     responsive: Timestamp,
     /// When the last request was let to a silent server.
@@ -68,6 +72,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Callers are asked to come back no later than this.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1500);
+/// The same at the limit that the server names.
+const MAX_RETRY_AFTER_AT_LIMIT: Duration = Duration::from_secs(10);
 
 impl AdmissionQueue {
     /// An empty queue for a server that takes `limit` requests at once.
@@ -78,6 +84,7 @@
             next_ticket: 0,
             waiting: BTreeMap::new(),
             service_time: LatencyEstimate::default(),
+            gate: RateGate::default(),
             responsive: Timestamp::ZERO,
             tried: Timestamp::ZERO,
         }
@@ -99,16 +106,55 @@
         }
     }
 
+    /// The server has answered, and named this limit or none. Returns the requests that may run
+    /// now.
+    pub fn server_named(&mut self, now: Timestamp, limit: Option<RequestRate>) -> Vec<Ticket> {
+        self.gate.server_named(now, limit);
+        self.start_waiting(now)
+    }
+
+    /// Other nodes were told this limit of the server.
+    pub fn others_were_told(&mut self, now: Timestamp, limit: RequestRate) {
+        self.gate.others_were_told(now, limit);
+    }
+
+    /// Whether the server gets as many requests as it takes already.
+    pub fn is_at_rate_limit(&self, now: Timestamp) -> bool {
+        !self.gate.has_token(now)
+    }
+
+    /// The time until the server may get another request, if any wait for that.
+    pub fn next_start(&self, now: Timestamp) -> Option<Duration> {
+        let waits = self.gate.is_limited() && !self.waiting.is_empty() && self.has_slot();
+        waits.then(|| self.gate.time_until(now, 1))
+    }
+
+    /// The load as far as it is limited by the rate that the server names: then its slots are
+    /// those that it uses at that rate.
+    pub fn limiting_load(&self, now: Timestamp) -> Occupancy {
+        let load = self.occupancy();
+        let Some(slots) = self.gate.slots_used(self.expected_service_time()) else {
+            return load;
+        };
+        let is_full = !self.gate.has_token(now) || !self.has_slot();
+        Occupancy {
+            running: if is_full { slots } else { 0 },
+            limit: slots,
+            ..load
+        }
+    }
+
     /// A request wants to run and can wait for `patience`.
     pub fn offer(&mut self, now: Timestamp, rank: Rank, patience: Duration) -> Admission {
-        if self.running < self.limit {
+        if self.has_slot() && self.is_next(rank) && self.gate.try_take(now) {
             self.start(now);
             return Admission::Run;
         }
-        let wait = self.expected_wait(rank);
+        let wait = self.expected_wait(now, rank);
         if wait > patience {
-            let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-            return Admission::Refuse { retry_after };
+            return Admission::Refuse {
+                retry_after: self.retry_after(now, wait),
+            };
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
@@ -145,12 +191,24 @@
         self.responsive = now;
     }
 
+    /// It is another start of a server than before, or another server.
+    pub fn server_replaced(&mut self) {
+        self.gate.server_started();
+    }
+
     /// A request stopped waiting. False if it was not waiting any more: then it
     /// counts as running.
     pub fn withdraw(&mut self, rank: Rank, ticket: Ticket) -> bool {
         self.waiting.remove(&(rank, ticket)).is_some()
     }
 
+    /// A place that was given to a request was not used: it has not reached the server. Returns
+    /// those that may run now.
+    pub fn give_back(&mut self, now: Timestamp) -> Vec<Ticket> {
+        self.gate.give_back();
+        self.finish(now, None)
+    }
+
     /// A run ended after `ran_for`, if that is worth remembering. Returns those
     /// that may run now.
     pub fn finish(&mut self, now: Timestamp, ran_for: Option<Duration>) -> Vec<Ticket> {
@@ -162,18 +220,46 @@
     }
 
     /// How long a request of `rank` would wait.
-    pub fn expected_wait(&self, rank: Rank) -> Duration {
+    pub fn expected_wait(&self, now: Timestamp, rank: Rank) -> Duration {
         let ahead = self
             .waiting
             .range(..=(rank, Ticket(u64::MAX)))
             .count()
             .saturating_add(1);
-        let service_time = if self.service_time.is_known() {
-            self.service_time.mean()
-        } else {
-            ASSUMED_SERVICE_TIME
+        let for_token = self.gate.time_until(now, ahead);
+        if self.has_slot() {
+            return for_token;
+        }
+        let service_time = self.expected_service_time();
+        let for_slot = service_time.mul_f64(ahead as f64 / f64::from(self.limit));
+        for_slot.max(for_token)
+    }
+
+    /// When a request that would wait too long may come back. What a server names is kept for
+    /// longer than its slots are full.
+    fn retry_after(&self, now: Timestamp, wait: Duration) -> Duration {
+        let longest = match self.gate.has_token(now) {
+            true => MAX_RETRY_AFTER,
+            false => MAX_RETRY_AFTER_AT_LIMIT,
         };
-        service_time.mul_f64(ahead as f64 / f64::from(self.limit))
+        wait.clamp(MIN_RETRY_AFTER, longest)
+    }
+
+    fn expected_service_time(&self) -> Duration {
+        match self.service_time.is_known() {
+            true => self.service_time.mean(),
+            false => ASSUMED_SERVICE_TIME,
+        }
+    }
+
+    fn has_slot(&self) -> bool {
+        self.running < self.limit
+    }
+
+    /// Whether no request waits that comes before one of `rank`.
+    fn is_next(&self, rank: Rank) -> bool {
+        let first = self.waiting.first_key_value();
+        first.is_none_or(|((first, _), _)| rank < *first)
     }
 
     fn start(&mut self, now: Timestamp) {
@@ -183,9 +269,10 @@
         self.running += 1;
     }
 
-    fn start_waiting(&mut self, now: Timestamp) -> Vec<Ticket> {
+    /// Starts requests that wait, as far as there are slots and the server's limit allows.
+    pub fn start_waiting(&mut self, now: Timestamp) -> Vec<Ticket> {
         let mut started = Vec::new();
-        while self.running < self.limit {
+        while self.has_slot() && !self.waiting.is_empty() && self.gate.try_take(now) {
             let Some(((_, ticket), _)) = self.waiting.pop_first() else {
                 break;
             };
--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -58,6 +58,8 @@
     ServerUnreachable,
     /// Services that it needs further down refuse requests of its priority.
     DownstreamOverloaded,
+    /// The server gets as many requests as it takes already.
+    RateLimited,
     /// The queue at the server's node is too long.
     QueueFull,
     /// It waited at the server's node as long as it could.
--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -11,6 +11,8 @@
 //! 7. [`server_admission`]: at the server's node, whether it runs, waits
 //!    ([`admission_queue`]) or is refused.
 //!
+//! [`rate_limits`] keeps servers below the limits that they name.
+//!
 //! [`processor_admission`] tells which requests the node's own processor has time for.
 //!
 //! [`server_health`] and [`loss_estimate`] tell which servers fail what they are
@@ -29,6 +31,7 @@
 pub mod nested_calls;
 pub mod poison;
 pub mod processor_admission;
+pub mod rate_limits;
 pub mod reported_load;
 pub mod request_tree;
 pub mod retry_budget;
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -1,13 +1,15 @@
 //! Admission of attempts to the server beside a node: the decisions composed.
 //!
 //! An attempt passes, in this order: whether the server answers at all, whether
-//! it fails much while another has room ([`ServerHealth`]), what the services needed further down admit, a free slot, the queue. Each step can
+//! it fails much while another has room ([`ServerHealth`]), what the services needed further down
+//! admit, the limit that the server names, a free slot, the queue. Each step can
 //! refuse it, at once. What is turned away moves the admission level that
 //! callers' nodes are told ([`AdmissionThreshold`]).
 
 use std::time::Duration;
 
 use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::mesh::{InstanceId, RequestRate, ServerNotice};
 use lifthollow_state::{Priority, ServiceName, Timestamp};
 
 use crate::inbound::InboundId;
@@ -85,6 +87,10 @@
     running: RunningRequests,
     health: ServerHealth,
     next_run: u64,
+    /// The start of a server that stands beside the node, as last known.
+    server: Option<InstanceId>,
+    /// What the server said of itself last.
+    notice: ServerNotice,
     /// When a request was last run though a service that it needs has no server.
     last_trial: Timestamp,
 }
@@ -101,6 +107,8 @@
             running: RunningRequests::default(),
             health: ServerHealth::default(),
             next_run: 0,
+            server: None,
+            notice: ServerNotice::default(),
             last_trial: Timestamp::ZERO,
         }
     }
@@ -115,9 +123,50 @@
     /// and whether it answers is not known yet. Without that, one that had failed all its requests
     /// and started again was turned away for further seconds (test
     /// `a_server_that_starts_again_is_not_held_for_what_it_did_before`).
-    pub fn server_started(&mut self, now: Timestamp) {
+    pub fn server_started(&mut self, now: Timestamp, server: &InstanceId) {
         self.queue.server_started(now);
         self.health.server_started();
+        let before = self.server.replace(server.clone());
+        // An entry that was gone for a while is no new start.
+        if before.is_some_and(|before| before != *server) {
+            self.notice = ServerNotice::default();
+            self.queue.server_replaced();
+        }
+    }
+
+    /// An answer of `server` says this of it. Returns the attempts that may run now.
+    pub fn server_noticed(
+        &mut self,
+        now: Timestamp,
+        server: &InstanceId,
+        notice: ServerNotice,
+    ) -> Vec<Ticket> {
+        // What a start before said is of no use.
+        if self.server.as_ref().is_some_and(|known| known != server) {
+            return Vec::new();
+        }
+        self.notice = notice;
+        self.queue.server_named(now, notice.limit)
+    }
+
+    /// A node whose attempt has come was told this limit of the server.
+    pub fn others_were_told(&mut self, now: Timestamp, limit: RequestRate) {
+        self.queue.others_were_told(now, limit);
+    }
+
+    /// What the server said of itself last.
+    pub fn notice(&self) -> ServerNotice {
+        self.notice
+    }
+
+    /// The time until an attempt that waits for the server's limit may run, if one does.
+    pub fn next_start(&self, now: Timestamp) -> Option<Duration> {
+        self.queue.next_start(now)
+    }
+
+    /// The attempts that may run now.
+    pub fn start_waiting(&mut self, now: Timestamp) -> Vec<Ticket> {
+        self.queue.start_waiting(now)
     }
 
     /// The load here.
@@ -162,6 +211,10 @@
         if !attempt.is_nested && !self.is_admitted_further_down(now, attempt.priority, level_of) {
             return refusal(NotRunReason::DownstreamOverloaded, None);
         }
+        let is_at_rate_limit = self.queue.is_at_rate_limit(now);
+        if attempt.may_go_elsewhere && is_at_rate_limit {
+            return refusal(NotRunReason::RateLimited, None);
+        }
         self.observe(now);
         self.threshold.arrived(place(attempt));
         self.processor.arrived(now, place(attempt));
@@ -170,7 +223,11 @@
             Admission::Wait(ticket) => Verdict::Wait(ticket),
             Admission::Refuse { retry_after } => {
                 self.threshold.turned_away();
-                refusal(NotRunReason::QueueFull, Some(retry_after))
+                let reason = match is_at_rate_limit {
+                    true => NotRunReason::RateLimited,
+                    false => NotRunReason::QueueFull,
+                };
+                refusal(reason, Some(retry_after))
             }
         }
     }
@@ -229,7 +286,7 @@
 
     /// A place that was given to an attempt was not used.
     pub fn give_back(&mut self, now: Timestamp) -> Vec<Ticket> {
-        self.queue.finish(now, None)
+        self.queue.give_back(now)
     }
 
     /// The request that a call from the server is made for.
@@ -286,7 +343,7 @@
 
     /// Accounts for the time that has passed.
     pub fn observe(&mut self, now: Timestamp) {
-        let load = self.queue.occupancy();
+        let load = self.queue.limiting_load(now);
         let occupancy = admission_threshold::Occupancy {
             running: load.running as usize,
             limit: load.limit,
--- a/crates/coordination/src/mesh/server_record.rs
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -4,15 +4,18 @@
 
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::ServerInstance;
+use lifthollow_state::mesh::{ServerInstance, ServerNotice};
 
 use crate::latency::LatencyEstimate;
 use crate::mesh::admission_queue::Occupancy;
 use crate::mesh::loss_estimate::LossEstimate;
+use crate::mesh::rate_limits::SendPace;
 use crate::mesh::reported_load::ReportedLoad;
 
 /// A load report loses half its weight in this time.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+/// What a server said of itself is remembered this long after its entry went: an entry may be back.
+const NOTICE_MEMORY: Duration = Duration::from_secs(60);
 /// Whether a server may get attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Standing {
@@ -45,6 +48,10 @@
     pub(super) levels: [(AdmissionLevel, Timestamp); 2],
     pub(super) heard: Timestamp,
     standing: Standing,
+    /// How often it is tried if it names a limit.
+    pub(super) pace: Option<SendPace>,
+    /// When it last said one of these.
+    noticed: Timestamp,
     /// How long callers' requests and nested calls take.
     pub(super) latencies: [LatencyEstimate; 2],
     /// Answers that this node missed.
@@ -65,6 +72,8 @@
             levels: [(AdmissionLevel::OPEN, Timestamp::ZERO); 2],
             heard: Timestamp::ZERO,
             standing: Standing::Good,
+            pace: None,
+            noticed: Timestamp::ZERO,
             latencies: [LatencyEstimate::default(); 2],
             losses: LossEstimate::default(),
             reported_losses: LossEstimate::default(),
@@ -100,6 +109,26 @@
         }
     }
 
+    /// The server says this of itself.
+    pub(super) fn note(&mut self, now: Timestamp, notice: ServerNotice) {
+        self.noticed = now;
+        match (&mut self.pace, notice.limit) {
+            (Some(pace), Some(limit)) => pace.set_limit(limit),
+            (pace, limit) => *pace = limit.map(|limit| SendPace::new(now, limit)),
+        }
+    }
+
+    /// Whether something that the server said of itself is to be remembered without its entry.
+    pub(super) fn has_notice(&self, now: Timestamp) -> bool {
+        self.pace.is_some() && now.saturating_since(self.noticed) < NOTICE_MEMORY
+    }
+
+    /// The time until the server should get another attempt, by the limit that it names.
+    pub(super) fn time_until_next(&self, now: Timestamp, may_repeat: bool) -> Duration {
+        let pace = self.pace.as_ref();
+        pace.map_or(Duration::ZERO, |pace| pace.time_until_next(now, may_repeat))
+    }
+
     pub(super) fn set_standing(&mut self, standing: Standing) {
         self.standing = standing;
     }
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -12,7 +12,7 @@
 
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::{InstanceId, ServerInstance};
+use lifthollow_state::mesh::{InstanceId, RequestRate, ServerInstance, ServerNotice};
 use rand::{Rng, RngExt};
 
 use crate::latency::LatencyEstimate;
@@ -110,8 +110,9 @@
                 }
             }
         }
-        self.records
-            .retain(|id, record| present.contains(id) || record.in_flight > 0);
+        self.records.retain(|id, record| {
+            present.contains(id) || record.in_flight > 0 || record.has_notice(now)
+        });
     }
 
     /// Whether a server listens at `address`.
@@ -139,14 +140,23 @@
                 let is_failing = wanted.purpose.must_succeed() && is_failing(now, record);
                 let jitter = random.random::<f64>() * JITTER;
                 let suits = Suitability::of(now, record, &self.own_zone, wanted.may_repeat);
-                let ranks = (set_aside, is_failing, !suits.is_near_and_free);
-                (ranks, suits.cost + jitter, record)
+                let wait = record.time_until_next(now, wanted.may_repeat);
+                let ranks = (
+                    set_aside,
+                    is_failing,
+                    !wait.is_zero(),
+                    !suits.is_near_and_free,
+                );
+                (ranks, suits.cost + wait.as_secs_f64() + jitter, record)
             })
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
         let server = best.2.instance.clone();
         let has_alternative = usable()
             .filter(|record| record.instance.id != server.id)
-            .any(|record| is_sound(now, record));
+            .any(|record| {
+                let may_get_more = record.time_until_next(now, wanted.may_repeat).is_zero();
+                may_get_more && is_sound(now, record)
+            });
         Some(Choice {
             server,
             has_alternative,
@@ -167,9 +177,12 @@
     }
 
     /// An attempt was sent.
-    pub fn sent(&mut self, id: &InstanceId) {
+    pub fn sent(&mut self, now: Timestamp, id: &InstanceId) {
         if let Some(record) = self.records.get_mut(id) {
             record.in_flight += 1;
+            if let Some(pace) = &mut record.pace {
+                pace.sent(now);
+            }
         }
     }
 
@@ -195,6 +208,9 @@
         record.heard = now;
         record.losses.observe(now, false);
         record.trust_again(now);
+        if let Some(pace) = &mut record.pace {
+            pace.served();
+        }
         if let Some(load) = load {
             record.note_report(now, load);
         }
@@ -210,6 +226,27 @@
         }
     }
 
+    /// The server says this of itself.
+    pub fn noticed(&mut self, now: Timestamp, id: &InstanceId, notice: ServerNotice) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.note(now, notice);
+        }
+    }
+
+    /// The server's node turned an attempt away: the server gets as many as it takes.
+    pub fn rate_limited(&mut self, now: Timestamp, id: &InstanceId) {
+        let record = self.records.get_mut(id);
+        if let Some(pace) = record.and_then(|record| record.pace.as_mut()) {
+            pace.turned_away(now);
+        }
+    }
+
+    /// The limit that the server names, if it does.
+    pub fn limit_of(&self, id: &InstanceId) -> Option<RequestRate> {
+        let pace = self.records.get(id)?.pace.as_ref()?;
+        Some(pace.limit())
+    }
+
     /// An answer of the server was lost or spoilt.
     pub fn lost(&mut self, now: Timestamp, id: &InstanceId) {
         if let Some(record) = self.records.get_mut(id) {
@@ -314,6 +351,11 @@
             .filter_map(|id| self.records.get(id))
             .filter(|record| record.standing(now) == Standing::Good)
             .collect();
+        // One that gets as many requests as it takes tells nothing of the room that others have.
+        let may_get_more = |record: &&ServerRecord| record.time_until_next(now, true).is_zero();
+        if records.iter().any(may_get_more) {
+            records.retain(may_get_more);
+        }
         if purpose.must_succeed() && records.iter().any(|record| !is_failing(now, record)) {
             records.retain(|record| !is_failing(now, record));
         }
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -220,11 +220,11 @@
     let mut pool = pool();
     assert_eq!(chosen(&pool, 0), "i-a");
     for _ in 0..6 {
-        pool.sent(&id("i-a"));
+        pool.sent(at(0), &id("i-a"));
     }
     assert_eq!(chosen(&pool, 0), "i-a", "nobody has to wait there");
     for _ in 0..2 {
-        pool.sent(&id("i-a"));
+        pool.sent(at(0), &id("i-a"));
     }
     assert_ne!(chosen(&pool, 0), "i-a");
 }
@@ -238,11 +238,11 @@
     far.slots = 400;
     pool.set_servers(at(0), [near, far]);
     for _ in 0..370 {
-        pool.sent(&id("i-a"));
+        pool.sent(at(0), &id("i-a"));
     }
     assert_eq!(chosen(&pool, 0), "i-a");
     for _ in 0..20 {
-        pool.sent(&id("i-a"));
+        pool.sent(at(0), &id("i-a"));
     }
     assert_eq!(chosen(&pool, 0), "i-b");
 }
@@ -304,7 +304,7 @@
     let other = server("i-b", "a", 2);
     pool.set_servers(at(2000), [server("i-a", "a", 1), other]);
     for _ in 0..8 {
-        pool.sent(&id("i-b"));
+        pool.sent(at(0), &id("i-b"));
     }
     assert_eq!(chosen(&pool, 2000), "i-a", "as good as any other");
 }
@@ -327,7 +327,7 @@
     assert_ne!(chosen(&pool, 10), "i-a");
     for other in ["i-b", "i-c"] {
         for _ in 0..30 {
-            pool.sent(&id(other));
+            pool.sent(at(0), &id(other));
         }
     }
     assert_eq!(chosen(&pool, 10), "i-a", "it is better than a full one");
@@ -408,7 +408,7 @@
         pool.reported(at(10), &id(failing), load);
     }
     for _ in 0..30 {
-        pool.sent(&id("i-c"));
+        pool.sent(at(0), &id("i-c"));
     }
     pool
 }
--- /dev/null
+++ b/crates/coordination/tests/mesh_rate_limits.rs
@@ -0,0 +1,271 @@
+//! Servers that name the requests a second that they take, and servers that say that they leave.
+
+mod mesh_support;
+
+use lifthollow_coordination::mesh::call::NotRunReason;
+use lifthollow_coordination::mesh::rate_limits::{RateGate, SendPace};
+use lifthollow_coordination::mesh::server_admission::{ArrivingAttempt, ServerAdmission, Verdict};
+use lifthollow_coordination::mesh::server_selection::ServerPool;
+use lifthollow_coordination::mesh::server_wanted::{Candidates, Purpose, Wanted};
+use lifthollow_protocol::AdmissionLevel;
+use lifthollow_state::mesh::{InstanceId, RequestRate, ServerNotice};
+use lifthollow_state::{Priority, PriorityClass, ServiceName};
+use mesh_support::{at, id, ms, random, server};
+
+/// Windows in which a limit is judged, milliseconds.
+const WINDOW_MS: u64 = 4000;
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::new(per_second).expect("a rate")
+}
+
+fn names(per_second: f64) -> ServerNotice {
+    ServerNotice {
+        limit: Some(rate(per_second)),
+        is_leaving: false,
+    }
+}
+
+const LEAVES: ServerNotice = ServerNotice {
+    limit: None,
+    is_leaving: true,
+};
+
+/// Requests that pass the gate between two moments, of one that asks each millisecond.
+fn passing(gate: &mut RateGate, from: u64, until: u64) -> Vec<u64> {
+    (from..until)
+        .filter(|now| gate.try_take(at(*now)))
+        .collect()
+}
+
+fn most_in_window(times: &[u64]) -> usize {
+    let in_window = |start: &u64| {
+        let within = |time: &&u64| **time >= *start && **time < *start + WINDOW_MS;
+        times.iter().filter(within).count()
+    };
+    times.iter().map(in_window).max().unwrap_or_default()
+}
+
+#[test]
+fn texts_that_are_no_number_of_zero_or_more_are_no_rate() {
+    for text in ["", "ten", "-1", "NaN", "inf", "1,5", "0x10"] {
+        assert!(text.parse::<RequestRate>().is_err(), "{text}");
+    }
+    for (text, per_second) in [("0", 0.0), ("10", 10.0), (" 15.3 ", 15.3)] {
+        assert_eq!(text.parse(), Ok(rate(per_second)), "{text}");
+    }
+}
+
+#[test]
+fn no_more_than_the_limit_passes() {
+    for per_second in [0.0, 0.1, 1.0, 10.0, 250.0] {
+        let mut gate = RateGate::default();
+        gate.server_named(at(0), Some(rate(per_second)));
+        let passed = passing(&mut gate, 0, 20_000);
+        let allowed = 1.5 * per_second * 4.0 + 5.0;
+        let most = most_in_window(&passed);
+        assert!(most as f64 <= allowed, "{per_second}: {most}");
+        assert!(passed.len() as f64 >= 0.9 * per_second * 20.0);
+    }
+}
+
+#[test]
+fn a_burst_after_silence_is_not_taken_for_the_rate() {
+    let mut gate = RateGate::default();
+    gate.server_named(at(0), Some(rate(10.0)));
+    let passed = passing(&mut gate, 60_000, 64_000);
+    assert!(passed.len() <= 65, "{}", passed.len());
+}
+
+#[test]
+fn no_start_of_a_node_lets_a_burst_pass_if_others_were_told_the_limit() {
+    let mut passed = Vec::new();
+    for start in 0..4 {
+        let mut gate = RateGate::default();
+        gate.others_were_told(at(start * 1000), rate(8.0));
+        passed.extend(passing(&mut gate, start * 1000, (start + 1) * 1000));
+    }
+    assert!(passed.len() <= 53, "{}", passed.len());
+}
+
+#[test]
+fn what_others_were_told_does_not_count_against_the_servers_own_word() {
+    let mut gate = RateGate::default();
+    gate.server_named(at(0), None);
+    gate.others_were_told(at(1), rate(1.0));
+    assert!(!gate.is_limited());
+    let mut gate = RateGate::default();
+    gate.server_started();
+    gate.others_were_told(at(1), rate(1.0));
+    assert!(!gate.is_limited(), "a new start has named nothing");
+}
+
+#[test]
+fn a_limit_ends_when_it_is_taken_back() {
+    let mut gate = RateGate::default();
+    gate.server_named(at(0), Some(rate(0.0)));
+    assert!(!gate.has_token(at(10)));
+    gate.server_named(at(20), None);
+    assert_eq!(passing(&mut gate, 20, 120).len(), 100);
+}
+
+fn open(_: &ServiceName) -> AdmissionLevel {
+    AdmissionLevel::OPEN
+}
+
+fn attempt(request_id: &str, user: u8, may_go_elsewhere: bool) -> ArrivingAttempt {
+    ArrivingAttempt {
+        request_id: request_id.to_owned(),
+        priority: Priority {
+            class: PriorityClass::Sheddable,
+            user,
+        },
+        is_nested: false,
+        is_repeat: false,
+        deadline: at(100_000),
+        patience: ms(300),
+        zone: "a".to_owned(),
+        may_go_elsewhere,
+    }
+}
+
+fn limited_admission(per_second: f64) -> ServerAdmission {
+    let mut admission = ServerAdmission::new("feeds", 100);
+    admission.server_started(at(0), &id("i-a"));
+    admission.server_noticed(at(0), &id("i-a"), names(per_second));
+    admission
+}
+
+#[test]
+fn attempts_that_can_go_elsewhere_do_not_wait_for_the_limit() {
+    let mut admission = limited_admission(10.0);
+    let verdict = admission.arrive(at(1), &attempt("r", 0, true), open);
+    let refused = Verdict::Refuse {
+        reason: NotRunReason::RateLimited,
+        retry_after: None,
+    };
+    assert_eq!(verdict, refused);
+}
+
+#[test]
+fn the_most_urgent_run_first_where_nobody_has_room() {
+    let mut admission = limited_admission(10.0);
+    let Verdict::Wait(low) = admission.arrive(at(1), &attempt("low", 3, false), open) else {
+        panic!("it waits");
+    };
+    let Verdict::Wait(high) = admission.arrive(at(2), &attempt("high", 90, false), open) else {
+        panic!("it waits");
+    };
+    let delay = admission.next_start(at(2)).expect("some wait");
+    assert_eq!(delay, ms(98));
+    assert_eq!(admission.start_waiting(at(100)), [high]);
+    assert_eq!(admission.start_waiting(at(200)), [low]);
+    assert_eq!(admission.next_start(at(200)), None);
+}
+
+#[test]
+fn a_refusal_at_the_limit_names_a_time_that_comes_true() {
+    let mut admission = limited_admission(1.0);
+    let mut waiting = 0;
+    let refused = (1..10).find_map(|number| {
+        let attempt = attempt(&number.to_string(), 0, false);
+        match admission.arrive(at(1), &attempt, open) {
+            Verdict::Refuse { retry_after, .. } => retry_after,
+            _ => {
+                waiting += 1;
+                None
+            }
+        }
+    });
+    let retry_after = refused.expect("only few can wait");
+    assert_eq!(waiting, 0, "a second is longer than they can wait");
+    let later = at(1) + retry_after;
+    let verdict = admission.arrive(later, &attempt("later", 0, false), open);
+    assert_eq!(verdict, Verdict::Run);
+}
+
+#[test]
+fn a_limit_outlives_an_entry_that_was_gone_and_ends_with_a_new_start() {
+    let mut admission = limited_admission(1.0);
+    admission.server_started(at(500), &id("i-a"));
+    assert_eq!(admission.notice(), names(1.0));
+    let later = InstanceId::new("i-a").started_at(7);
+    admission.server_started(at(900), &later);
+    assert_eq!(admission.notice(), ServerNotice::default());
+    let verdict = admission.arrive(at(901), &attempt("r", 0, true), open);
+    assert_eq!(verdict, Verdict::Run);
+}
+
+#[test]
+fn an_answer_of_the_start_before_says_nothing_of_the_one_that_runs() {
+    let mut admission = limited_admission(1.0);
+    let later = InstanceId::new("i-a").started_at(7);
+    admission.server_started(at(900), &later);
+    admission.server_noticed(at(901), &id("i-a"), LEAVES);
+    assert_eq!(admission.notice(), ServerNotice::default());
+}
+
+fn pool() -> ServerPool {
+    let mut pool = ServerPool::new("a");
+    pool.set_servers(at(0), [server("i-a", "a", 1), server("i-b", "b", 2)]);
+    pool
+}
+
+fn wanted(candidates: &Candidates, may_repeat: bool) -> Wanted<'_> {
+    Wanted {
+        candidates,
+        may_repeat,
+        purpose: Purpose::Request,
+    }
+}
+
+fn chosen(pool: &ServerPool, now: u64, may_repeat: bool) -> Option<(String, bool)> {
+    let all = Candidates::ALL;
+    let wanted = wanted(&all, may_repeat);
+    let choice = pool.choose(at(now), "feeds", wanted, &mut random())?;
+    Some((choice.server.id.as_str().to_owned(), choice.has_alternative))
+}
+
+fn is_chosen(pool: &ServerPool, now: u64, name: &str) -> bool {
+    chosen(pool, now, true).is_some_and(|(chosen, _)| chosen == name)
+}
+
+#[test]
+fn a_server_at_its_limit_is_passed_by_while_others_have_room() {
+    let mut pool = pool();
+    assert!(is_chosen(&pool, 0, "i-a"), "it is near");
+    pool.noticed(at(0), &id("i-a"), names(10.0));
+    assert!(is_chosen(&pool, 0, "i-b"));
+    assert!(is_chosen(&pool, 100, "i-a"), "its pace allows one");
+    pool.sent(at(100), &id("i-a"));
+    assert!(is_chosen(&pool, 101, "i-b"));
+    pool.noticed(at(150), &id("i-a"), ServerNotice::default());
+    assert!(is_chosen(&pool, 150, "i-a"));
+}
+
+#[test]
+fn a_server_at_its_limit_is_no_alternative() {
+    let mut pool = pool();
+    assert_eq!(chosen(&pool, 0, true), Some(("i-a".to_owned(), true)));
+    pool.noticed(at(0), &id("i-b"), names(1.0));
+    assert_eq!(chosen(&pool, 0, true), Some(("i-a".to_owned(), false)));
+}
+
+#[test]
+fn requests_that_run_once_are_not_used_to_try_a_server_that_takes_none() {
+    let mut pool = pool();
+    pool.noticed(at(0), &id("i-a"), names(0.0));
+    let name = |now, may_repeat| chosen(&pool, now, may_repeat).map(|(name, _)| name);
+    assert_eq!(name(5000, true).as_deref(), Some("i-a"));
+    assert_eq!(name(5000, false).as_deref(), Some("i-b"));
+}
+
+#[test]
+fn a_node_that_is_turned_away_learns_within_a_second_that_the_limit_is_gone() {
+    let mut pace = SendPace::new(at(0), rate(0.0));
+    for second in 0..20 {
+        pace.turned_away(at(second * 1000));
+        let wait = pace.time_until_next(at(second * 1000), true);
+        assert!(wait <= ms(1000), "{wait:?}");
+    }
+}
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
@@ -11,12 +12,16 @@
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_state::{ServiceName, Timestamp};
 use tokio::sync::oneshot;
-use tokio::time::timeout_at;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout_at};
 
 use crate::inbound::{Attempt, AttemptOutcome};
 use crate::node::Node;
 use crate::suspects;
 
+/// The shortest time until attempts that wait for the server's limit are looked at again.
+const MIN_START_DELAY: Duration = Duration::from_millis(1);
+
 /// One request at the server. Dropping it frees its slot.
 pub(super) struct Permit {
     node: Rc<Node>,
@@ -110,6 +115,9 @@
     let verdict = {
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
+        if let Some(limit) = attempt.told_limit {
+            state.admission.others_were_told(now, limit);
+        }
         let (servers, budgets) = (&state.servers, &state.budgets);
         let level_of =
             |service: &ServiceName| nested_calls::admission_level(servers, budgets, now, service);
@@ -132,6 +140,35 @@
     }
 }
 
+/// Sees to it that attempts which wait for the server's limit run as soon as that allows.
+fn start_waiting_as_limited(node: &Rc<Node>) {
+    let is_needed = node
+        .state
+        .borrow()
+        .admission
+        .next_start(node.now())
+        .is_some();
+    if !is_needed || node.is_starting_waiting.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    spawn_local(async move {
+        while let Some(delay) = next_start(&node) {
+            sleep(delay).await;
+            let mut state = node.state.borrow_mut();
+            let started = state.admission.start_waiting(node.now());
+            node.start_waiting(&mut state, started);
+        }
+        node.is_starting_waiting.set(false);
+    });
+}
+
+fn next_start(node: &Rc<Node>) -> Option<Duration> {
+    let delay = node.state.borrow().admission.next_start(node.now())?;
+    // A timer may go off a moment before the token is there.
+    Some(delay.max(MIN_START_DELAY))
+}
+
 async fn wait(
     node: &Rc<Node>,
     arriving: ArrivingAttempt,
@@ -140,6 +177,7 @@
 ) -> Result<Permit, AttemptOutcome> {
     let (start, started) = oneshot::channel();
     node.state.borrow_mut().waiters.insert(ticket, start);
+    start_waiting_as_limited(node);
     let mut place = Place {
         node,
         arriving: &arriving,
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -26,7 +26,7 @@
 use lifthollow_coordination::mesh::poison::content::CallerContent;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Timestamp;
-use lifthollow_state::mesh::InstanceId;
+use lifthollow_state::mesh::{InstanceId, RequestRate};
 use slog::info;
 use tokio::time::timeout_at;
 
@@ -56,6 +56,8 @@
     pub tree: TreePlace,
     /// How long it may wait before it runs.
     pub patience: Duration,
+    /// The limit that the server named to the sender, if it did.
+    pub told_limit: Option<RequestRate>,
     /// What it allows, and where it comes from.
     pub terms: Terms,
     /// On which connections to another node it may be sent.
--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -92,6 +92,7 @@
     let server = node.known_start(InstanceId::new(server.to_str().ok()?));
     let left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let patience = peer_headers::milliseconds(&head.headers, &peer_headers::PATIENCE);
+    let told_limit = peer_headers::number(&head.headers, &peer_headers::TOLD_LIMIT);
     let body = body::read(incoming?, MAX_HELD_REQUEST).await.ok()?;
     let body = ProxyBody::from(body);
     let (tree, terms) = peer_headers::tree(&head.headers);
@@ -101,6 +102,7 @@
     Some(Attempt {
         content,
         tree,
+        told_limit,
         terms,
         server,
         ends: arrived + left.unwrap_or(DEFAULT_DEADLINE),
@@ -129,5 +131,9 @@
         peer_headers::outcome_value(&outcome.end),
     );
     headers.insert(peer_headers::LOAD, peer_headers::load_value(&load));
+    let notice = node.state.borrow().admission.notice();
+    if let Some(notice) = peer_headers::server_notice_value(notice) {
+        headers.insert(peer_headers::SERVER_NOTICE, notice);
+    }
     response
 }
--- a/crates/proxy/src/inbound/server_notice.rs
+++ b/crates/proxy/src/inbound/server_notice.rs
@@ -40,6 +40,10 @@
         is_leaving: is_leaving(node, headers),
     };
     note_change(node, server, notice);
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let started = state.admission.server_noticed(now, server, notice);
+    node.start_waiting(&mut state, started);
 }
 
 fn is_leaving(node: &Rc<Node>, headers: &HeaderMap) -> bool {
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -169,6 +169,8 @@
     pub own_address: HeaderValue,
     /// The snapshot as other nodes are sent it, with what is said of it.
     pub encoded_snapshot: RefCell<Option<(SnapshotVersion, Bytes)>>,
+    /// Whether attempts that wait for the server's limit are being started.
+    pub is_starting_waiting: Cell<bool>,
     /// Whether an update is being fetched from another node.
     pub is_catching_up: Cell<bool>,
     /// When a caller or another node last asked for something, if ever.
@@ -224,6 +226,7 @@
             line_limit: LineLimit::default(),
             phase: Cell::new(Phase::Serving),
             encoded_snapshot: RefCell::default(),
+            is_starting_waiting: Cell::new(false),
             is_catching_up: Cell::new(false),
             last_request: Cell::new(None),
             is_server_failing: Cell::new(false),
--- a/crates/proxy/src/node/refresh.rs
+++ b/crates/proxy/src/node/refresh.rs
@@ -80,8 +80,11 @@
     fn refresh_queue(&self, state: &mut TrafficState, servers: &[ServerInstance]) {
         let own = servers.iter().find(|server| self.is_beside(server));
         let own_id = own.map(|server| server.id.clone());
-        if own_id.is_some() && own_id != state.own_server {
-            state.admission.server_started(self.now());
+        if let Some(own_id) = own_id
+            .as_ref()
+            .filter(|id| state.own_server.as_ref() != Some(id))
+        {
+            state.admission.server_started(self.now(), own_id);
             // Connections to the start before are gone, and would cost a request each.
             self.server_connections
                 .close_idle(self.settings.server_address);
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -203,7 +203,7 @@
             (true, true) => state.budgets.inherited(sent, service),
             (false, _) => {}
         }
-        state.servers.sent(&server.id);
+        state.servers.sent(sent, &server.id);
         state.servers.silence(&server.id, request.tree.is_nested)
     };
     let in_flight = InFlight {
@@ -225,6 +225,7 @@
             may_go_elsewhere: choice.has_alternative && call.may_be_turned_away(),
             may_repeat: request.route.route.is_idempotent(),
         },
+        told_limit: node.state.borrow().servers.limit_of(&server.id),
         reuse,
         answer_begun: Rc::default(),
     };
@@ -362,6 +363,7 @@
     };
     match reason {
         NotRunReason::ServerFailing
+        | NotRunReason::RateLimited
         | NotRunReason::QueueFull
         | NotRunReason::QueueTimeout
         | NotRunReason::DownstreamOverloaded
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -6,7 +6,7 @@
 use hyper::{Request, Response};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
 use lifthollow_coordination::mesh::reported_load::ReportedLoad;
-use lifthollow_state::mesh::ServerInstance;
+use lifthollow_state::mesh::{ServerInstance, ServerNotice};
 
 use crate::http::ProxyBody;
 use crate::http::body::{self, ReadBody};
@@ -60,13 +60,14 @@
     let started = node.now();
     let is_beside = node.is_beside(server);
     let is_nested = attempt.tree.is_nested;
-    let (outcome, load) = if is_beside {
+    let (outcome, report) = if is_beside {
         let outcome = inbound::execute(node, attempt).await;
-        let load = node.own_load(is_nested, &node.settings.zone);
-        (outcome, Some(load))
+        (outcome, own_report(node, is_nested))
     } else {
         send_to_node(node, server, attempt).await
     };
+    note_notice(node, server, &outcome.end, report.notice);
+    let load = report.load;
     if outcome.end == AttemptEnd::Answered {
         let now = node.now();
         let latency = now.saturating_since(started);
@@ -81,11 +82,53 @@
     outcome
 }
 
+/// What a server's node tells of it with the end of an attempt.
+#[derive(Clone, Copy, Debug, Default)]
+struct Report {
+    load: Option<ReportedLoad>,
+    notice: Option<ServerNotice>,
+}
+
+fn own_report(node: &Rc<Node>, is_nested: bool) -> Report {
+    let load = node.own_load(is_nested, &node.settings.zone);
+    let notice = node.state.borrow().admission.notice();
+    Report {
+        load: Some(load),
+        notice: (notice != ServerNotice::default()).then_some(notice),
+    }
+}
+
+/// Takes note of what the server says of itself. Only an answer of its own says that it takes
+/// any number of requests: its node may have started anew, and not know.
+fn note_notice(
+    node: &Rc<Node>,
+    server: &ServerInstance,
+    end: &AttemptEnd,
+    notice: Option<ServerNotice>,
+) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    if *end == AttemptEnd::Answered || notice.is_some() {
+        let notice = notice.unwrap_or_default();
+        state.servers.noticed(now, &server.id, notice);
+    }
+    let is_rate_limited = matches!(
+        end,
+        AttemptEnd::NotRun {
+            reason: NotRunReason::RateLimited,
+            ..
+        }
+    );
+    if is_rate_limited {
+        state.servers.rate_limited(now, &server.id);
+    }
+}
+
 async fn send_to_node(
     node: &Rc<Node>,
     server: &ServerInstance,
     mut attempt: Attempt,
-) -> (AttemptOutcome, Option<ReportedLoad>) {
+) -> (AttemptOutcome, Report) {
     let address = node.node_beside(server);
     let answer_begun = attempt.answer_begun.clone();
     let asked = node.now();
@@ -94,6 +137,11 @@
     headers.insert(&node.names.deadline_ms, milliseconds_value(left));
     let place = peer_headers::tree_value(&attempt.tree, &attempt.terms);
     headers.insert(peer_headers::TREE, place);
+    if let Some(limit) = attempt.told_limit
+        && let Ok(limit) = HeaderValue::try_from(limit.to_string())
+    {
+        headers.insert(peer_headers::TOLD_LIMIT, limit);
+    }
     headers.insert(peer_headers::PATIENCE, milliseconds_value(attempt.patience));
     snapshots::name_snapshot(node, headers);
     let answered = node
@@ -104,20 +152,24 @@
         Ok(answered) => answered,
         Err(SendError::NotSent(_)) => {
             let outcome = AttemptOutcome::not_run(NotRunReason::NodeUnreachable);
-            return (outcome, None);
+            return (outcome, Report::default());
         }
         Err(SendError::Lost(_)) => {
-            return (AttemptOutcome::unknown(UnknownReason::AnswerLost), None);
+            let outcome = AttemptOutcome::unknown(UnknownReason::AnswerLost);
+            return (outcome, Report::default());
         }
     };
     answer_begun.set(true);
     let (mut head, incoming) = response.into_parts();
     snapshots::note_snapshot(node, &head.headers, address);
     snapshots::note_view(node, &head.headers, asked);
-    let load = peer_headers::load(&head.headers);
+    let report = Report {
+        load: peer_headers::load(&head.headers),
+        notice: peer_headers::server_notice(&head.headers),
+    };
     let end = peer_headers::outcome(&head.headers);
     let body = match body::read(incoming, MAX_HELD_ANSWER).await {
-        Err(_) => return (AttemptOutcome::unknown(UnknownReason::AnswerLost), load),
+        Err(_) => return (AttemptOutcome::unknown(UnknownReason::AnswerLost), report),
         Ok(ReadBody::Whole(bytes)) => {
             lease.keep();
             ProxyBody::Whole(bytes)
@@ -135,7 +187,7 @@
                 end,
                 response: None,
             },
-            load,
+            report,
         );
     }
     remove_single_connection(&mut head.headers);
@@ -144,5 +196,5 @@
         end,
         response: Some(Response::from_parts(head, body)),
     };
-    (outcome, load)
+    (outcome, report)
 }
--- a/crates/proxy/src/peer_headers.rs
+++ b/crates/proxy/src/peer_headers.rs
@@ -12,7 +12,7 @@
 use lifthollow_coordination::mesh::view_freshness::NamedAge;
 use lifthollow_protocol::AdmissionLevel;
 use lifthollow_state::Priority;
-use lifthollow_state::mesh::{Revision, SnapshotVersion};
+use lifthollow_state::mesh::{Revision, ServerNotice, SnapshotVersion};
 
 use crate::http::headers::remove_all;
 
@@ -51,6 +51,12 @@
 /// the share of requests that it fails, in thousandths.
 pub const LOAD: HeaderName = HeaderName::from_static("lifthollow-load");
 
+/// In answers: what the server says of itself, its limit (or [`NO_LIMIT`]) and whether it leaves;
+/// not there if it says nothing.
+pub const SERVER_NOTICE: HeaderName = HeaderName::from_static("lifthollow-server-notice");
+/// With an attempt: the limit that its server named to the sender; not there if it named none.
+pub const TOLD_LIMIT: HeaderName = HeaderName::from_static("lifthollow-told-limit");
+
 /// Where an attempt stands in the tree of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TreePlace {
@@ -72,10 +78,12 @@
 pub const ANSWERED: &str = "answered";
 const THOUSANDTHS: f64 = 1000.0;
 const MICROS_IN_MILLISECOND: u128 = 1000;
+/// The word for the limit of a server that names none.
+const NO_LIMIT: &str = "-";
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
 
-const NOT_RUN_REASONS: [(&str, NotRunReason); 11] = [
+const NOT_RUN_REASONS: [(&str, NotRunReason); 12] = [
     (CRASHES_SERVERS, NotRunReason::CrashesServers),
     ("downstream-overloaded", NotRunReason::DownstreamOverloaded),
     ("node-unreachable", NotRunReason::NodeUnreachable),
@@ -84,6 +92,7 @@
     ("wrong-instance", NotRunReason::WrongInstance),
     ("server-unreachable", NotRunReason::ServerUnreachable),
     ("server-failing", NotRunReason::ServerFailing),
+    ("rate-limited", NotRunReason::RateLimited),
     ("queue-full", NotRunReason::QueueFull),
     ("queue-timeout", NotRunReason::QueueTimeout),
     ("server-refused", NotRunReason::ServerRefused),
@@ -211,6 +220,31 @@
     })
 }
 
+/// The value of [`SERVER_NOTICE`]; none if the server says nothing.
+pub fn server_notice_value(notice: ServerNotice) -> Option<HeaderValue> {
+    if notice == ServerNotice::default() {
+        return None;
+    }
+    let limit = notice.limit.map(|limit| limit.to_string());
+    let limit = limit.as_deref().unwrap_or(NO_LIMIT);
+    let is_leaving = u8::from(notice.is_leaving);
+    HeaderValue::try_from(format!("{limit} {is_leaving}")).ok()
+}
+
+/// Reads [`SERVER_NOTICE`].
+pub fn server_notice(headers: &HeaderMap) -> Option<ServerNotice> {
+    let value = headers.get(SERVER_NOTICE)?.to_str().ok()?;
+    let (limit, is_leaving) = value.split_once(' ')?;
+    let limit = match limit {
+        NO_LIMIT => None,
+        limit => Some(limit.parse().ok()?),
+    };
+    Some(ServerNotice {
+        limit,
+        is_leaving: is_leaving != "0",
+    })
+}
+
 /// The value of [`SNAPSHOT_VERSION`].
 pub fn snapshot_version_value(version: SnapshotVersion) -> HeaderValue {
     let Revision { era, number } = version.revision;
