No new request reaches a server that says in its answers that it leaves

Cause: leaving was known from the store's entries alone; a withdrawal by a refusal lasted until the next change of the entry.

Change: the node beside the server takes in the word of each answer, refuses what comes then as it does for a server that the store says leaves (not run), and tells callers' nodes with each answer. These remember it for that start of the server, whatever becomes of its entry; a later start under the same identity isn't leaving. A service whose servers all say that they leave has none.

Why it works: an answer that a machine passes on carries the word to that machine, and the node beside the server, which all requests pass, has it before.

--- a/crates/coordination/src/mesh/server_record.rs
+++ b/crates/coordination/src/mesh/server_record.rs
@@ -48,6 +48,8 @@
     pub(super) levels: [(AdmissionLevel, Timestamp); 2],
     pub(super) heard: Timestamp,
     standing: Standing,
+    /// Whether the server says in its answers that it leaves.
+    is_leaving: bool,
     /// How often it is tried if it names a limit.
     pub(super) pace: Option<SendPace>,
     /// When it last said one of these.
@@ -72,6 +74,7 @@
             levels: [(AdmissionLevel::OPEN, Timestamp::ZERO); 2],
             heard: Timestamp::ZERO,
             standing: Standing::Good,
+            is_leaving: false,
             pace: None,
             noticed: Timestamp::ZERO,
             latencies: [LatencyEstimate::default(); 2],
@@ -103,6 +106,9 @@
 
     /// Its standing now.
     pub(super) fn standing(&self, now: Timestamp) -> Standing {
+        if self.is_leaving {
+            return Standing::Withdrawn { until: None };
+        }
         match self.standing {
             Standing::Withdrawn { until: Some(until) } if now >= until => Standing::Good,
             standing => standing,
@@ -112,6 +118,7 @@
     /// The server says this of itself.
     pub(super) fn note(&mut self, now: Timestamp, notice: ServerNotice) {
         self.noticed = now;
+        self.is_leaving = notice.is_leaving;
         match (&mut self.pace, notice.limit) {
             (Some(pace), Some(limit)) => pace.set_limit(limit),
             (pace, limit) => *pace = limit.map(|limit| SendPace::new(now, limit)),
@@ -120,7 +127,13 @@
 
     /// Whether something that the server said of itself is to be remembered without its entry.
     pub(super) fn has_notice(&self, now: Timestamp) -> bool {
-        self.pace.is_some() && now.saturating_since(self.noticed) < NOTICE_MEMORY
+        let says_something = self.is_leaving || self.pace.is_some();
+        says_something && now.saturating_since(self.noticed) < NOTICE_MEMORY
+    }
+
+    /// Whether the server says in its answers that it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving
     }
 
     /// The time until the server should get another attempt, by the limit that it names.
--- a/crates/coordination/src/mesh/server_selection.rs
+++ b/crates/coordination/src/mesh/server_selection.rs
@@ -165,8 +165,11 @@
 
     /// Whether any server of `service` takes new work, as far as is known.
     pub fn has_servers(&self, service: &str) -> bool {
-        let servers = self.by_service.get(service);
-        servers.is_some_and(|servers| !servers.is_empty())
+        let mut servers = self.by_service.get(service).into_iter().flatten();
+        servers.any(|id| {
+            let record = self.records.get(id);
+            record.is_some_and(|record| !record.is_leaving())
+        })
     }
 
     /// Whether a server loses so many answers that one which is late is worth
--- a/crates/coordination/tests/mesh_rate_limits.rs
+++ b/crates/coordination/tests/mesh_rate_limits.rs
@@ -269,3 +269,31 @@
         assert!(wait <= ms(1000), "{wait:?}");
     }
 }
+
+#[test]
+fn a_server_that_leaves_by_its_answers_is_not_trusted_again_with_its_next_entry() {
+    let mut pool = pool();
+    pool.noticed(at(0), &id("i-a"), LEAVES);
+    assert!(is_chosen(&pool, 1, "i-b"));
+    let mut entry = server("i-a", "a", 1);
+    entry.slots += 1;
+    pool.set_servers(at(2), [entry.clone(), server("i-b", "b", 2)]);
+    assert!(is_chosen(&pool, 3, "i-b"));
+    // Its entry is gone for a while.
+    pool.set_servers(at(4), [server("i-b", "b", 2)]);
+    pool.set_servers(at(3000), [entry, server("i-b", "b", 2)]);
+    assert!(is_chosen(&pool, 3001, "i-b"));
+    let mut later = server("i-a", "a", 1);
+    later.id = later.id.started_at(7);
+    pool.set_servers(at(4000), [later, server("i-b", "b", 2)]);
+    assert!(is_chosen(&pool, 4001, "i-a"), "a later start isn't leaving");
+}
+
+#[test]
+fn a_service_whose_servers_all_leave_has_none() {
+    let mut pool = pool();
+    pool.noticed(at(0), &id("i-a"), LEAVES);
+    assert!(pool.has_servers("feeds"));
+    pool.noticed(at(0), &id("i-b"), LEAVES);
+    assert!(!pool.has_servers("feeds"));
+}
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -356,7 +356,8 @@
         if own.is_none_or(|own| !own.is_same_server(id)) {
             return Some(NotRunReason::WrongInstance);
         }
-        (!known.instance.is_ready()).then_some(NotRunReason::ServerDraining)
+        let is_leaving = !known.instance.is_ready() || state.admission.notice().is_leaving;
+        is_leaving.then_some(NotRunReason::ServerDraining)
     }
 
     /// The start of the server `id` that this node knows. Between nodes and towards servers only
