Ways to keep a server below its limit, compared

The bound kept at the node beside the server against shares that callers keep by themselves (equal ones; among the callers seen in the last second), by the same loads at 12 and 985 callers.

--- /dev/null
+++ b/crates/coordination/tests/mesh_rate_limit_ways.rs
@@ -0,0 +1,274 @@
+//! Ways to keep a server below the limit that it names, compared: what it gets of the limit, the
+//! most that it gets in a window, and how many attempts are turned away at its node.
+
+mod mesh_support;
+
+use std::collections::VecDeque;
+use std::fmt;
+
+use lifthollow_coordination::mesh::rate_limits::{RateGate, SendPace};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::RequestRate;
+use mesh_support::{at, random};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+/// How long a play lasts, milliseconds. The first seconds are not judged: callers learn the limit.
+const LENGTH_MS: u64 = 34_000;
+const JUDGED_FROM_MS: u64 = 4_000;
+const WINDOW_MS: u64 = 4_000;
+/// How long the server works on a request, milliseconds.
+const SERVICE_MS: u64 = 100;
+
+/// A load on one server.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    callers: usize,
+    /// Requests a second that callers would send to it.
+    demand: f64,
+    limit: f64,
+    /// The part of the demand that one caller has; the others share the rest.
+    first_callers_part: f64,
+    /// Callers that have any demand in one second; others have it in the next.
+    active: usize,
+}
+
+impl Load {
+    /// The caller of the next request.
+    fn draw_caller(&self, now: u64, random: &mut SmallRng) -> usize {
+        if random.random::<f64>() < self.first_callers_part {
+            return 0;
+        }
+        let begin = (now / 1000) as usize * self.active;
+        (begin + random.random_range(0..self.active)) % self.callers
+    }
+}
+
+/// One way to keep the limit.
+trait Way {
+    /// Whether a caller sends a request to the server rather than to another.
+    fn sends(&mut self, now: Timestamp, caller: usize) -> bool;
+    /// Whether the server's node lets a request of that caller pass.
+    fn passes(&mut self, now: Timestamp, caller: usize) -> bool;
+    /// The caller gets an answer of the server.
+    fn answered(&mut self, now: Timestamp, caller: usize);
+}
+
+/// The node beside the server keeps the sum; callers try it at a pace of their own.
+struct GateAtServer {
+    limit: RequestRate,
+    gate: RateGate,
+    paces: Vec<Option<SendPace>>,
+}
+
+impl GateAtServer {
+    fn new(load: &Load) -> Self {
+        let limit = RequestRate::new(load.limit).expect("a rate");
+        let mut gate = RateGate::default();
+        gate.server_named(at(0), Some(limit));
+        GateAtServer {
+            limit,
+            gate,
+            paces: vec![None; load.callers],
+        }
+    }
+
+    fn told(&mut self, now: Timestamp, caller: usize) -> &mut SendPace {
+        self.paces[caller].get_or_insert_with(|| SendPace::new(now, self.limit))
+    }
+}
+
+impl Way for GateAtServer {
+    fn sends(&mut self, now: Timestamp, caller: usize) -> bool {
+        let Some(pace) = &mut self.paces[caller] else {
+            return true;
+        };
+        let may_send = pace.time_until_next(now, true).is_zero();
+        if may_send {
+            pace.sent(now);
+        }
+        may_send
+    }
+
+    fn passes(&mut self, now: Timestamp, caller: usize) -> bool {
+        let passes = self.gate.try_take(now);
+        if !passes {
+            self.told(now, caller).turned_away(now);
+        }
+        passes
+    }
+
+    fn answered(&mut self, now: Timestamp, caller: usize) {
+        self.told(now, caller).served();
+    }
+}
+
+/// Each caller keeps its part of the limit by itself; nobody knows the sum.
+struct SharesOfCallers {
+    buckets: Vec<Bucket>,
+    /// Told with each answer: among how many callers the limit is divided.
+    divided_among: usize,
+    /// Whether only callers of the last second count, as the server's node has seen them.
+    counts_active: bool,
+    seen: Vec<u64>,
+    limit: f64,
+}
+
+/// Requests that a caller may send: a part of the limit, and one that it has saved.
+#[derive(Clone, Copy, Default)]
+struct Bucket {
+    rate: f64,
+    tokens: f64,
+    refilled_ms: u64,
+    is_told: bool,
+}
+
+impl SharesOfCallers {
+    fn new(load: &Load, counts_active: bool) -> Self {
+        SharesOfCallers {
+            buckets: vec![Bucket::default(); load.callers],
+            divided_among: load.callers,
+            counts_active,
+            seen: vec![0; load.callers],
+            limit: load.limit,
+        }
+    }
+}
+
+impl Way for SharesOfCallers {
+    fn sends(&mut self, now: Timestamp, caller: usize) -> bool {
+        let bucket = &mut self.buckets[caller];
+        if !bucket.is_told {
+            return true;
+        }
+        let now_ms = now.as_micros() / 1000;
+        let passed = (now_ms - bucket.refilled_ms) as f64 / 1000.0;
+        bucket.refilled_ms = now_ms;
+        bucket.tokens = (bucket.tokens + passed * bucket.rate).min(1.0);
+        let may_send = bucket.tokens >= 1.0;
+        if may_send {
+            bucket.tokens -= 1.0;
+        }
+        may_send
+    }
+
+    fn passes(&mut self, now: Timestamp, caller: usize) -> bool {
+        let now_ms = now.as_micros() / 1000;
+        self.seen[caller] = now_ms;
+        if self.counts_active {
+            let is_active = |seen: &&u64| **seen > 0 && now_ms - **seen <= 1000;
+            self.divided_among = self.seen.iter().filter(is_active).count().max(1);
+        }
+        true
+    }
+
+    fn answered(&mut self, now: Timestamp, caller: usize) {
+        let rate = self.limit / self.divided_among as f64;
+        let bucket = &mut self.buckets[caller];
+        if !bucket.is_told {
+            bucket.is_told = true;
+            bucket.refilled_ms = now.as_micros() / 1000;
+        }
+        bucket.rate = rate;
+    }
+}
+
+/// What came of a play.
+#[derive(Debug)]
+struct Outcome {
+    /// Requests that reached the server, of those that the limit allows.
+    used: f64,
+    most_in_window: usize,
+    turned_away: f64,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:.2} of the limit, {} in a window, {:.2} turned away",
+            self.used, self.most_in_window, self.turned_away
+        )
+    }
+}
+
+fn play(load: &Load, way: &mut dyn Way) -> Outcome {
+    let mut random = random();
+    let mut answers: VecDeque<(u64, usize)> = VecDeque::new();
+    let mut reached = Vec::new();
+    let mut judged_sent = 0_u32;
+    for now in 0..LENGTH_MS {
+        while answers.front().is_some_and(|(due, _)| *due <= now) {
+            let (_, caller) = answers.pop_front().expect("there is one");
+            way.answered(at(now), caller);
+        }
+        if random.random::<f64>() >= load.demand / 1000.0 {
+            continue;
+        }
+        let caller = load.draw_caller(now, &mut random);
+        if !way.sends(at(now), caller) {
+            continue;
+        }
+        judged_sent += u32::from(now >= JUDGED_FROM_MS);
+        if way.passes(at(now), caller) {
+            reached.push(now);
+            answers.push_back((now + SERVICE_MS, caller));
+        }
+    }
+    let judged: Vec<u64> = reached
+        .into_iter()
+        .filter(|at| *at >= JUDGED_FROM_MS)
+        .collect();
+    let seconds = (LENGTH_MS - JUDGED_FROM_MS) as f64 / 1000.0;
+    let in_window = |start: &u64| {
+        let within = |time: &&u64| **time >= *start && **time < *start + WINDOW_MS;
+        judged.iter().filter(within).count()
+    };
+    Outcome {
+        used: judged.len() as f64 / (load.limit * seconds),
+        most_in_window: judged.iter().map(in_window).max().unwrap_or_default(),
+        turned_away: 1.0 - judged.len() as f64 / f64::from(judged_sent.max(1)),
+    }
+}
+
+/// Loads at 12 and at 985 machines: even, of one caller mostly, and moving from some callers to
+/// others each second.
+fn loads() -> Vec<(&'static str, Load)> {
+    let even = |callers, demand, limit| Load {
+        callers,
+        demand,
+        limit,
+        first_callers_part: 0.0,
+        active: callers,
+    };
+    let of_one = |load| Load {
+        first_callers_part: 0.9,
+        ..load
+    };
+    let moving = |load: Load| Load {
+        active: load.callers / 4,
+        ..load
+    };
+    let (small, large) = (even(12, 50.0, 10.0), even(985, 50.0, 10.0));
+    vec![
+        ("12, even", small),
+        ("12, of one", of_one(small)),
+        ("12, moving", moving(small)),
+        ("985, even", large),
+        ("985, of one", of_one(large)),
+        ("985, moving", moving(large)),
+    ]
+}
+
+#[test]
+fn a_server_gets_what_it_names_and_no_more_whoever_has_the_demand() {
+    for (name, load) in loads() {
+        let ours = play(&load, &mut GateAtServer::new(&load));
+        let equal = play(&load, &mut SharesOfCallers::new(&load, false));
+        let active = play(&load, &mut SharesOfCallers::new(&load, true));
+        println!("{name}: gate {ours}; equal shares {equal}; shares of active {active}");
+        let allowed = 1.5 * load.limit * 4.0 + 5.0;
+        assert!(ours.most_in_window as f64 <= allowed, "{name}: {ours:?}");
+        assert!(ours.used >= 0.9, "{name}: {ours:?}");
+    }
+}
