A server that leaves by its answers gets nothing new although its entry is gone

Found by reading: the node beside a server looked its entry up first, and let every attempt pass for one whose entry had gone, as entries of servers that never say draining do while they serve on. Callers' nodes that were told send nothing; others would still have reached it. The word of the server's answers now comes first.

--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -159,6 +159,13 @@
         self.notice
     }
 
+    /// Whether `server` is the one beside this node and says in its answers that it leaves. That
+    /// counts although its entry may be gone.
+    pub fn says_it_leaves(&self, server: &InstanceId) -> bool {
+        let own = self.server.as_ref();
+        self.notice.is_leaving && own.is_some_and(|own| own.is_same_server(server))
+    }
+
     /// The time until an attempt that waits for the server's limit may run, if one does.
     pub fn next_start(&self, now: Timestamp) -> Option<Duration> {
         self.queue.next_start(now)
--- a/crates/coordination/tests/mesh_rate_limits.rs
+++ b/crates/coordination/tests/mesh_rate_limits.rs
@@ -196,6 +196,17 @@
     assert_eq!(verdict, Verdict::Run);
 }
 
+#[test]
+fn a_server_leaves_by_its_answers_until_another_start() {
+    let mut admission = limited_admission(1.0);
+    admission.server_noticed(at(1), &id("i-a"), LEAVES);
+    assert!(admission.says_it_leaves(&id("i-a")));
+    assert!(!admission.says_it_leaves(&id("i-b")));
+    let later = InstanceId::new("i-a").started_at(7);
+    admission.server_started(at(900), &later);
+    assert!(!admission.says_it_leaves(&id("i-a")));
+}
+
 #[test]
 fn an_answer_of_the_start_before_says_nothing_of_the_one_that_runs() {
     let mut admission = limited_admission(1.0);
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -351,13 +351,15 @@
     /// only the server itself can tell.
     pub fn refusal_for(&self, id: &InstanceId) -> Option<NotRunReason> {
         let state = self.state.borrow();
+        if state.admission.says_it_leaves(id) {
+            return Some(NotRunReason::ServerDraining);
+        }
         let known = state.snapshots.snapshot().server(id)?;
         let own = state.own_server.as_ref();
         if own.is_none_or(|own| !own.is_same_server(id)) {
             return Some(NotRunReason::WrongInstance);
         }
-        let is_leaving = !known.instance.is_ready() || state.admission.notice().is_leaving;
-        is_leaving.then_some(NotRunReason::ServerDraining)
+        (!known.instance.is_ready()).then_some(NotRunReason::ServerDraining)
     }
 
     /// The start of the server `id` that this node knows. Between nodes and towards servers only
