Three files of the request path have one job each

The node's part on the server beside it, the places of attempts in the order of shedding, and the admission level of a service as reported stand in modules of their own; nothing but their place is changed.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -9,7 +9,7 @@
 //! 5. [`server_selection`]: which server gets the attempt ([`server_wanted`], `server_suitability`);
 //! 6. [`retry_budget`]: whether a repeat may be spent on it ([`sent_counts`]);
 //! 7. [`server_admission`]: at the server's node, whether it runs, waits
-//!    ([`admission_queue`]) or is refused.
+//!    ([`admission_queue`], `admission_place`) or is refused.
 //!
 //! [`rate_limits`] keeps servers below the limits that they name.
 //!
@@ -25,6 +25,7 @@
 //! [`source_following`] tells what a node asks the source, and when. [`watchers`] tells which
 //! nodes ask it for all, and [`view_freshness`] when the others must.
 
+mod admission_place;
 pub mod admission_queue;
 pub mod call;
 pub mod loss_estimate;
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The state of one process, shared by everything that runs on its thread.
 
+mod own_server;
 mod refresh;
 
 use std::cell::{Cell, RefCell};
@@ -13,12 +14,9 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use lifthollow_coordination::mesh::admission_queue::Ticket;
-use lifthollow_coordination::mesh::call::NotRunReason;
-use lifthollow_coordination::mesh::nested_calls;
 use lifthollow_coordination::mesh::poison::recent_contents::RecentContents;
 use lifthollow_coordination::mesh::poison::server_runs::ServerRuns;
 use lifthollow_coordination::mesh::poison::suspects::Suspects;
-use lifthollow_coordination::mesh::reported_load::ReportedLoad;
 use lifthollow_coordination::mesh::retry_budget::RetryBudgets;
 use lifthollow_coordination::mesh::route_table::RouteTable;
 use lifthollow_coordination::mesh::server_admission::ServerAdmission;
@@ -26,8 +24,8 @@
 use lifthollow_coordination::mesh::snapshot_store::SnapshotStore;
 use lifthollow_coordination::mesh::view_freshness::{self, ViewFreshness};
 use lifthollow_coordination::mesh::weighted_split::WeightedSplit;
-use lifthollow_state::mesh::{InstanceId, Revision, ServerInstance, SnapshotVersion};
-use lifthollow_state::{ServiceName, Timestamp};
+use lifthollow_state::Timestamp;
+use lifthollow_state::mesh::{InstanceId, Revision, SnapshotVersion};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
@@ -331,85 +329,6 @@
         self.line_limit.allows(self.now())
     }
 
-    /// The address of the node beside a server.
-    pub fn node_beside(&self, server: &ServerInstance) -> SocketAddrV4 {
-        self.beside(server.address)
-    }
-
-    /// The address of the node beside the server at `server`.
-    pub fn beside(&self, server: SocketAddrV4) -> SocketAddrV4 {
-        SocketAddrV4::new(*server.ip(), self.settings.inbound.port())
-    }
-
-    /// Whether the server stands beside this node.
-    pub fn is_beside(&self, server: &ServerInstance) -> bool {
-        server.address == self.settings.server_address
-    }
-
-    /// Whether an attempt for the server `id` can't be for the one beside this
-    /// node, or comes too late for it. Of a server that this node hasn't heard of
-    /// only the server itself can tell.
-    pub fn refusal_for(&self, id: &InstanceId) -> Option<NotRunReason> {
-        let state = self.state.borrow();
-        if state.admission.says_it_leaves(id) {
-            return Some(NotRunReason::ServerDraining);
-        }
-        let known = state.snapshots.snapshot().server(id)?;
-        let own = state.own_server.as_ref();
-        if own.is_none_or(|own| !own.is_same_server(id)) {
-            return Some(NotRunReason::WrongInstance);
-        }
-        (!known.instance.is_ready()).then_some(NotRunReason::ServerDraining)
-    }
-
-    /// The start of the server `id` that this node knows. Between nodes and towards servers only
-    /// the identity is named: what was meant for the start before runs at this one. That costs
-    /// nothing, since it reached no server yet.
-    pub fn known_start(&self, id: InstanceId) -> InstanceId {
-        let state = self.state.borrow();
-        let known = state.snapshots.snapshot().server(&id);
-        known.map_or(id, |known| known.instance.id.clone())
-    }
-
-    /// Whether a server of which this node has heard is leaving.
-    pub fn is_leaving(&self, id: &InstanceId) -> bool {
-        let state = self.state.borrow();
-        let known = state.snapshots.snapshot().server(id);
-        known.is_some_and(|known| !known.instance.is_ready())
-    }
-
-    /// Whether the server beside this node has stopped answering.
-    pub fn is_own_server_silent(&self) -> bool {
-        self.state.borrow().admission.is_silent(self.now())
-    }
-
-    /// The load of the server beside this node, as told to callers' nodes.
-    /// `zone` is that of the node that is told.
-    pub fn own_load(&self, is_nested: bool, zone: &str) -> ReportedLoad {
-        let now = self.now();
-        let state = self.state.borrow();
-        let level_of = |service: &ServiceName| {
-            nested_calls::admission_level(&state.servers, &state.budgets, now, service)
-        };
-        ReportedLoad {
-            occupancy: state.admission.occupancy(),
-            level: state.admission.level(is_nested, level_of),
-            is_nested,
-            failure_share: state.admission.failure_share(now, zone),
-        }
-    }
-
-    /// Starts attempts that no longer have to wait.
-    pub fn start_waiting(&self, state: &mut TrafficState, tickets: Vec<Ticket>) {
-        for ticket in tickets {
-            let started = state.waiters.remove(&ticket).map(|waiter| waiter.send(()));
-            if !matches!(started, Some(Ok(()))) {
-                let more = state.admission.give_back(self.now());
-                self.start_waiting(state, more);
-            }
-        }
-    }
-
     /// What callers may send and how long they may take.
     pub fn connection_limits(&self) -> ConnectionLimits {
         let state = self.state.borrow();
