The end of a server that leaves by its answers is not taken for a crash

Found by reading: a server that says in its answers that it leaves ends as planned, but its node asked the store's entry alone whether the end is planned, and counted a crash against the contents that ran there; three such ends would have blocked a request that harms nobody. The word of the answers now counts as well. The test on real processes failed before (the node logged 'server crashed') and passes.

--- a/crates/proxy/src/node/own_server.rs
+++ b/crates/proxy/src/node/own_server.rs
@@ -52,11 +52,12 @@
         known.map_or(id, |known| known.instance.id.clone())
     }
 
-    /// Whether a server of which this node has heard is leaving.
+    /// Whether a server is leaving, by the source or, if it stands beside this node, by its answers.
     pub fn is_leaving(&self, id: &InstanceId) -> bool {
         let state = self.state.borrow();
         let known = state.snapshots.snapshot().server(id);
-        known.is_some_and(|known| !known.instance.is_ready())
+        let leaves_by_source = known.is_some_and(|known| !known.instance.is_ready());
+        leaves_by_source || state.admission.says_it_leaves(id)
     }
 
     /// Whether the server beside this node has stopped answering.
