--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -127,6 +127,13 @@
         !self.rate_limiter.has_token(now)
     }
 
+    /// The time until the server's rate limit admits another request; `None` if the server has
+    /// announced no limit.
+    pub fn time_until_token(&self, now: Timestamp) -> Option<Duration> {
+        let is_limited = self.rate_limiter.is_limited();
+        is_limited.then(|| self.rate_limiter.time_until(now, 1))
+    }
+
     /// The time until the rate limit admits the next waiting request; `None` unless requests wait
     /// only for the rate limit.
     pub fn next_start(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -167,6 +167,12 @@
         self.notice.is_leaving && own.is_some_and(|own| own.is_same_server(server))
     }
 
+    /// The time until the server's rate limit admits another attempt; `None` if the server has
+    /// announced no limit.
+    pub fn time_until_token(&self, now: Timestamp) -> Option<Duration> {
+        self.queue.time_until_token(now)
+    }
+
     /// The time until the server's rate limit admits the next waiting attempt; `None` unless
     /// attempts wait only for the rate limit.
     pub fn next_start(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -115,6 +115,7 @@
     server: InstanceId,
     tree: CallTreePlace,
     zone: String,
+    patience: Duration,
     arrived: Timestamp,
 }
 
@@ -127,6 +128,7 @@
             server: attempt.server.clone(),
             tree: attempt.tree,
             zone: attempt.terms.zone.clone(),
+            patience: attempt.patience,
             arrived: node.now(),
         }
     }
@@ -139,7 +141,9 @@
             return;
         }
         let load = node.own_load(self.tree.is_nested, &self.zone);
-        let took = node.now().saturating_since(self.arrived).as_millis() as u64;
+        let now = node.now();
+        let took = now.saturating_since(self.arrived).as_millis() as u64;
+        let token_wait = node.state.borrow().admission.time_until_token(now);
         info!(node.log, "server did not answer"; "request" => &self.request_id,
             "content" => %self.content,
             "server" => self.server.as_str(), "outcome" => outcome, "why" => why,
@@ -147,6 +151,8 @@
             "running" => load.occupancy.running, "waiting" => load.occupancy.waiting,
             "limit" => load.occupancy.limit, "admission_level" => load.level.0,
             "failure_share" => load.failure_share,
+            "token_in_ms" => token_wait.map(|wait| wait.as_millis() as u64),
+            "patience_ms" => self.patience.as_millis() as u64,
             "revision" => %node.revision(), "took_ms" => took);
     }
 }
