Start attempts that wait for a server's limit when their token comes, whoever else arrives

Cause: the timer that starts waiting attempts was armed only when an attempt began to wait while the limit was known. One that already waited when the limit was first named had no timer: its token came and nobody started it, until another attempt began to wait or a run ended. Attempts that came later with a higher priority ran at once with its tokens, and nobody told it, since its wait was examined only when the limit changed or another began to wait. It waited out its 300 ms and had no time for queues left elsewhere. The projection ('told') was right: it was first in line; the start was missing.

Change: what waits is looked at again in one place, Node::update_waiting, after each change of the queue, the slots or the limit and after each run that starts; one task wakes for the next token, and anew when that time changes.

--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -12,14 +12,14 @@
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_state::{ServiceName, Timestamp};
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at};
 
 use crate::inbound::{Attempt, AttemptOutcome};
 use crate::node::Node;
 use crate::suspects;
 
-/// The shortest pause before attempts that wait for the server's rate limit are checked again.
+/// The shortest pause before attempts that wait for the server's rate limit are checked again: a
+/// timer may fire a moment before the token is available.
 const MIN_START_DELAY: Duration = Duration::from_millis(1);
 
 /// A slot at the server, held by one running request and freed when the permit is dropped.
@@ -68,7 +68,7 @@
         let started = state
             .admission
             .finish(now, &self.arriving, self.run, self.end, ran_for);
-        self.node.start_waiting(&mut state, started);
+        self.node.update_waiting(&mut state, started);
     }
 }
 
@@ -96,7 +96,7 @@
             .withdraw(self.arriving, self.ticket, self.is_unserved);
         if !was_waiting {
             let started = state.admission.release_unused_slot(self.node.now());
-            self.node.start_waiting(&mut state, started);
+            self.node.update_waiting(&mut state, started);
         }
     }
 }
@@ -131,7 +131,11 @@
         state.admission.admit(now, &arriving, level_of)
     };
     match verdict {
-        AdmissionDecision::Run => Ok(Permit::new(node, arriving)),
+        AdmissionDecision::Run => {
+            // It may have taken the token that another attempt waited for.
+            node.update_waiting(&mut node.state.borrow_mut(), Vec::new());
+            Ok(Permit::new(node, arriving))
+        }
         AdmissionDecision::Wait(ticket) => wait(node, arriving, ticket, now).await,
         AdmissionDecision::Refuse {
             reason,
@@ -147,36 +151,22 @@
     }
 }
 
-/// Schedules attempts that wait for the server's rate limit, so that they start as soon as it
-/// allows, and refuses at once those that can no longer start in time because the newest attempt
-/// has overtaken them.
-fn schedule_waiting_starts(node: &Rc<Node>) {
-    let now = node.now();
-    let is_needed = {
+/// Starts the attempts that wait for the server's rate limit as soon as it allows. Never returns.
+pub async fn start_at_rate_limit(node: Rc<Node>) {
+    loop {
+        let next_start = node.state.borrow().admission.next_start(node.now());
+        let Some(delay) = next_start else {
+            node.next_start_changed.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = sleep(delay.max(MIN_START_DELAY)) => {}
+            () = node.next_start_changed.notified() => continue,
+        }
         let mut state = node.state.borrow_mut();
-        let cannot_start = state.admission.waits_exceeding_patience(now);
-        node.refuse_waiting(&mut state, &cannot_start);
-        state.admission.next_start(now).is_some()
-    };
-    if !is_needed || node.is_start_scheduled.replace(true) {
-        return;
+        let started = state.admission.start_waiting(node.now());
+        node.update_waiting(&mut state, started);
     }
-    let node = node.clone();
-    spawn_local(async move {
-        while let Some(delay) = next_start(&node) {
-            sleep(delay).await;
-            let mut state = node.state.borrow_mut();
-            let started = state.admission.start_waiting(node.now());
-            node.start_waiting(&mut state, started);
-        }
-        node.is_start_scheduled.set(false);
-    });
-}
-
-fn next_start(node: &Rc<Node>) -> Option<Duration> {
-    let delay = node.state.borrow().admission.next_start(node.now())?;
-    // A timer may fire a moment before the token is available.
-    Some(delay.max(MIN_START_DELAY))
 }
 
 async fn wait(
@@ -186,8 +176,12 @@
     now: Timestamp,
 ) -> Result<Permit, AttemptOutcome> {
     let (start, started) = oneshot::channel();
-    node.state.borrow_mut().waiters.insert(ticket, start);
-    schedule_waiting_starts(node);
+    {
+        let mut state = node.state.borrow_mut();
+        state.waiters.insert(ticket, start);
+        // The newest attempt may have overtaken others, which can no longer start in time.
+        node.update_waiting(&mut state, Vec::new());
+    }
     let mut place = QueuePlace {
         node,
         arriving: &arriving,
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -14,6 +14,7 @@
 pub mod server_notice;
 mod server_run;
 
+pub use admission::start_at_rate_limit;
 pub use peer_port::Inbound;
 
 use std::cell::Cell;
--- a/crates/proxy/src/inbound/server_notice.rs
+++ b/crates/proxy/src/inbound/server_notice.rs
@@ -43,15 +43,10 @@
         limit: parse_limit(node, server, headers),
         is_leaving: is_leaving(node, headers),
     };
-    let has_changed = log_change(node, server, notice);
-    let now = node.now();
+    log_change(node, server, notice);
     let mut state = node.state.borrow_mut();
-    let started = state.admission.record_notice(now, server, notice);
-    node.start_waiting(&mut state, started);
-    if has_changed {
-        let cannot_start = state.admission.waits_exceeding_patience(now);
-        node.refuse_waiting(&mut state, &cannot_start);
-    }
+    let started = state.admission.record_notice(node.now(), server, notice);
+    node.update_waiting(&mut state, started);
 }
 
 fn is_leaving(node: &Rc<Node>, headers: &HeaderMap) -> bool {
@@ -76,11 +71,11 @@
     }
 }
 
-/// Logs a change of the server's notice and updates its metrics. Returns whether it has changed.
-fn log_change(node: &Rc<Node>, server: &InstanceId, notice: ServerNotice) -> bool {
+/// Logs a change of the server's notice and updates its metrics.
+fn log_change(node: &Rc<Node>, server: &InstanceId, notice: ServerNotice) {
     let before = node.notice_log.logged.replace(notice);
     if notice == before {
-        return false;
+        return;
     }
     let metrics = &node.metrics.server_notice;
     metrics.is_leaving.set(i64::from(notice.is_leaving));
@@ -89,7 +84,7 @@
             "leaves" => notice.is_leaving, "revision" => %node.revision());
     }
     if notice.limit == before.limit {
-        return true;
+        return;
     }
     let per_second = |limit: RequestRate| limit.per_second();
     metrics.limit.set(notice.limit.map_or(NO_LIMIT, per_second));
@@ -100,7 +95,6 @@
     info!(node.log, "server limit changed"; "server" => %server,
         "per_s" => notice.limit.map(per_second), "before_per_s" => before.limit.map(per_second),
         "revision" => %node.revision());
-    true
 }
 
 fn unix_seconds() -> f64 {
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -29,7 +29,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::http::pool::Pool;
 use crate::http::server::ConnectionLimits;
@@ -167,8 +167,8 @@
     pub own_address: HeaderValue,
     /// The encoded snapshot that is sent to other nodes, with its version; none before the first use.
     pub encoded_snapshot: RefCell<Option<(SnapshotVersion, Bytes)>>,
-    /// Whether a task is running that starts attempts which wait for the server's rate limit.
-    pub is_start_scheduled: Cell<bool>,
+    /// Notified when attempts wait for the server's rate limit and the next may start at another time.
+    pub next_start_changed: Notify,
     /// Whether an update is being fetched from another node.
     pub is_catching_up: Cell<bool>,
     /// When a caller or another node last sent a request that needs a fresh view; none if that never
@@ -225,7 +225,7 @@
             log_rate_limit: LogRateLimit::default(),
             phase: Cell::new(Phase::Serving),
             encoded_snapshot: RefCell::default(),
-            is_start_scheduled: Cell::new(false),
+            next_start_changed: Notify::new(),
             is_catching_up: Cell::new(false),
             last_request: Cell::new(None),
             is_server_failing: Cell::new(false),
--- a/crates/proxy/src/node/own_server.rs
+++ b/crates/proxy/src/node/own_server.rs
@@ -85,17 +85,23 @@
         }
     }
 
-    /// Ends the wait of attempts that can't be started in time.
-    pub fn refuse_waiting(&self, state: &mut TrafficState, tickets: &[Ticket]) {
-        for ticket in tickets {
+    /// Starts the queued attempts that are next, and updates what the others wait for. Must be called
+    /// after each change of the queue, of the server's free slots or of its rate limit.
+    pub fn update_waiting(&self, state: &mut TrafficState, started: Vec<Ticket>) {
+        self.start_waiting(state, started);
+        let now = self.now();
+        for ticket in state.admission.waits_exceeding_patience(now) {
             // Dropping the channel's sender wakes the waiting attempt, which then leaves the queue.
-            state.waiters.remove(ticket);
+            state.waiters.remove(&ticket);
+        }
+        if state.admission.next_start(now).is_some() {
+            self.next_start_changed.notify_one();
         }
     }
 
     /// Starts the queued attempts that are next. If one of them no longer waits, its slot goes to
     /// another.
-    pub fn start_waiting(&self, state: &mut TrafficState, tickets: Vec<Ticket>) {
+    fn start_waiting(&self, state: &mut TrafficState, tickets: Vec<Ticket>) {
         for ticket in tickets {
             let started = state.waiters.remove(&ticket).map(|waiter| waiter.send(()));
             if !matches!(started, Some(Ok(()))) {
--- a/crates/proxy/src/node/refresh.rs
+++ b/crates/proxy/src/node/refresh.rs
@@ -96,7 +96,7 @@
             let used = (f64::from(own.slots) * USED_SLOT_SHARE).floor() as u32;
             let limit = used.min(max_connections(state, &own.service)).max(1);
             let started = state.admission.set_limit(self.now(), limit);
-            self.start_waiting(state, started);
+            self.update_waiting(state, started);
         }
     }
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -17,7 +17,7 @@
 
 use crate::http::ProxyBody;
 use crate::http::server::{self, ConnectionLimits, Handler, InProgress};
-use crate::inbound::Inbound;
+use crate::inbound::{Inbound, start_at_rate_limit};
 use crate::node::{Node, Phase};
 use crate::outbound::Outbound;
 use crate::suspects;
@@ -124,6 +124,7 @@
         ));
     }
     spawn_local(source);
+    spawn_local(start_at_rate_limit(node.clone()));
     spawn_local(run_housekeeping(node.clone()));
     spawn_local(measure_cpu_delay(node.clone()));
     info!(node.log, "started"; "node" => &settings.node_name, "service" => &settings.service,
