An attempt that waits for a limit is not refused for the tokens of others that are refused

When a limit is named, each attempt that waits was compared with the token of its place in the queue, counting those before it that are refused at that moment and take none. So more were refused than had to be; each loses a hop, and the last ones were told a wait that nobody would have had.

The test failed before (two refused where one has to be).

--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -143,15 +143,22 @@
     }
 
     /// Waiting requests whose expected wait under the current rate limit exceeds their maximum
-    /// wait. They should be refused at once, while they still have time to try another server.
+    /// wait. They should be refused at once, while they still have time to try another server. A
+    /// request doesn't wait for the tokens of those that are refused.
     pub fn waits_exceeding_patience(&self, now: Timestamp) -> Vec<Ticket> {
         if !self.rate_limiter.is_limited() {
             return Vec::new();
         }
-        let waiting = self.waiting.iter().enumerate();
-        let exceeding =
-            waiting.filter(|(ahead, (_, until))| now + self.token_wait(now, ahead + 1) > **until);
-        exceeding.map(|(_, ((_, ticket), _))| *ticket).collect()
+        let mut token = 1;
+        let mut exceeding = Vec::new();
+        for ((_, ticket), until) in &self.waiting {
+            if now + self.token_wait(now, token) > *until {
+                exceeding.push(*ticket);
+            } else {
+                token += 1;
+            }
+        }
+        exceeding
     }
 
     /// The load relative to whichever limit applies. If the server has announced a rate limit, its
--- a/crates/coordination/tests/mesh_rate_limits.rs
+++ b/crates/coordination/tests/mesh_rate_limits.rs
@@ -3,6 +3,7 @@
 
 mod mesh_support;
 
+use lifthollow_coordination::mesh::admission_queue::Ticket;
 use lifthollow_coordination::mesh::call::NotRunReason;
 use lifthollow_coordination::mesh::rate_limits::{RateLimiter, SendPace};
 use lifthollow_coordination::mesh::server_admission::{
@@ -195,6 +196,35 @@
     assert_eq!(admission.waits_exceeding_patience(at(50)), tickets[1..]);
 }
 
+/// Lets an attempt wait at a server that runs another one.
+fn wait_behind_a_run(admission: &mut ServerAdmission, now: u64, max_wait: u64) -> Ticket {
+    let attempt = ArrivingAttempt {
+        max_wait: ms(max_wait),
+        ..attempt(&now.to_string(), 0, false)
+    };
+    match admission.admit(at(now), &attempt, open_level) {
+        AdmissionDecision::Wait(ticket) => ticket,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Attempts that are refused leave their tokens to those behind them.
+#[test]
+fn no_attempt_is_refused_for_the_tokens_of_others_that_are_refused() {
+    let mut admission = ServerAdmission::new("feeds", 1);
+    admission.server_started(at(0), &id("i-a"));
+    let first = attempt("runs", 0, false);
+    assert_eq!(
+        admission.admit(at(0), &first, open_level),
+        AdmissionDecision::Run
+    );
+    let impatient = wait_behind_a_run(&mut admission, 1, 160);
+    wait_behind_a_run(&mut admission, 2, 250);
+    admission.record_notice(at(60), &id("i-a"), notice_with_limit(10.0));
+    // The first token is due at 160 ms, or 190 ms with the margin for others that come before.
+    assert_eq!(admission.waits_exceeding_patience(at(60)), [impatient]);
+}
+
 #[test]
 fn retry_after_of_a_refusal_at_the_limit_is_long_enough() {
     let mut admission = limited_admission(1.0);
