Only time spent in queues counts against the time that a request may spend in queues

Callers saw 504 after their route's 2 s, or 503 'queue-full', when a server fell silent for 0.7 s, although five others had a third of their slots free.

Cause: the time for queues was counted from the request's arrival, whatever had taken it. A request that moves on from a silent server 400 ms and more after it arrived had none left, and each server whose three slots were taken for some milliseconds refused it as 'queue-full'. The refused hedge then left the request with the silent server until its timeout. The same holds for any other loss of time before an attempt: a server that leaves or is unreachable, a body that arrives slowly, a tenant's tokens.

Change: the decision is code of its own (queue_time): a fifth of the target latency in all queues, less what was spent in queues that the request left without being run, and a fifth of the time left at most. Nested calls wait as before.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -8,7 +8,8 @@
 //! 4. [`call`]: whether another attempt is made, and what the caller is answered;
 //! 5. [`server_selection`]: which server gets the attempt ([`server_requirements`],
 //!    `server_suitability`);
-//! 6. [`retry_budget`]: whether the fleet's retry bound allows a retry ([`sent_counts`]);
+//! 6. [`retry_budget`]: whether the fleet's retry bound allows a retry ([`sent_counts`]), and
+//!    [`queue_time`]: how long the attempt may wait in the server's queue;
 //! 7. [`server_admission`]: at the server's node, whether the attempt runs, waits
 //!    ([`admission_queue`], `admission_level`) or is refused.
 //!
@@ -34,6 +35,7 @@
 pub mod nested_calls;
 pub mod poison;
 pub mod processor_admission;
+pub mod queue_time;
 pub mod rate_limits;
 pub mod reported_load;
 pub mod request_tree;
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -34,15 +34,16 @@
 use crate::suspects;
 use crate::suspects::permission::{self, Permission};
 
-/// The fraction of the route's target latency that a request may spend in queues.
-const QUEUE_FRACTION: f64 = 0.2;
-/// The fraction of its remaining time that a nested call may spend in queues.
-const NESTED_QUEUE_FRACTION: f64 = 0.5;
-/// The longest time that a request may spend in queues if its route has no target latency.
-const DEFAULT_QUEUE_TIME: Duration = Duration::from_millis(200);
+/// An attempt that is in flight.
+type PendingAttempt<'a> = Pin<Box<dyn Future<Output = EndedAttempt> + 'a>>;
 
-/// An attempt that is in flight; resolves to its server and its outcome.
-type PendingAttempt<'a> = Pin<Box<dyn Future<Output = (ServerInstance, AttemptOutcome)> + 'a>>;
+/// An attempt that has ended.
+struct EndedAttempt {
+    server: ServerInstance,
+    /// When the attempt was sent.
+    sent: Timestamp,
+    outcome: AttemptOutcome,
+}
 
 /// Sends attempts until one is answered or no further one is possible. An attempt whose server
 /// stops responding is not cancelled: if the server's node does not answer a probe, or has no such
@@ -63,11 +64,12 @@
     loop {
         let next = tokio::select! {
             biased;
-            Some((server, outcome)) = pending.next() => {
+            Some(EndedAttempt { server, sent, outcome }) = pending.next() => {
                 if let Some(response) = outcome.response {
                     return ("answered", response);
                 }
                 record_failure(node, &server, &outcome.end);
+                record_queue_wait(node, request, sent, &outcome.end);
                 record_crash(node, request, &server, &outcome.end);
                 log_attempt(node, request, &server, &outcome.end);
                 let is_other_in_progress = !pending.is_empty();
@@ -231,7 +233,7 @@
             is_retry: request.tree.is_retry || call.is_retry(),
             ..request.tree
         },
-        patience: max_queue_time(request, sent, call.deadline()),
+        patience: request.queue_time.max_wait(sent, call.deadline()),
         terms: AttemptTerms {
             zone: node.settings.zone.clone(),
             has_alternative: choice.has_alternative && call.may_be_refused_by_failing_server(),
@@ -248,7 +250,11 @@
             sleep(pause).await;
         }
         let outcome = send_attempt(node, &in_flight.server, attempt).await;
-        (in_flight.server.clone(), outcome)
+        EndedAttempt {
+            server: in_flight.server.clone(),
+            sent,
+            outcome,
+        }
     }));
     Ok(AttemptWatch {
         server,
@@ -319,6 +325,26 @@
     crash_count(node, request) + 1 < PROVING_CRASHES && try_take_retry(node, request)
 }
 
+/// Records the time that the request has spent in a queue without being run.
+fn record_queue_wait(
+    node: &Rc<Node>,
+    request: &mut RoutedRequest,
+    sent: Timestamp,
+    end: &AttemptEnd,
+) {
+    let has_waited = matches!(
+        end,
+        AttemptEnd::NotRun {
+            reason: NotRunReason::QueueTimeout,
+            ..
+        }
+    );
+    if has_waited {
+        let waited = node.now().saturating_since(sent);
+        request.queue_time.record_wait(waited);
+    }
+}
+
 /// Records at this node, without waiting for a report, that the server crashed while it ran this
 /// request's content.
 fn record_crash(
@@ -361,17 +387,6 @@
     is_taken
 }
 
-fn max_queue_time(request: &RoutedRequest, now: Timestamp, deadline: Timestamp) -> Duration {
-    if request.tree.is_nested {
-        return deadline
-            .saturating_since(now)
-            .mul_f64(NESTED_QUEUE_FRACTION);
-    }
-    let target = request.route.route.target_latency;
-    let allowed = target.map_or(DEFAULT_QUEUE_TIME, |target| target.mul_f64(QUEUE_FRACTION));
-    allowed.saturating_sub(now.saturating_since(request.arrived))
-}
-
 /// Records that a server lost an answer, could not be reached, or is no longer to be used.
 fn record_failure(node: &Rc<Node>, server: &ServerInstance, end: &AttemptEnd) {
     let reason = match end {
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -18,6 +18,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{Call, FinalAnswer, RefusalReason};
+use lifthollow_coordination::mesh::queue_time::QueueTime;
 use lifthollow_coordination::mesh::server_requirements::Purpose;
 use lifthollow_coordination::mesh::tenants::authentication::Denial;
 use lifthollow_state::Timestamp;
@@ -124,6 +125,7 @@
         },
     };
     let content = request_content::caller_content(&node.settings.service, &head, &body);
+    let queue_time = QueueTime::new(route.route.target_latency, tree.is_nested);
     let mut request = RoutedRequest {
         head,
         body: RequestBody::from(body),
@@ -132,6 +134,7 @@
         tenant,
         tree,
         arrived,
+        queue_time,
     };
     let answer = admit_and_attempt(node, &mut request, call).await;
     if let Some(nested_call) = &mut nested_call {
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -10,6 +10,7 @@
 use lifthollow_coordination::inbound::InboundId;
 use lifthollow_coordination::mesh::call::Call;
 use lifthollow_coordination::mesh::poison::content::CallerContent;
+use lifthollow_coordination::mesh::queue_time::QueueTime;
 use lifthollow_coordination::mesh::request_tree::{RequestRank, priority_of_request};
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{Route, Tenant};
@@ -37,6 +38,8 @@
     pub(super) tenant: Option<Arc<Tenant>>,
     pub(super) tree: CallTreePlace,
     pub(super) arrived: Timestamp,
+    /// How long the request may wait in queues.
+    pub(super) queue_time: QueueTime,
 }
 
 /// The route of a request, with the service chosen for it and the version of the configuration that
