A hedge that a node refuses goes to another server while the first attempt stays silent

Callers saw 504 after 2 s although five servers had free slots: the hedge beside an attempt at a silent server was refused as not run (its server was full for a moment), and the request then waited for the silent server alone; the watch stood on the refused hedge, so nothing else was tried.

Change: a hedge that never reached its server frees its place; the retry that it took from the budget is still unused. A hedge that a server itself has refused counts as sent, as before. A body that is spent ends the request only if nothing is in progress.

The test failed before (Wait, not Attempt).

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -143,7 +143,8 @@
     /// Number of attempts that were refused.
     refused_attempts: u32,
     may_have_run: bool,
-    is_hedged: bool,
+    /// The server of the attempt that a hedge was sent for last.
+    hedged_server: Option<InstanceId>,
     /// Whether the node of a failing server refused an attempt.
     was_refused_by_failing: bool,
     deadline: Timestamp,
@@ -168,7 +169,7 @@
             max_servers: route.max_attempts as usize,
             refused_attempts: 0,
             may_have_run: false,
-            is_hedged: false,
+            hedged_server: None,
             was_refused_by_failing: false,
             deadline: limit.map_or(Timestamp::from_micros(u64::MAX), |limit| now + limit),
             sent_to: Vec::new(),
@@ -220,7 +221,7 @@
 
     /// Whether a server may have received the request already.
     pub fn is_retry(&self) -> bool {
-        !self.sent_to.is_empty() || self.is_hedged
+        !self.sent_to.is_empty() || self.hedged_server.is_some()
     }
 
     /// Whether the node of a failing server may refuse the request, which is allowed once.
@@ -236,7 +237,7 @@
 
     /// Records that a hedge starts while the attempt at `server` is still in progress.
     pub fn hedge(&mut self, server: &InstanceId) {
-        self.is_hedged = true;
+        self.hedged_server = Some(server.clone());
         self.excluded.push(server.clone());
     }
 
@@ -273,7 +274,10 @@
             }
         }
         if is_other_in_progress {
-            return NextStep::Wait;
+            return match self.was_hedge_unsent(server, end) && self.may_continue() {
+                true => NextStep::Attempt,
+                false => NextStep::Wait,
+            };
         }
         if self.may_continue() && (self.sent_to.is_empty() || may_retry()) {
             return NextStep::Attempt;
@@ -320,6 +324,16 @@
         }
     }
 
+    /// Whether the attempt at `server` was a hedge that never reached its server. Another server may
+    /// be sent the hedge instead, and the retry that it has taken from the budget.
+    fn was_hedge_unsent(&self, server: &InstanceId, end: &AttemptEnd) -> bool {
+        let is_hedge = self
+            .hedged_server
+            .as_ref()
+            .is_some_and(|hedged| hedged != server);
+        is_hedge && matches!(end, AttemptEnd::NotRun { offered: false, .. })
+    }
+
     /// Records that the request was sent to `server` if `offered`.
     fn note_sent(&mut self, server: &InstanceId, offered: bool) {
         if offered && !self.sent_to.contains(server) {
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -192,6 +192,30 @@
     assert_eq!(next, NextStep::Wait);
 }
 
+#[test]
+fn refused_hedge_is_sent_to_another_server_while_the_first_attempt_stays_silent() {
+    let refused = not_run(false, NotRunReason::QueueFull);
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    call.hedge(&id("i-1"));
+    let next = call.attempt_ended(&id("i-2"), &refused, true, || panic!("no further retry"));
+    assert_eq!(next, NextStep::Attempt);
+    let others = Candidates::AllBut(vec![id("i-1"), id("i-2")]);
+    assert_eq!(call.candidates().next(), Some(others));
+
+    // A refusal of the first attempt leaves the hedge in progress.
+    let next = call.attempt_ended(&id("i-1"), &refused, true, || panic!("no further retry"));
+    assert_eq!(next, NextStep::Wait);
+}
+
+#[test]
+fn hedge_that_a_server_has_refused_itself_is_not_sent_again_without_a_retry() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    call.hedge(&id("i-1"));
+    let refused = not_run(true, NotRunReason::ServerRefused);
+    let next = call.attempt_ended(&id("i-2"), &refused, true, || panic!("no further retry"));
+    assert_eq!(next, NextStep::Wait);
+}
+
 const ANY: ServerRequirements<'static> = ServerRequirements {
     candidates: &Candidates::ALL,
     may_retry: true,
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -97,7 +97,7 @@
         let answer = match next {
             NextStep::Wait => continue,
             NextStep::Finish(answer) => answer,
-            NextStep::Attempt if request.body.is_spent() => call.give_up(),
+            NextStep::Attempt if request.body.is_spent() && pending.is_empty() => call.give_up(),
             NextStep::Attempt => {
                 permission::wait_for_refusal_delay(node, &request.content).await;
                 match start_attempt(node, request, &mut call, reuse, &mut pending) {
