A request whose time for queues is used up is not refused for slots that are taken for a moment

Cause: a request that has waited its whole share at one bad server has a patience of 0 ms, and any wait is longer.

Change: an attempt that is next in line at a server waits for the next slot, as long as a run takes there and not beyond its deadline. Only one of each rank can be next, and none where the server's own limit is what it would wait for, so a full server refuses as before. The test failed before (there was no such wait: refused).

--- a/crates/coordination/src/mesh/admission_queue.rs
+++ b/crates/coordination/src/mesh/admission_queue.rs
@@ -271,6 +271,16 @@
         slot_wait_time.max(token_wait_time)
     }
 
+    /// The time within which a new request of `rank` should get the next free slot: the duration of a
+    /// run if no request of this rank or a better one waits. Zero if there is one, or if the request
+    /// would wait for the rate limit.
+    pub fn next_slot_wait(&self, rank: Rank) -> Duration {
+        match self.is_first_in_queue(rank) && !self.rate_limiter.is_limited() {
+            true => self.expected_service_time(),
+            false => Duration::ZERO,
+        }
+    }
+
     /// The retry delay for a refused request that would have waited for `wait`. The maximum is
     /// longer at the rate limit, which stays in force for longer than all slots stay taken.
     fn retry_after(&self, now: Timestamp, wait: Duration) -> Duration {
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -210,6 +210,16 @@
         }
     }
 
+    /// The longest time that an attempt should wait: `max_wait` of the attempt, but long enough for
+    /// the next free slot if it is next in line. Slots that are all taken for a moment are no reason to
+    /// refuse a request whose time for queues is used up, since it may have lost that time at a single
+    /// bad server.
+    pub fn max_wait(&self, now: Timestamp, attempt: &ArrivingAttempt) -> Duration {
+        let next_slot_wait = self.queue.next_slot_wait(queue_rank(attempt));
+        let left = attempt.deadline.saturating_since(now);
+        attempt.max_wait.max(next_slot_wait).min(left)
+    }
+
     /// Decides whether an attempt that arrived runs, waits or is refused. `level_of` returns the
     /// lowest level that a service admits.
     pub fn admit(
--- a/crates/coordination/tests/mesh_admission.rs
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -105,6 +105,36 @@
     assert_eq!(release_slot_and_start_next(&mut admission, at(1)), [1]);
 }
 
+/// Admits an attempt that has no time left for queues.
+fn admit_without_queue_time(admission: &mut ServerAdmission, id: &str) -> AdmissionDecision {
+    let mut attempt = ArrivingAttempt {
+        max_wait: ms(0),
+        ..sheddable(id, 50)
+    };
+    attempt.max_wait = admission.max_wait(at(0), &attempt);
+    admission.admit(at(0), &attempt, open)
+}
+
+#[test]
+fn attempt_without_queue_time_is_not_refused_because_slots_are_taken_for_a_moment() {
+    let mut admission = full_server(at(0));
+    let next = admit_without_queue_time(&mut admission, "next");
+    assert!(matches!(next, AdmissionDecision::Wait(_)));
+    let behind = admit_without_queue_time(&mut admission, "behind");
+    assert!(matches!(behind, AdmissionDecision::Refuse { .. }));
+}
+
+#[test]
+fn attempt_waits_for_the_next_slot_no_longer_than_until_its_deadline() {
+    let admission = full_server(at(0));
+    let attempt = ArrivingAttempt {
+        max_wait: ms(0),
+        deadline: at(10),
+        ..sheddable("late", 50)
+    };
+    assert_eq!(admission.max_wait(at(3), &attempt), ms(7));
+}
+
 #[test]
 fn request_that_would_wait_too_long_is_refused_at_once() {
     let mut admission = full_server(at(0));
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -109,13 +109,13 @@
 pub(super) async fn admit(node: &Rc<Node>, attempt: &Attempt) -> Result<Permit, AttemptOutcome> {
     let now = node.now();
     let id = node.names.request_id_of(attempt.request.headers());
-    let arriving = ArrivingAttempt {
+    let mut arriving = ArrivingAttempt {
         request_id: id.to_owned(),
         priority: attempt.tree.priority,
         is_nested: attempt.tree.is_nested,
         is_retry: attempt.tree.is_retry,
         deadline: attempt.deadline,
-        max_wait: attempt.patience.min(attempt.deadline.saturating_since(now)),
+        max_wait: attempt.patience,
         zone: attempt.terms.zone.clone(),
         has_alternative: attempt.terms.has_alternative,
     };
@@ -125,6 +125,7 @@
         if let Some(limit) = attempt.limit_known_to_sender {
             state.admission.note_limit_told_to_others(now, limit);
         }
+        arriving.max_wait = state.admission.max_wait(now, &arriving);
         let (servers, budgets) = (&state.servers, &state.budgets);
         let level_of =
             |service: &ServiceName| nested_calls::admission_level(servers, budgets, now, service);
