Log what makes a node count as in use; failed tests show what their nodes logged

A watcher in use asks the store every 600 to 900 ms, an idle one every 1.5 to 2 s. The calls of a failed watching_takes_few_calls (two checks 600 ms after the start and 670 ms apart, 7 calls) pointed there, and nothing told who used the node.

--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -34,7 +34,7 @@
         let arrived = node.now();
         let sender = peer_headers::sender(request.headers());
         if needs_fresh_view(node, request.uri().path(), sender) {
-            node.last_request.set(Some(arrived));
+            node.record_use(arrived, request.uri().path(), sender);
         }
         if let Some(sender) = sender {
             snapshots::fetch_if_newer(node, request.headers(), sender);
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -173,7 +173,7 @@
     pub is_catching_up: Cell<bool>,
     /// When a caller or another node last sent a request that needs a fresh view; none if that never
     /// happened.
-    pub last_request: Cell<Option<Timestamp>>,
+    last_request: Cell<Option<Timestamp>>,
 }
 
 impl Node {
@@ -290,6 +290,16 @@
         last.is_some_and(|last| now.saturating_since(last) < IDLE_AFTER)
     }
 
+    /// Records a request that depends on how fresh this node's view is. `kind` says which one, in the log
+    /// line that is written if there was none recently.
+    pub fn record_use(&self, now: Timestamp, kind: &str, sender: Option<SocketAddrV4>) {
+        if !self.is_busy() {
+            info!(self.log, "in use"; "kind" => kind, "from" => sender.map(|sender| sender.to_string()),
+                "revision" => %self.revision());
+        }
+        self.last_request.set(Some(now));
+    }
+
     /// Whether the view is so fresh that the source need not be queried.
     pub fn is_view_fresh(&self) -> bool {
         let age = self.view_age();
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -54,7 +54,7 @@
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
         let arrived = node.now();
-        node.last_request.set(Some(arrived));
+        node.record_use(arrived, "caller", None);
         let (outcome, response) = serve(node, arrived, request).await;
         let took = node.now().saturating_since(arrived);
         node.metrics.requests.with_label_values(&[outcome]).inc();
