Nodes that ask each other while they start don't count as in use

One that has none yet itself doesn't know who watches, so the query counted as use by a listener, and the node checked its view every 600 to 900 ms for two seconds, as if callers depended on it. It comes about when two nodes look for others at the same moment.

--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use lifthollow_coordination::mesh::call::NotRunReason;
-use lifthollow_state::mesh::InstanceId;
+use lifthollow_state::mesh::{InstanceId, SnapshotVersion};
 
 use crate::http::body;
 use crate::http::pool::Reuse;
@@ -33,7 +33,7 @@
         let node = &self.0;
         let arrived = node.now();
         let sender = peer_headers::sender(request.headers());
-        if needs_fresh_view(node, request.uri().path(), sender) {
+        if needs_fresh_view(node, &request, sender) {
             node.record_use(arrived, request.uri().path(), sender);
         }
         if let Some(sender) = sender {
@@ -74,17 +74,36 @@
 }
 
 /// Whether a request of another node depends on how fresh this node's view is. Queries about
-/// requests that crash servers, which each node sends at its start, do not. Neither do snapshot
-/// queries of nodes that watch the source themselves: they would make idle watchers ask the source
-/// more often.
-fn needs_fresh_view(node: &Rc<Node>, path: &str, sender: Option<SocketAddrV4>) -> bool {
-    match path {
+/// requests that crash servers, which each node sends at its start, do not.
+fn needs_fresh_view(
+    node: &Rc<Node>,
+    request: &Request<Option<Incoming>>,
+    sender: Option<SocketAddrV4>,
+) -> bool {
+    match request.uri().path() {
         peer_headers::SUSPECTS_PATH => false,
-        peer_headers::SNAPSHOT_PATH => !sender.is_some_and(|sender| node.is_other_watcher(sender)),
+        peer_headers::SNAPSHOT_PATH => {
+            let theirs = peer_headers::snapshot_version(request.headers()).unwrap_or_default();
+            is_listeners_query(node, theirs, sender)
+        }
         _ => true,
     }
 }
 
+/// Whether a snapshot query comes from a node that learns from others how fresh its view is. A node
+/// that starts needs a snapshot of any age, one that is ahead of this node notifies it, and those
+/// that watch the source themselves would make idle watchers ask the source more often.
+fn is_listeners_query(
+    node: &Rc<Node>,
+    theirs: SnapshotVersion,
+    sender: Option<SocketAddrV4>,
+) -> bool {
+    let is_starting = theirs.revision.is_none();
+    let is_ahead = node.snapshot_version().lacks(theirs);
+    let is_watcher = sender.is_some_and(|sender| node.is_other_watcher(sender));
+    !is_starting && !is_ahead && !is_watcher
+}
+
 async fn read_attempt(node: &Rc<Node>, request: Request<Option<Incoming>>) -> Option<Attempt> {
     let arrived = node.now();
     let (mut head, incoming) = request.into_parts();
