Watchers check their views one after another, and the first one spares the others the request

Cause: watchers drew the moment of their check from the same 500 ms. Each then asked one other watcher at random and accepted a view of 400 ms at most, so often all three asked the store in one round; with a round that began early because the start took longer, a second round fell into the three seconds.

Change: each watcher has its own part of the random range, by its place among the watchers, and asks the first two. It accepts a view that is 200 ms younger than the least age at which it checks its own: 400 ms as before in use, 1.3 s when idle; no view gets older than before.

--- a/crates/coordination/src/mesh/view_freshness.rs
+++ b/crates/coordination/src/mesh/view_freshness.rs
@@ -59,14 +59,29 @@
     Duration::from_millis(minimum) + Duration::from_millis(width).mul_f64(fraction)
 }
 
+/// Returns the share of the random part of [`age_limit`] for a watcher whose place among `watchers`
+/// watchers is `place`, counted from 0; `drawn` is a random number from 0 to 1. Each place has a range
+/// of its own, so that watchers check their views one after another and the first one spares the
+/// others the request.
+pub fn share_by_place(place: usize, watchers: usize, drawn: f64) -> f64 {
+    (place as f64 + drawn) / watchers.max(place + 1) as f64
+}
+
 /// Maximum age of another node's view at which a node accepts it instead of a request to the
 /// source.
 pub const MAX_ACCEPTED_AGE: Duration = Duration::from_millis(1000);
 
-/// Maximum age of another watcher's view at which a watcher accepts it instead of a request to the
-/// source. It is below the minimum age at which a watcher asks, so that a watcher does not ask
-/// others all the time.
-pub const MAX_ACCEPTED_AGE_FOR_WATCHER: Duration = Duration::from_millis(400);
+/// How much younger another watcher's view must be than the minimum age at which a watcher checks its
+/// own, so that a watcher does not ask others all the time.
+const ACCEPTED_AGE_MARGIN: Duration = Duration::from_millis(200);
+
+/// Returns the maximum age of another watcher's view at which a watcher in `role` accepts it instead
+/// of a request to the source. Watchers that check the source in turn so send as many requests
+/// together as one of them would alone.
+pub fn max_accepted_age(role: Role) -> Duration {
+    let (minimum, _) = age_limits(role);
+    Duration::from_millis(minimum).saturating_sub(ACCEPTED_AGE_MARGIN)
+}
 
 /// The age of another node's view, as reported in its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/proxy/src/snapshots/peer_queries.rs
+++ b/crates/proxy/src/snapshots/peer_queries.rs
@@ -6,7 +6,6 @@
 
 use futures_util::future::join_all;
 use hyper::HeaderMap;
-use lifthollow_coordination::mesh::view_freshness;
 use lifthollow_state::mesh::{SnapshotVersion, Update};
 use rand::seq::IteratorRandom;
 use slog::warn;
@@ -57,19 +56,18 @@
     }
 }
 
-/// Queries another node that watches the source. Returns whether that made this node's view fresh
-/// enough to omit its own query to the source.
-pub async fn query_another_watcher(node: &Rc<Node>) -> bool {
-    let other = {
-        let others = other_watchers(node).into_iter();
-        others.choose(&mut node.state.borrow_mut().random)
-    };
-    let Some(other) = other else {
-        return false;
-    };
-    fetch_update(node, other, OTHER_WATCHER_TIMEOUT).await;
-    let age = node.view_age();
-    age.is_some_and(|age| age <= view_freshness::MAX_ACCEPTED_AGE_FOR_WATCHER)
+/// Queries the first other nodes that watch the source, which check their views before the others,
+/// until this node's view is not older than `max_age`. Returns whether it is, so that this node can
+/// omit its own query to the source.
+pub async fn query_first_watchers(node: &Rc<Node>, max_age: Duration) -> bool {
+    let others = other_watchers(node).into_iter();
+    for other in others.take(MAX_WATCHERS_QUERIED) {
+        fetch_update(node, other, OTHER_WATCHER_TIMEOUT).await;
+        if node.view_age().is_some_and(|age| age <= max_age) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Selects random nodes that watch the source, those in this node's zone first.
--- a/crates/proxy/src/source/watching.rs
+++ b/crates/proxy/src/source/watching.rs
@@ -71,7 +71,8 @@
                 answer = watching.as_mut() => return Ok(Some(answer)),
                 () = self.wait_until_check_due() => {}
             }
-            if peer_queries::query_another_watcher(&self.node).await {
+            let max_age = view_freshness::max_accepted_age(self.status().role());
+            if peer_queries::query_first_watchers(&self.node, max_age).await {
                 continue;
             }
             if !self.is_newest(after).await? {
@@ -88,10 +89,18 @@
         Ok(newest <= revision)
     }
 
+    fn draw_random_share(&self) -> f64 {
+        let own = self.node.settings.server_address;
+        let mut state = self.node.state.borrow_mut();
+        let place = state.watchers.iter().position(|address| *address == own);
+        let (place, watchers) = (place.unwrap_or_default(), state.watchers.len());
+        view_freshness::share_by_place(place, watchers, state.random.random())
+    }
+
     /// Waits until the view is so old that it must be checked, or this node is no longer one of those
     /// that watch the source.
     async fn wait_until_check_due(&self) {
-        let random_share = self.node.state.borrow_mut().random.random();
+        let random_share = self.draw_random_share();
         while self.node.is_watcher() {
             let role = self.status().role();
             let limit = view_freshness::age_limit(role, random_share);
