Only time lost at a server that fails an attempt is left out of the time for queues

Beside load a request loses time on each hop, and one that is turned away at several servers was refused later than before, although nothing had failed it.

Change: all time since the arrival counts again, but for that between the sending of an attempt and its loss, or the hedge for it, at a server that is silent, lost or leaving (AttemptEnd::is_servers_fault).

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -72,6 +72,25 @@
     CrashesServers,
 }
 
+impl AttemptEnd {
+    /// Whether the attempt failed for a reason that says nothing about the load of other servers: its
+    /// server or the way there was lost, or the server is leaving.
+    pub fn is_servers_fault(&self) -> bool {
+        match self {
+            AttemptEnd::Answered => false,
+            AttemptEnd::Unknown { .. } => true,
+            AttemptEnd::NotRun { reason, .. } => matches!(
+                reason,
+                NotRunReason::NodeUnreachable
+                    | NotRunReason::NodeLeaving
+                    | NotRunReason::ServerDraining
+                    | NotRunReason::WrongInstance
+                    | NotRunReason::ServerUnreachable
+            ),
+        }
+    }
+}
+
 /// Why it isn't known whether an attempt has run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnknownReason {
--- a/crates/coordination/src/mesh/queue_time.rs
+++ b/crates/coordination/src/mesh/queue_time.rs
@@ -1,9 +1,9 @@
 //! Decides how long a request may wait in the queues of servers.
 //!
-//! Only time spent in queues counts. Time that a request loses otherwise, such as at a server that
-//! stopped answering or while its body arrives, says nothing about how full the servers are. If it
-//! counted, a request that moves on after such a loss would be refused by each server whose slots are
-//! all taken for a few milliseconds.
+//! Time that a request loses at a server that fails it, such as one that stopped answering, says
+//! nothing about how full the other servers are and does not count. If it did, a request that moves
+//! on after such a loss would be refused by each server whose slots are all taken for a few
+//! milliseconds.
 
 use std::time::Duration;
 
@@ -23,25 +23,26 @@
     is_nested: bool,
     /// The longest time in all queues together; does not apply to nested calls.
     allowed: Duration,
-    /// Time spent in queues that the request left without being run.
-    spent: Duration,
+    /// Since when all time counts: the request's arrival, plus the time that it has lost.
+    counted_from: Timestamp,
 }
 
 impl QueueTime {
-    /// Creates the queue time of a request on a route with this target latency. `is_nested` states
-    /// whether a server makes the request for one that it runs.
-    pub fn new(target_latency: Option<Duration>, is_nested: bool) -> Self {
+    /// Creates the queue time of a request that arrived at `now`, on a route with this target latency.
+    /// `is_nested` states whether a server makes the request for one that it runs.
+    pub fn new(now: Timestamp, target_latency: Option<Duration>, is_nested: bool) -> Self {
         let fraction = |target: Duration| target.mul_f64(QUEUE_FRACTION);
         QueueTime {
             is_nested,
             allowed: target_latency.map_or(DEFAULT_QUEUE_TIME, fraction),
-            spent: Duration::ZERO,
+            counted_from: now,
         }
     }
 
-    /// Records that the request waited this long in a queue and left it without being run.
-    pub fn record_wait(&mut self, waited: Duration) {
-        self.spent += waited;
+    /// Records that the time since `sent` was lost at a server that failed the attempt sent then.
+    pub fn record_loss(&mut self, now: Timestamp, sent: Timestamp) {
+        let counted_before = sent.saturating_since(self.counted_from);
+        self.counted_from = now.saturating_sub(counted_before);
     }
 
     /// The longest time that the request may wait in its next queue.
@@ -50,7 +51,8 @@
         if self.is_nested {
             return left.mul_f64(NESTED_QUEUE_FRACTION);
         }
-        let allowed = self.allowed.min(left.mul_f64(QUEUE_FRACTION));
-        allowed.saturating_sub(self.spent)
+        let counted = now.saturating_since(self.counted_from);
+        let allowed = self.allowed.saturating_sub(counted);
+        allowed.min(left.mul_f64(QUEUE_FRACTION))
     }
 }
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -69,7 +69,9 @@
                     return ("answered", response);
                 }
                 record_failure(node, &server, &outcome.end);
-                record_queue_wait(node, request, sent, &outcome.end);
+                if outcome.end.is_servers_fault() {
+                    request.queue_time.record_loss(node.now(), sent);
+                }
                 record_crash(node, request, &server, &outcome.end);
                 log_attempt(node, request, &server, &outcome.end);
                 let is_other_in_progress = !pending.is_empty();
@@ -90,6 +92,7 @@
                     // The fault that silenced this connection may affect all open connections.
                     reuse = Reuse::New;
                 }
+                request.queue_time.record_loss(node.now(), watch.sent);
                 call.hedge(&watch.server.id);
                 NextStep::Attempt
             }
@@ -325,26 +328,6 @@
     crash_count(node, request) + 1 < PROVING_CRASHES && try_take_retry(node, request)
 }
 
-/// Records the time that the request has spent in a queue without being run.
-fn record_queue_wait(
-    node: &Rc<Node>,
-    request: &mut RoutedRequest,
-    sent: Timestamp,
-    end: &AttemptEnd,
-) {
-    let has_waited = matches!(
-        end,
-        AttemptEnd::NotRun {
-            reason: NotRunReason::QueueTimeout,
-            ..
-        }
-    );
-    if has_waited {
-        let waited = node.now().saturating_since(sent);
-        request.queue_time.record_wait(waited);
-    }
-}
-
 /// Records at this node, without waiting for a report, that the server crashed while it ran this
 /// request's content.
 fn record_crash(
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -125,7 +125,7 @@
         },
     };
     let content = request_content::caller_content(&node.settings.service, &head, &body);
-    let queue_time = QueueTime::new(route.route.target_latency, tree.is_nested);
+    let queue_time = QueueTime::new(node.now(), route.route.target_latency, tree.is_nested);
     let mut request = RoutedRequest {
         head,
         body: RequestBody::from(body),
