--- a/crates/proxy/src/inbound/peer_port.rs
+++ b/crates/proxy/src/inbound/peer_port.rs
@@ -90,18 +90,17 @@
     }
 }
 
-/// Whether a snapshot query comes from a node that learns from others how fresh its view is. A node
-/// that starts needs a snapshot of any age, one that is ahead of this node notifies it, and those
-/// that watch the source themselves would make idle watchers ask the source more often.
+/// Whether a snapshot query comes from a node that learns from others how fresh its view is. Those
+/// that watch the source themselves would make idle watchers ask the source more often. A node without
+/// a snapshot does not know yet who watches, and one that is ahead of this node only notifies it.
 fn is_listeners_query(
     node: &Rc<Node>,
     theirs: SnapshotVersion,
     sender: Option<SocketAddrV4>,
 ) -> bool {
-    let is_starting = theirs.revision.is_none();
     let is_ahead = node.snapshot_version().lacks(theirs);
     let is_watcher = sender.is_some_and(|sender| node.is_other_watcher(sender));
-    !is_starting && !is_ahead && !is_watcher
+    node.has_snapshot() && !is_ahead && !is_watcher
 }
 
 async fn read_attempt(node: &Rc<Node>, request: Request<Option<Incoming>>) -> Option<Attempt> {
