Comments of the time for queues say from when it counts

Found in the last reading: it counts from when the request's body is complete, not from its arrival, so that a slow upload is not taken for queueing; the comments and a postmortem said otherwise. No code changes.

--- a/crates/coordination/src/mesh/queue_time.rs
+++ b/crates/coordination/src/mesh/queue_time.rs
@@ -17,19 +17,20 @@
 /// The longest time that a request may spend in queues if its route has no target latency.
 const DEFAULT_QUEUE_TIME: Duration = Duration::from_millis(200);
 
-/// The time that one request may spend in queues, and what it has spent of it.
+/// The time that one request may spend in queues, and since when it counts.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueTime {
     is_nested: bool,
     /// The longest time in all queues together; does not apply to nested calls.
     allowed: Duration,
-    /// Since when all time counts: the request's arrival, plus the time that it has lost.
+    /// Since when all time counts: when the request's body was complete, plus the time that it has
+    /// lost since.
     counted_from: Timestamp,
 }
 
 impl QueueTime {
-    /// Creates the queue time of a request that arrived at `now`, on a route with this target latency.
-    /// `is_nested` states whether a server makes the request for one that it runs.
+    /// Creates the queue time of a request whose body is complete at `now`, on a route with this target
+    /// latency. `is_nested` states whether a server makes the request for one that it runs.
     pub fn new(now: Timestamp, target_latency: Option<Duration>, is_nested: bool) -> Self {
         let fraction = |target: Duration| target.mul_f64(QUEUE_FRACTION);
         QueueTime {
