--- a/review/standin.rs
+++ b/review/standin.rs
@@ -76,15 +76,17 @@
     unread: Vec<u8>,
     /// When reading fails, if nothing has arrived by then.
     until: Option<Instant>,
+    /// After how many more bytes reading stops for a while, and for how long.
+    stops: Option<(usize, Duration)>,
 }
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Reader {
-        Reader { stream, unread: Vec::new(), until: None }
+        Reader { stream, unread: Vec::new(), until: None, stops: None }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
-        let mut piece = [0; 64 * 1024];
+        let mut piece = [0; READ_SIZE];
         if let Some(until) = self.until {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -93,6 +95,13 @@
             self.stream.set_read_timeout(Some(left))?;
         }
         let length = self.stream.read(&mut piece)?;
+        if let Some((left, pause)) = &mut self.stops {
+            *left = left.saturating_sub(length);
+            if *left == 0 {
+                std::thread::sleep(*pause);
+                self.stops = None;
+            }
+        }
         self.unread.extend_from_slice(&piece[..length]);
         Ok(length)
     }
@@ -499,6 +508,9 @@
     reader: Reader,
 }
 
+/// Size of one read. It is small against what a client reads before it stops for a while.
+const READ_SIZE: usize = 16 * 1024;
+
 pub const HOST: &str = "shop.example";
 
 pub fn request_text(method: &str, request: &str, path: &str, deadline_ms: u64, more: &str, body: &[u8]) -> Vec<u8> {
@@ -792,9 +804,13 @@
 pub struct Load {
     pub method: &'static str,
     pub path: &'static str,
+    /// The path of the first request on each connection, if it is another one.
+    pub first_path: Option<&'static str>,
     pub body: &'static [u8],
     pub deadline_ms: u64,
     pub pause: Duration,
+    /// After how many bytes of an answer a client stops to read for a while, and for how long.
+    pub reading_stops: Option<(usize, Duration)>,
 }
 
 /// Clients that run until they are stopped.
@@ -807,6 +823,16 @@
 impl Clients {
     /// Starts `count` clients on each of `machines`.
     pub fn start(mesh: &Mesh, machines: &[usize], count: usize, load: Load) -> Clients {
+        Clients::start_named(mesh, machines, count, load, "c")
+    }
+
+    /// Starts `count` clients on each of `machines`. Every request that stops to be read for a while
+    /// follows one on the same connection that is read at once.
+    pub fn start_kept(mesh: &Mesh, machines: &[usize], count: usize, load: Load) -> Clients {
+        Clients::start_named(mesh, machines, count, load, "s")
+    }
+
+    fn start_named(mesh: &Mesh, machines: &[usize], count: usize, load: Load, prefix: &str) -> Clients {
         let load = Arc::new(load);
         let mut clients = Clients { is_stopped: Arc::default(), sent: Arc::default(), threads: Vec::new() };
         for (place, machine) in machines.iter().copied().enumerate() {
@@ -815,9 +841,10 @@
                 let (is_stopped, sent) = (clients.is_stopped.clone(), clients.sent.clone());
                 let to = mesh.nodes[machine].outbound;
                 let delay = Duration::from_millis((client * 75 + place * 23) as u64);
+                let prefix = prefix.to_owned();
                 clients.threads.push(std::thread::spawn(move || {
                     std::thread::sleep(delay);
-                    let name = format!("m{machine}c{client}");
+                    let name = format!("m{machine}{prefix}{client}");
                     send_requests(machine, &name, to, &load, &is_stopped, &sent, &record);
                 }));
             }
@@ -850,7 +877,9 @@
             continue;
         };
         let now = Instant::now();
-        client.send(&request_text(load.method, &request, load.path, load.deadline_ms, "", load.body));
+        let path = load.first_path.filter(|_| !is_kept).unwrap_or(load.path);
+        client.send(&request_text(load.method, &request, path, load.deadline_ms, "", load.body));
+        client.reader.stops = load.reading_stops.filter(|_| is_kept);
         let answer = client.read(&request, now, now + Duration::from_millis(load.deadline_ms));
         let took = (answer.ended - answer.sent).as_secs_f64();
         let connection = if is_kept { "kept" } else { "new" };
