--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -10,9 +10,9 @@
 use standin::{finish, folders, has_trouble, Clients, Load, Mesh, Record};
 
 const CONFIGURATION: &str = r#"{"version":1,"resources":[
-{"resource_type":"routes","metadata":{"name":"r-download"},"spec":{"host":"shop.example","path_prefix":"/audio/","kind":"download","timeout":"6000ms","target_latency":"1500ms","priority":2,"service":"media","max_attempts":2}},
-{"resource_type":"services","metadata":{"name":"media"},"spec":{"health_check_path":"/health","max_connections":622,"protocol":"h1","tls":false}},
-{"resource_type":"services","metadata":{"name":"feeds"},"spec":{"health_check_path":"/health","max_connections":622,"protocol":"h1","tls":false}},
+{"resource_type":"routes","metadata":{"name":"r-catalogue-pull"},"spec":{"host":"shop.example","path_prefix":"/vouchers/","kind":"download","timeout":"4000ms","target_latency":"1500ms","priority":2,"service":"catalogue","max_attempts":2}},
+{"resource_type":"services","metadata":{"name":"catalogue"},"spec":{"health_check_path":"/health","max_connections":622,"protocol":"h1","tls":false}},
+{"resource_type":"services","metadata":{"name":"balance"},"spec":{"health_check_path":"/health","max_connections":622,"protocol":"h1","tls":false}},
 {"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}]}"#;
 
 /// Machines with clients. Nothing is done to any machine.
@@ -26,16 +26,16 @@
 fn main() {
     let (case, folder) = folders();
     let record = Record::new(&case.join("record.txt"));
-    let services = ["media", "media", "media", "feeds", "feeds", "feeds"];
+    let services = ["catalogue", "catalogue", "catalogue", "balance", "balance", "balance"];
     let Some(mesh) = Mesh::start(&record, &folder, &services, CONFIGURATION) else {
         finish(&record, None, 2, "could not run: the nodes did not become ready");
     };
     // The server sends the whole answer at once.
-    let path = "/audio/250000-65536-0-20";
+    let path = "/vouchers/250000-65536-0-20";
     // The first answer on each connection is a short one.
-    let first_path = Some("/audio/2000-2000-0-20");
+    let first_path = Some("/vouchers/2000-2000-0-20");
     let pause = Duration::from_millis(200);
-    let load = |reading_stops| Load { method: "GET", path, first_path, body: b"", deadline_ms: 6000, pause, reading_stops };
+    let load = |reading_stops| Load { method: "GET", path, first_path, body: b"", deadline_ms: 4000, pause, reading_stops };
     // Only requests on kept connections stop to be read for a while.
     let stops = has_trouble().then_some((READ_AT_FIRST, READS_NOTHING_FOR));
     let prompt = Clients::start(&mesh, &CLIENTS, 5, load(None));
