--- a/review/standin.rs
+++ b/review/standin.rs
@@ -22,7 +22,9 @@
     pub fn new(path: &Path) -> Record {
         Record {
             began: Instant::now(),
-            file: Arc::new(Mutex::new(File::create(path).expect("record.txt is writable"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("record.txt is writable"),
+            )),
         }
     }
 
@@ -41,7 +43,10 @@
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for three in bytes.chunks(3) {
-        let number = three.iter().fold(0u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - three.len()));
+        let number = three
+            .iter()
+            .fold(0u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - three.len()));
         for place in 0..4 {
             let sign = match place <= three.len() {
                 true => SIGNS[(number >> (18 - 6 * place) & 63) as usize] as char,
@@ -62,7 +67,8 @@
 impl Head {
     pub fn get(&self, name: &str) -> Option<&str> {
         let mut all = self.headers.iter();
-        all.find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        all.find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn number(&self, name: &str) -> Option<u64> {
@@ -82,7 +88,12 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Reader {
-        Reader { stream, unread: Vec::new(), until: None, stops: None }
+        Reader {
+            stream,
+            unread: Vec::new(),
+            until: None,
+            stops: None,
+        }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
@@ -156,10 +167,17 @@
 
     /// Reads the body that belongs to `head`. Returns whether it is whole.
     pub fn body(&mut self, head: &Head, is_answer: bool, whole: &mut Vec<u8>) -> bool {
-        if head.get("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
+        if head
+            .get("transfer-encoding")
+            .is_some_and(|value| value.contains("chunked"))
+        {
             loop {
-                let Some(size) = self.line() else { return false };
-                let Ok(size) = usize::from_str_radix(size.split(';').next().unwrap_or("").trim(), 16) else {
+                let Some(size) = self.line() else {
+                    return false;
+                };
+                let Ok(size) =
+                    usize::from_str_radix(size.split(';').next().unwrap_or("").trim(), 16)
+                else {
                     return false;
                 };
                 if !self.take(size, whole) || self.line().is_none() {
@@ -204,19 +222,29 @@
 
 fn item(key: &str, value: &str, revision: u64) -> String {
     let value = base64(value.as_bytes());
-    format!(r#"{{"key_file":"{key}","value":"{value}","revision":{revision},"created_rev":{revision},"lease_id":0}}"#)
+    format!(
+        r#"{{"key_file":"{key}","value":"{value}","revision":{revision},"created_rev":{revision},"lease_id":0}}"#
+    )
 }
 
 fn parameter<'t>(target: &'t str, name: &str) -> Option<&'t str> {
     let (_, query) = target.split_once('?')?;
-    query.split('&').filter_map(|pair| pair.split_once('=')).find(|(known, _)| *known == name).map(|(_, value)| value)
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value)
 }
 
 impl Store {
     pub fn start(ip: Ipv4Addr, port: u16, record: &Record) -> Store {
         let address = SocketAddrV4::new(ip, port);
         let listener = TcpListener::bind(address).expect("the store listens");
-        let store = Store { state: Arc::default(), address, record: record.clone() };
+        let store = Store {
+            state: Arc::default(),
+            address,
+            record: record.clone(),
+        };
         store.state.0.lock().unwrap().revision = 1;
         let serving = store.clone();
         std::thread::spawn(move || {
@@ -233,12 +261,15 @@
         let mut state = self.state.0.lock().unwrap();
         state.revision += 1;
         let revision = state.revision;
-        state.items.insert(key.to_owned(), (value.to_owned(), revision));
+        state
+            .items
+            .insert(key.to_owned(), (value.to_owned(), revision));
         let event = item(key, value, revision);
         state.events.push((revision, event));
         drop(state);
         self.state.1.notify_all();
-        self.record.line(&format!("store: {key} written, revision {revision}"));
+        self.record
+            .line(&format!("store: {key} written, revision {revision}"));
     }
 
     /// Removes an item, and returns when the store acknowledged that.
@@ -247,11 +278,15 @@
         state.revision += 1;
         let revision = state.revision;
         state.items.remove(key);
-        state.events.push((revision, format!(r#"{{"key_file":"{key}","revision":{revision},"gone":true}}"#)));
+        state.events.push((
+            revision,
+            format!(r#"{{"key_file":"{key}","revision":{revision},"gone":true}}"#),
+        ));
         drop(state);
         self.state.1.notify_all();
         let acknowledged = Instant::now();
-        self.record.line(&format!("store: {key} removed, revision {revision}"));
+        self.record
+            .line(&format!("store: {key} removed, revision {revision}"));
         acknowledged
     }
 
@@ -280,20 +315,44 @@
         let prefix = parameter(target, "path_prefix").unwrap_or("");
         let after = parameter(target, "after").unwrap_or("");
         let state = self.state.0.lock().unwrap();
-        let fitting = state.items.iter().filter(|(key, _)| key.starts_with(prefix) && (after.is_empty() || key.as_str() > after));
-        let items: Vec<String> = fitting.map(|(key, (value, revision))| item(key, value, *revision)).collect();
-        format!(r#"{{"items":[{}],"has_more":false,"at_rev":{}}}"#, items.join(","), state.revision)
+        let fitting = state.items.iter().filter(|(key, _)| {
+            key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+        });
+        let items: Vec<String> = fitting
+            .map(|(key, (value, revision))| item(key, value, *revision))
+            .collect();
+        format!(
+            r#"{{"items":[{}],"has_more":false,"at_rev":{}}}"#,
+            items.join(","),
+            state.revision
+        )
     }
 
     fn watch(&self, target: &str) -> String {
-        let number = |name: &str| parameter(target, name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-        let (after, end) = (number("after"), Instant::now() + Duration::from_millis(number("wait_ms")));
+        let number = |name: &str| {
+            parameter(target, name)
+                .and_then(|text| text.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
+        let (after, end) = (
+            number("after"),
+            Instant::now() + Duration::from_millis(number("wait_ms")),
+        );
         let mut state = self.state.0.lock().unwrap();
         loop {
-            let events: Vec<&str> = state.events.iter().filter(|(revision, _)| *revision > after).map(|(_, event)| event.as_str()).collect();
+            let events: Vec<&str> = state
+                .events
+                .iter()
+                .filter(|(revision, _)| *revision > after)
+                .map(|(_, event)| event.as_str())
+                .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!(r#"{{"events":[{}],"at_rev":{}}}"#, events.join(","), state.revision);
+                return format!(
+                    r#"{{"events":[{}],"at_rev":{}}}"#,
+                    events.join(","),
+                    state.revision
+                );
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
@@ -315,7 +374,9 @@
 impl Plan {
     fn of(path: &str) -> Plan {
         let last = path.rsplit('/').next().unwrap_or("");
-        let mut numbers = last.split('-').map(|text| text.parse::<usize>().unwrap_or(0));
+        let mut numbers = last
+            .split('-')
+            .map(|text| text.parse::<usize>().unwrap_or(0));
         let mut next = || numbers.next().unwrap_or(0);
         Plan {
             size: next(),
@@ -337,7 +398,9 @@
 
 /// The byte at a place of the answer to a request.
 fn content(request: &str, place: usize) -> u8 {
-    let seed = request.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte)));
+    let seed = request.bytes().fold(7u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u32::from(byte))
+    });
     (seed.wrapping_add((place / 7) as u32 * 13) >> (place % 3)) as u8
 }
 
@@ -360,7 +423,14 @@
 }
 
 impl Server {
-    fn start(id: &str, service: &str, zone: &str, address: SocketAddrV4, arrivals: Arc<Mutex<Vec<Arrival>>>, record: &Record) -> Server {
+    fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        address: SocketAddrV4,
+        arrivals: Arc<Mutex<Vec<Arrival>>>,
+        record: &Record,
+    ) -> Server {
         let listener = TcpListener::bind(address).expect("the server listens");
         let server = Server {
             id: id.to_owned(),
@@ -380,7 +450,11 @@
                     return;
                 }
                 let _ = stream.set_nodelay(true);
-                serving.connections.lock().unwrap().push(stream.try_clone().unwrap());
+                serving
+                    .connections
+                    .lock()
+                    .unwrap()
+                    .push(stream.try_clone().unwrap());
                 let server = serving.clone();
                 std::thread::spawn(move || {
                     let second = stream.try_clone().unwrap();
@@ -431,23 +505,38 @@
             if !reader.body(&head, false, &mut body) {
                 return;
             }
-            if head.get("x-target-instance").is_some_and(|id| id != self.id) {
+            if head
+                .get("x-target-instance")
+                .is_some_and(|id| id != self.id)
+            {
                 let answer = format!("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {request}\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
                 if writer.write_all(answer.as_bytes()).is_err() {
                     return;
                 }
                 continue;
             }
-            let deadline = head.number("x-deadline-ms").map(|time| at + Duration::from_millis(time));
+            let deadline = head
+                .number("x-deadline-ms")
+                .map(|time| at + Duration::from_millis(time));
             let index = {
                 let mut arrivals = self.arrivals.lock().unwrap();
-                arrivals.push(Arrival { at, request: request.clone(), server: self.id.clone(), how: "at work" });
+                arrivals.push(Arrival {
+                    at,
+                    request: request.clone(),
+                    server: self.id.clone(),
+                    how: "at work",
+                });
                 arrivals.len() - 1
             };
-            self.record.line(&format!("server {}: runs {request} {path}, deadline {:?} ms", self.id, head.number("x-deadline-ms")));
+            self.record.line(&format!(
+                "server {}: runs {request} {path}, deadline {:?} ms",
+                self.id,
+                head.number("x-deadline-ms")
+            ));
             let how = self.answer(&mut writer, &request, &Plan::of(&path), deadline);
             self.arrivals.lock().unwrap()[index].how = how;
-            self.record.line(&format!("server {}: {request} {how}", self.id));
+            self.record
+                .line(&format!("server {}: {request} {how}", self.id));
             if how != "answered" {
                 return;
             }
@@ -456,7 +545,13 @@
 
     /// Answers a request, and returns how that ended. Like most servers, it drops a request when
     /// its connection has closed.
-    fn answer(&self, writer: &mut TcpStream, request: &str, plan: &Plan, deadline: Option<Instant>) -> &'static str {
+    fn answer(
+        &self,
+        writer: &mut TcpStream,
+        request: &str,
+        plan: &Plan,
+        deadline: Option<Instant>,
+    ) -> &'static str {
         let is_over = || deadline.is_some_and(|deadline| Instant::now() >= deadline);
         std::thread::sleep(plan.work);
         self.wait_while_frozen();
@@ -513,7 +608,14 @@
 
 pub const HOST: &str = "shop.example";
 
-pub fn request_text(method: &str, request: &str, path: &str, deadline_ms: u64, more: &str, body: &[u8]) -> Vec<u8> {
+pub fn request_text(
+    method: &str,
+    request: &str,
+    path: &str,
+    deadline_ms: u64,
+    more: &str,
+    body: &[u8],
+) -> Vec<u8> {
     let length = match method {
         "GET" => String::new(),
         _ => format!("Content-Length: {}\r\n", body.len()),
@@ -527,23 +629,48 @@
     pub fn open(to: SocketAddrV4) -> Option<Client> {
         let stream = TcpStream::connect_timeout(&to.into(), Duration::from_secs(1)).ok()?;
         let _ = stream.set_nodelay(true);
-        Some(Client { writer: stream.try_clone().ok()?, reader: Reader::new(stream) })
+        Some(Client {
+            writer: stream.try_clone().ok()?,
+            reader: Reader::new(stream),
+        })
     }
 
     pub fn send(&mut self, text: &[u8]) -> bool {
         self.writer.write_all(text).is_ok()
     }
 
+    /// Lets the client read nothing for `pause` once it has read `length` more bytes.
+    pub fn stop_reading_after(&mut self, length: usize, pause: Duration) {
+        self.reader.stops = Some((length, pause));
+    }
+
     /// Waits for the answer to `request` until `until`.
     pub fn read(&mut self, request: &str, sent: Instant, until: Instant) -> Answer {
-        let mut answer = Answer { request: request.to_owned(), sent, ended: sent, status: 0, length: 0, is_whole: false, how: String::new() };
+        let mut answer = Answer {
+            request: request.to_owned(),
+            sent,
+            ended: sent,
+            status: 0,
+            length: 0,
+            is_whole: false,
+            how: String::new(),
+        };
         self.reader.until = Some(until);
         let Some(head) = self.reader.head() else {
             answer.ended = Instant::now();
-            answer.how = if answer.ended >= until { "no answer".to_owned() } else { "closed without an answer".to_owned() };
+            answer.how = if answer.ended >= until {
+                "no answer".to_owned()
+            } else {
+                "closed without an answer".to_owned()
+            };
             return answer;
         };
-        answer.status = head.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        answer.status = head
+            .first
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let mut body = Vec::new();
         let is_complete = self.reader.body(&head, true, &mut body);
         answer.ended = Instant::now();
@@ -555,7 +682,11 @@
         answer.how = match (is_complete, answer.ended >= until) {
             (true, _) => "complete".to_owned(),
             (false, true) => "not complete when the client gave up".to_owned(),
-            (false, false) => format!("cut off after {} of {} bytes", body.len(), head.get("content-length").unwrap_or("?")),
+            (false, false) => format!(
+                "cut off after {} of {} bytes",
+                body.len(),
+                head.get("content-length").unwrap_or("?")
+            ),
         };
         answer
     }
@@ -571,11 +702,15 @@
 
 impl Node {
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
+        let _ = Command::new("sh")
+            .args(["-c", &format!("kill -{name} {}", self.child.id())])
+            .status();
     }
 
     pub fn is_ready(&self) -> bool {
-        let Some(mut client) = Client::open(self.ready) else { return false };
+        let Some(mut client) = Client::open(self.ready) else {
+            return false;
+        };
         client.send(b"GET /readiness HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n");
         let now = Instant::now();
         client.read("", now, now + Duration::from_secs(1)).status == 200
@@ -623,22 +758,44 @@
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
 fn pick(random: &mut u64, from: u64, to: u64) -> u64 {
-    *random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+    *random = random
+        .wrapping_mul(6364136223846793005)
+        .wrapping_add(1442695040888963407);
     from + (*random >> 33) % (to - from)
 }
 
 /// Finds a loopback network and ports that are free on all its machines.
 fn find_network(machines: usize) -> ((u8, u8), Ports) {
-    let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos() as u64;
+    let nanos = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap()
+        .as_nanos() as u64;
     let mut random = nanos ^ u64::from(std::process::id()) << 32;
     loop {
-        let network = (pick(&mut random, 20, 220) as u8, pick(&mut random, 1, 255) as u8);
+        let network = (
+            pick(&mut random, 20, 220) as u8,
+            pick(&mut random, 1, 255) as u8,
+        );
         let base = pick(&mut random, 15_000, 31_000) as u16;
-        let ports = Ports { app: base, inbound: base + 1, outbound: base + 2, ready: base + 3, store: base + 4 };
-        let all = [ports.app, ports.inbound, ports.outbound, ports.ready, ports.store, 9464];
+        let ports = Ports {
+            app: base,
+            inbound: base + 1,
+            outbound: base + 2,
+            ready: base + 3,
+            store: base + 4,
+        };
+        let all = [
+            ports.app,
+            ports.inbound,
+            ports.outbound,
+            ports.ready,
+            ports.store,
+            9464,
+        ];
         let is_free = (0..=machines).all(|machine| {
             let ip = Ipv4Addr::new(127, network.0, network.1, machine as u8 + 1);
-            all.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+            all.iter()
+                .all(|port| TcpListener::bind((ip, *port)).is_ok())
         });
         if is_free {
             return (network, ports);
@@ -649,7 +806,12 @@
 impl Mesh {
     /// Starts a store, a server of each of `services` and a node beside it, and waits until all
     /// nodes are ready.
-    pub fn start(record: &Record, folder: &Path, services: &[&str], configuration: &str) -> Option<Mesh> {
+    pub fn start(
+        record: &Record,
+        folder: &Path,
+        services: &[&str],
+        configuration: &str,
+    ) -> Option<Mesh> {
         let (network, ports) = find_network(services.len());
         let ip = |machine: usize| Ipv4Addr::new(127, network.0, network.1, machine as u8 + 1);
         let store = Store::start(ip(services.len()), ports.store, record);
@@ -669,7 +831,8 @@
         mesh.store.put("op/config", configuration);
         for machine in 0..services.len() {
             let server = mesh.start_server(machine, &format!("i-{machine}"));
-            mesh.store.put(&format!("servers/{}", server.id), &server.entry("ready"));
+            mesh.store
+                .put(&format!("servers/{}", server.id), &server.entry("ready"));
             mesh.servers.push(server);
         }
         for machine in 0..services.len() {
@@ -694,19 +857,39 @@
 
     pub fn start_server(&self, machine: usize, id: &str) -> Server {
         let address = SocketAddrV4::new(self.ip(machine), self.ports.app);
-        Server::start(id, &self.services[machine], ZONES[machine % 3], address, self.arrivals.clone(), &self.record)
+        Server::start(
+            id,
+            &self.services[machine],
+            ZONES[machine % 3],
+            address,
+            self.arrivals.clone(),
+            &self.record,
+        )
     }
 
     /// Lists a process that the case started, so that `run.sh` can end it in any case.
     fn note_process(&self, process: u32) {
-        let list = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("processes"));
+        let list = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("processes"));
         let _ = list.and_then(|mut list| writeln!(list, "{process}"));
     }
 
     pub fn start_node(&mut self, machine: usize) -> Node {
         let ip = self.ip(machine);
-        let Ports { app, inbound, outbound, ready, .. } = self.ports;
-        let (zone, service, store) = (ZONES[machine % 3], &self.services[machine], self.store.address);
+        let Ports {
+            app,
+            inbound,
+            outbound,
+            ready,
+            ..
+        } = self.ports;
+        let (zone, service, store) = (
+            ZONES[machine % 3],
+            &self.services[machine],
+            self.store.address,
+        );
         let text = format!(
             r#"node_name = "sidecar-{zone}-{machine}"
 role = "node"
@@ -771,9 +954,15 @@
 "#
         );
         self.starts += 1;
-        let settings = self.folder.join(format!("node-{machine}-{}.toml", self.starts));
+        let settings = self
+            .folder
+            .join(format!("node-{machine}-{}.toml", self.starts));
         std::fs::write(&settings, text).expect("the settings are writable");
-        let log = File::create(self.folder.join(format!("node-{machine}-{}.log", self.starts))).expect("the log is writable");
+        let log = File::create(
+            self.folder
+                .join(format!("node-{machine}-{}.log", self.starts)),
+        )
+        .expect("the log is writable");
         let errors = log.try_clone().unwrap();
         let child = Command::new("target/release/lifthollow-platform")
             .env("LIFTHOLLOW_NODE_FILE", &settings)
@@ -782,9 +971,14 @@
             .stderr(errors)
             .spawn()
             .expect("the node starts");
-        self.record.line(&format!("node {machine} started, process {}", child.id()));
+        self.record
+            .line(&format!("node {machine} started, process {}", child.id()));
         self.note_process(child.id());
-        Node { child, outbound: SocketAddrV4::new(ip, outbound), ready: SocketAddrV4::new(ip, ready) }
+        Node {
+            child,
+            outbound: SocketAddrV4::new(ip, outbound),
+            ready: SocketAddrV4::new(ip, ready),
+        }
     }
 }
 
@@ -832,9 +1026,19 @@
         Clients::start_named(mesh, machines, count, load, "s")
     }
 
-    fn start_named(mesh: &Mesh, machines: &[usize], count: usize, load: Load, prefix: &str) -> Clients {
+    fn start_named(
+        mesh: &Mesh,
+        machines: &[usize],
+        count: usize,
+        load: Load,
+        prefix: &str,
+    ) -> Clients {
         let load = Arc::new(load);
-        let mut clients = Clients { is_stopped: Arc::default(), sent: Arc::default(), threads: Vec::new() };
+        let mut clients = Clients {
+            is_stopped: Arc::default(),
+            sent: Arc::default(),
+            threads: Vec::new(),
+        };
         for (place, machine) in machines.iter().copied().enumerate() {
             for client in 0..count {
                 let (load, record) = (load.clone(), mesh.record.clone());
@@ -863,7 +1067,15 @@
     }
 }
 
-fn send_requests(machine: usize, name: &str, to: SocketAddrV4, load: &Load, is_stopped: &AtomicBool, sent: &Mutex<Vec<Sent>>, record: &Record) {
+fn send_requests(
+    machine: usize,
+    name: &str,
+    to: SocketAddrV4,
+    load: &Load,
+    is_stopped: &AtomicBool,
+    sent: &Mutex<Vec<Sent>>,
+    record: &Record,
+) {
     let mut kept: Option<Client> = None;
     for number in 0.. {
         if is_stopped.load(Ordering::Relaxed) {
@@ -878,7 +1090,14 @@
         };
         let now = Instant::now();
         let path = load.first_path.filter(|_| !is_kept).unwrap_or(load.path);
-        client.send(&request_text(load.method, &request, path, load.deadline_ms, "", load.body));
+        client.send(&request_text(
+            load.method,
+            &request,
+            path,
+            load.deadline_ms,
+            "",
+            load.body,
+        ));
         client.reader.stops = load.reading_stops.filter(|_| is_kept);
         let answer = client.read(&request, now, now + Duration::from_millis(load.deadline_ms));
         let took = (answer.ended - answer.sent).as_secs_f64();
@@ -887,7 +1106,11 @@
         if answer.how == "complete" {
             kept = Some(client);
         }
-        sent.lock().unwrap().push(Sent { machine, is_kept, answer });
+        sent.lock().unwrap().push(Sent {
+            machine,
+            is_kept,
+            answer,
+        });
         std::thread::sleep(load.pause);
     }
 }
