--- a/review/standin.rs
+++ b/review/standin.rs
@@ -417,6 +417,8 @@
     is_down: Arc<AtomicBool>,
     /// Whether the server's machine stands still.
     is_frozen: Arc<AtomicBool>,
+    /// Whether the server is leaving, which it says in its answers.
+    is_leaving: Arc<AtomicBool>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     record: Record,
@@ -439,6 +441,7 @@
             address,
             is_down: Arc::default(),
             is_frozen: Arc::default(),
+            is_leaving: Arc::default(),
             arrivals,
             connections: Arc::default(),
             record: record.clone(),
@@ -474,6 +477,11 @@
         )
     }
 
+    /// From now on the server says in its answers that it is leaving.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Lets the server stand still, or go on.
     pub fn freeze(&self, is_frozen: bool) {
         self.is_frozen.store(is_frozen, Ordering::Relaxed);
@@ -537,7 +545,7 @@
             self.arrivals.lock().unwrap()[index].how = how;
             self.record
                 .line(&format!("server {}: {request} {how}", self.id));
-            if how != "answered" {
+            if how != "answered" || self.is_leaving.load(Ordering::Relaxed) {
                 return;
             }
         }
@@ -553,6 +561,10 @@
         deadline: Option<Instant>,
     ) -> &'static str {
         let is_over = || deadline.is_some_and(|deadline| Instant::now() >= deadline);
+        let cut_off = || match self.is_down.load(Ordering::Relaxed) {
+            true => "lost its answer when the server ended",
+            false => "cut off by its caller",
+        };
         std::thread::sleep(plan.work);
         self.wait_while_frozen();
         if is_over() {
@@ -560,13 +572,18 @@
             let _ = writer.write_all(answer.as_bytes());
             return "reached its deadline";
         }
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        let leaving = match is_leaving {
+            true => "Connection: close\r\nServer-Leaving: 1\r\n",
+            false => "",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {request}\r\nX-Response-Signature: s.{request}\r\nContent-Length: {}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {request}\r\nX-Response-Signature: s.{request}\r\n{leaving}Content-Length: {}\r\n\r\n",
             plan.size
         );
         let body = answer_body(request, plan.size);
         if writer.write_all(head.as_bytes()).is_err() {
-            return "cut off by its caller";
+            return cut_off();
         }
         for piece in body.chunks(plan.piece.max(1)) {
             self.wait_while_frozen();
@@ -574,7 +591,7 @@
                 return "broke off at its deadline";
             }
             if writer.write_all(piece).is_err() {
-                return "cut off by its caller";
+                return cut_off();
             }
             std::thread::sleep(plan.gap);
         }
