Logs name the connection of an attempt; resent requests are counted

`server did not answer` has connection and position; an answer with another request's id has a line of its own, with both ids; lifthollow_requests_resent counts requests that were sent on a second connection.

--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -43,13 +43,29 @@
     #[error("request not sent: {0}")]
     NotSent(io::Error),
     /// The request was sent, at least in part.
-    #[error("request sent, but no answer received: {0}")]
-    Lost(hyper::Error),
+    #[error("request sent, but no answer received: {error}")]
+    Lost {
+        /// Why there is no answer.
+        error: hyper::Error,
+        /// The connection that the request was sent on.
+        sent_on: ConnectionUse,
+    },
+}
+
+/// Which connection of a pool carried a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Number of the connection, counted over those that the pool has opened.
+    pub connection: u64,
+    /// Position of the request on the connection; 1 for the first one.
+    pub position: u64,
 }
 
 struct Connection {
     sender: SendRequest<ProxyBody>,
     driver: JoinHandle<()>,
+    /// The last request that was sent on the connection; its position is 0 before the first one.
+    last_use: ConnectionUse,
 }
 
 struct IdleConnection {
@@ -88,6 +104,7 @@
     idle: Rc<RefCell<HashMap<SocketAddrV4, Vec<IdleConnection>>>>,
     idle_limits: Rc<RefCell<HashMap<SocketAddrV4, IdleLimit>>>,
     opened: Rc<Cell<u64>>,
+    resent: Rc<Cell<u64>>,
     network: Rc<dyn Network>,
     clock: Clock,
     connect_timeout: Duration,
@@ -110,6 +127,7 @@
             idle: Rc::default(),
             idle_limits: Rc::default(),
             opened: Rc::default(),
+            resent: Rc::default(),
             network,
             clock,
             connect_timeout,
@@ -121,6 +139,12 @@
         self.opened.get()
     }
 
+    /// Number of requests that were sent on another connection because the one chosen first had
+    /// ended before any byte of them was sent.
+    pub fn resent(&self) -> u64 {
+        self.resent.get()
+    }
+
     /// Closes idle connections whose keep-alive time is over, and drops learned idle limits
     /// that no longer apply.
     pub fn close_expired(&self) {
@@ -154,13 +178,18 @@
                 None => (self.open(address).await?, None),
             };
             let sent = self.clock.now();
+            connection.last_use.position += 1;
+            let sent_on = connection.last_use;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let lease = self.lease(address, connection, &response);
                     return Ok((response, lease));
                 }
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) if idle_time.is_some() => request = unsent,
+                    Some(unsent) if idle_time.is_some() => {
+                        self.resent.set(self.resent.get() + 1);
+                        request = unsent;
+                    }
                     Some(_) => {
                         let error = io::Error::other(error.into_error());
                         return Err(SendError::NotSent(error));
@@ -169,7 +198,8 @@
                         if self.clock.now() - sent <= STALE_RESET_WITHIN {
                             self.lower_idle_limit(address, idle_time);
                         }
-                        return Err(SendError::Lost(error.into_error()));
+                        let error = error.into_error();
+                        return Err(SendError::Lost { error, sent_on });
                     }
                 },
             }
@@ -260,11 +290,24 @@
             // The request on the connection gets the error.
             let _ = driver.await;
         });
-        Ok(Connection { sender, driver })
+        let last_use = ConnectionUse {
+            connection: self.opened.get(),
+            position: 0,
+        };
+        Ok(Connection {
+            sender,
+            driver,
+            last_use,
+        })
     }
 }
 
 impl Lease {
+    /// The connection that carried the request.
+    pub fn connection_use(&self) -> ConnectionUse {
+        self.connection.last_use
+    }
+
     /// Returns the connection to the pool for the next request, once its answer has been read.
     pub fn keep(self) {
         if self.connection.sender.is_closed() || self.keep.is_zero() {
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -148,6 +148,7 @@
                 retry_after,
             },
             response: None,
+            sent_on: None,
         }),
     }
 }
--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -32,7 +32,7 @@
 use tokio::time::timeout_at;
 
 use crate::http::ProxyBody;
-use crate::http::pool::Reuse;
+use crate::http::pool::{ConnectionUse, Reuse};
 use crate::inbound::admission::admit;
 use crate::inbound::server_run::send_to_server;
 use crate::node::Node;
@@ -74,6 +74,9 @@
     pub end: AttemptEnd,
     /// The server's answer; none if no answer arrived.
     pub response: Option<Response<ProxyBody>>,
+    /// The connection to the local server that the attempt was sent on; none if it was not sent
+    /// from here.
+    pub sent_on: Option<ConnectionUse>,
 }
 
 impl AttemptOutcome {
@@ -86,6 +89,7 @@
                 retry_after: None,
             },
             response: None,
+            sent_on: None,
         }
     }
 
@@ -94,6 +98,7 @@
         AttemptOutcome {
             end: AttemptEnd::Unknown { reason },
             response: None,
+            sent_on: None,
         }
     }
 }
@@ -102,7 +107,7 @@
 pub async fn execute(node: &Rc<Node>, attempt: Attempt) -> AttemptOutcome {
     let logged = LoggedAttempt::of(node, &attempt);
     let outcome = admit_and_run(node, attempt).await;
-    logged.log(node, &outcome.end);
+    logged.log(node, &outcome);
     let failure = peer_headers::failure_labels(&outcome.end);
     let word = failure.map_or(peer_headers::ANSWERED, |(_, why)| why);
     node.metrics.attempts.with_label_values(&[word]).inc();
@@ -134,8 +139,8 @@
         }
     }
 
-    fn log(&self, node: &Rc<Node>, end: &AttemptEnd) {
-        let Some((outcome, why)) = peer_headers::failure_labels(end) else {
+    fn log(&self, node: &Rc<Node>, ended: &AttemptOutcome) {
+        let Some((outcome, why)) = peer_headers::failure_labels(&ended.end) else {
             return;
         };
         if !node.may_log() {
@@ -154,6 +159,8 @@
             "failure_share" => load.failure_share,
             "token_in_ms" => token_wait.map(|wait| wait.as_millis() as u64),
             "patience_ms" => self.patience.as_millis() as u64,
+            "connection" => ended.sent_on.map(|sent_on| sent_on.connection),
+            "position" => ended.sent_on.map(|sent_on| sent_on.position),
             "revision" => %node.revision(), "took_ms" => took);
     }
 }
@@ -205,6 +212,7 @@
             retry_after: Some(time),
         },
         response: None,
+        sent_on: None,
     })
 }
 
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -5,16 +5,18 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_state::mesh::InstanceId;
+use slog::info;
 use tokio::time::timeout;
 
 use crate::http::ProxyBody;
 use crate::http::body::{self, ReadBody};
 use crate::http::headers::remove_single_connection;
-use crate::http::pool::{Lease, Reuse, SendError};
+use crate::http::pool::{ConnectionUse, Lease, Reuse, SendError};
 use crate::inbound::admission::Permit;
 use crate::inbound::{Attempt, AttemptOutcome, crash_detector, milliseconds_value, server_notice};
 use crate::node::Node;
@@ -67,11 +69,19 @@
             crash_detector::note_refused(node, &server, &error);
             return AttemptOutcome::not_run(NotRunReason::ServerUnreachable);
         }
-        Err(SendError::Lost(error)) => {
+        Err(SendError::Lost { error, sent_on }) => {
             let reason = lost_answer_reason(node, &server, &error).await;
-            return AttemptOutcome::unknown(reason);
+            return AttemptOutcome {
+                sent_on: Some(sent_on),
+                ..AttemptOutcome::unknown(reason)
+            };
         }
     };
+    let sent_on = Some(lease.connection_use());
+    let invalid = AttemptOutcome {
+        sent_on,
+        ..AttemptOutcome::unknown(UnknownReason::AnswerInvalid)
+    };
     server_notice::apply_notice(node, &server, response.headers());
     let is_failure = response.status().is_server_error();
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -81,7 +91,14 @@
         !is_failure && !is_misdirected,
     );
     if response.headers().get(&names.request_id) != id.as_ref() {
-        return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+        log_answer_to_other(
+            node,
+            &server,
+            id.as_ref(),
+            &response,
+            lease.connection_use(),
+        );
+        return invalid;
     }
     if let Some(end) = server_refusal(node, response.status(), response.headers()) {
         node.state
@@ -96,11 +113,12 @@
         return AttemptOutcome {
             end,
             response: None,
+            sent_on,
         };
     }
     let is_signed = response.headers().contains_key(&names.signature);
     if response.status().is_success() && !is_signed {
-        return AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+        return invalid;
     }
     permit.answered = true;
     if !is_failure {
@@ -111,6 +129,26 @@
     read_answer(node, &server, response, lease, permit).await
 }
 
+/// Logs an answer of the local server to another request than the one that was sent last on its
+/// connection.
+fn log_answer_to_other(
+    node: &Rc<Node>,
+    server: &InstanceId,
+    id: Option<&HeaderValue>,
+    response: &Response<Incoming>,
+    sent_on: ConnectionUse,
+) {
+    if !node.may_log() {
+        return;
+    }
+    let text =
+        |id: Option<&HeaderValue>| id.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned());
+    info!(node.log, "answer to another request"; "request" => text(id),
+        "answered" => text(response.headers().get(&node.names.request_id)),
+        "status" => response.status().as_u16(), "server" => server.as_str(),
+        "connection" => sent_on.connection, "position" => sent_on.position);
+}
+
 /// Awaits `sending`, and reports the run as overdue if it takes longer than almost all other
 /// runs at the server do.
 async fn await_noting_overdue<T>(
@@ -184,11 +222,15 @@
 ) -> AttemptOutcome {
     let (mut head, incoming) = response.into_parts();
     remove_single_connection(&mut head.headers);
+    let sent_on = Some(lease.connection_use());
     let body = match body::read(incoming, MAX_BUFFERED_ANSWER_BYTES).await {
         Err(error) => {
             permit.end = RunEnd::Failed;
             let reason = lost_answer_reason(node, server, &error).await;
-            return AttemptOutcome::unknown(reason);
+            return AttemptOutcome {
+                sent_on,
+                ..AttemptOutcome::unknown(reason)
+            };
         }
         Ok(ReadBody::Whole(whole)) => {
             lease.keep();
@@ -205,5 +247,6 @@
     AttemptOutcome {
         end: AttemptEnd::Answered,
         response: Some(Response::from_parts(head, body)),
+        sent_on,
     }
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -48,6 +48,9 @@
     pub load: IntGaugeVec,
     /// Number of connections opened, to the local server and to other nodes.
     pub connections: IntGaugeVec,
+    /// Number of requests that were sent on a second connection because the first had ended before
+    /// any byte of them was sent, to the local server and to other nodes.
+    pub resent_requests: IntGaugeVec,
     /// Log lines left out by the rate limit of the log.
     pub log_lines_left_out: IntCounter,
 }
@@ -177,6 +180,12 @@
                 "Connections opened.",
                 "to",
             )?,
+            resent_requests: gauges(
+                &registry,
+                "lifthollow_requests_resent",
+                "Requests sent on a second connection, since the first had ended before any byte of them was sent.",
+                "to",
+            )?,
             log_lines_left_out: IntCounter::new(
                 "lifthollow_log_lines_left_out_total",
                 "Log lines left out to bound their number.",
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -155,7 +155,7 @@
             let outcome = AttemptOutcome::not_run(NotRunReason::NodeUnreachable);
             return (outcome, ServerReport::default());
         }
-        Err(SendError::Lost(_)) => {
+        Err(SendError::Lost { .. }) => {
             let outcome = AttemptOutcome::unknown(UnknownReason::AnswerLost);
             return (outcome, ServerReport::default());
         }
@@ -187,6 +187,7 @@
             AttemptOutcome {
                 end,
                 response: None,
+                sent_on: None,
             },
             report,
         );
@@ -196,6 +197,7 @@
     let outcome = AttemptOutcome {
         end,
         response: Some(Response::from_parts(head, body)),
+        sent_on: None,
     };
     (outcome, report)
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -242,6 +242,11 @@
     connections.with_label_values(&["server"]).set(to_server);
     let to_nodes = node.peer_connections.opened() as i64;
     connections.with_label_values(&["nodes"]).set(to_nodes);
+    let resent = &node.metrics.resent_requests;
+    let to_server = node.server_connections.resent() as i64;
+    resent.with_label_values(&["server"]).set(to_server);
+    let to_nodes = node.peer_connections.resent() as i64;
+    resent.with_label_values(&["nodes"]).set(to_nodes);
 }
 
 /// Handler of the port at which the platform checks whether the node is ready.
