A request's identifier never goes twice on one connection to a server

What callers saw: an order ran two or three times; most of its callers were told 200. Cause: a server sends its refusal once more. The order was asked of that server again, on the connection used last, which is the one that had carried it; there the identifier proved nothing, and the copy was taken for the answer to the run that had just begun. It counted as not run, and was sent again. Class: a proof (identifier of the answer) that holds only while the identifier is new on its connection. Change: connection_history keeps, for each connection, the requests that its server refused there. The pool gives out another connection, or opens one. Other ways: a new connection for each repeat costs one connection a repeat, and rests on a flag that says repeat instead of on what the connection has carried; to close each connection on a refusal costs one for each refusal while servers are full.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -13,6 +13,8 @@
 //! 7. [`server_admission`]: at the server's node, whether the attempt runs, waits
 //!    ([`admission_queue`], `admission_level`) or is refused.
 //!
+//! [`connection_history`] decides which connections to its server an attempt may be sent on.
+//!
 //! [`rate_limits`] keeps the request rates of servers below the limits that they announce.
 //!
 //! [`processor_admission`] decides which attempts the node's own processor has time for.
@@ -31,6 +33,7 @@
 mod admission_level;
 pub mod admission_queue;
 pub mod call;
+pub mod connection_history;
 pub mod loss_estimate;
 pub mod nested_calls;
 pub mod poison;
--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use lifthollow_coordination::mesh::connection_history::{ConnectionHistory, RequestKey};
 use lifthollow_state::Timestamp;
 use lifthollow_transport::clock::Clock;
 use thiserror::Error;
@@ -66,6 +67,7 @@
     driver: JoinHandle<()>,
     /// The last request that was sent on the connection; its position is 0 before the first one.
     last_use: ConnectionUse,
+    history: ConnectionHistory,
 }
 
 struct IdleConnection {
@@ -164,16 +166,30 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    /// Sends `request` to `address`, on a pooled connection if `reuse` allows one, and waits
-    /// for the head of its answer.
+    /// Sends `request` to another node at `address`, on a pooled connection if `reuse` allows one,
+    /// and waits for the head of its answer.
     pub async fn send(
+        &self,
+        address: SocketAddrV4,
+        request: Request<ProxyBody>,
+        reuse: Reuse,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        self.send_unless_carried(address, request, reuse, None)
+            .await
+    }
+
+    /// Sends `request` to a server at `address`, on a pooled connection if `reuse` allows one and the
+    /// connection has not carried the request with the key `carried` before, and waits for the head
+    /// of its answer.
+    pub async fn send_unless_carried(
         &self,
         address: SocketAddrV4,
         mut request: Request<ProxyBody>,
         reuse: Reuse,
+        carried: Option<RequestKey>,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         loop {
-            let (mut connection, idle_time) = match self.take_idle(address, reuse).await {
+            let (mut connection, idle_time) = match self.take_idle(address, reuse, carried).await {
                 Some((connection, idle_time)) => (connection, Some(idle_time)),
                 None => (self.open(address).await?, None),
             };
@@ -222,15 +238,17 @@
         }
     }
 
-    /// Takes the most recently used connection from the pool, with the time for which it was
-    /// idle. Connections that were idle for too long are closed.
+    /// Takes the most recently used connection that has not carried the request with the key
+    /// `carried` from the pool, with the time for which it was idle. Connections that were idle for
+    /// too long are closed.
     async fn take_idle(
         &self,
         address: SocketAddrV4,
         reuse: Reuse,
+        carried: Option<RequestKey>,
     ) -> Option<(Connection, Duration)> {
         loop {
-            let candidate = self.pop_idle(address, reuse)?;
+            let candidate = self.pop_idle(address, reuse, carried)?;
             let now = self.clock.now();
             let idle_time = now - candidate.since;
             if candidate.until <= now || idle_time >= self.idle_limit(address) {
@@ -243,16 +261,24 @@
         }
     }
 
-    fn pop_idle(&self, address: SocketAddrV4, reuse: Reuse) -> Option<IdleConnection> {
+    fn pop_idle(
+        &self,
+        address: SocketAddrV4,
+        reuse: Reuse,
+        carried: Option<RequestKey>,
+    ) -> Option<IdleConnection> {
         let mut all = self.idle.borrow_mut();
         let connections = all.get_mut(&address)?;
-        let is_recent = self.clock.now() - connections.last()?.since < RECENT_USE;
+        let index = connections.iter().rposition(|idle| {
+            let history = &idle.connection.history;
+            carried.is_none_or(|request| history.may_carry(request))
+        })?;
         let may_reuse = match reuse {
             Reuse::Any => true,
-            Reuse::Recent => is_recent,
+            Reuse::Recent => self.clock.now() - connections[index].since < RECENT_USE,
             Reuse::New => false,
         };
-        may_reuse.then(|| connections.pop()).flatten()
+        may_reuse.then(|| connections.remove(index))
     }
 
     fn idle_limit(&self, address: SocketAddrV4) -> Duration {
@@ -298,6 +324,7 @@
             sender,
             driver,
             last_use,
+            history: ConnectionHistory::default(),
         })
     }
 }
@@ -308,6 +335,15 @@
         self.connection.last_use
     }
 
+    /// Returns the connection to the pool, once the server's refusal of `request` has been read. The
+    /// connection will not carry that request again.
+    pub fn keep_after_refusal(mut self, request: RequestKey) {
+        self.connection.history.record_refusal(request);
+        if self.connection.history.has_room() {
+            self.keep();
+        }
+    }
+
     /// Returns the connection to the pool for the next request, once its answer has been read.
     pub fn keep(self) {
         if self.connection.sender.is_closed() || self.keep.is_zero() {
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -8,6 +8,7 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response, StatusCode};
 use lifthollow_coordination::mesh::call::{AttemptEnd, NotRunReason, UnknownReason};
+use lifthollow_coordination::mesh::connection_history::RequestKey;
 use lifthollow_coordination::mesh::server_health::RunEnd;
 use lifthollow_state::mesh::InstanceId;
 use slog::info;
@@ -38,6 +39,7 @@
     peer_headers::strip(headers);
     headers.insert(&names.deadline_ms, milliseconds_value(left));
     let id = headers.get(&names.request_id).cloned();
+    let key = RequestKey::of(names.request_id_of(headers));
     let reuse = if attempt.terms.may_retry {
         Reuse::Any
     } else {
@@ -56,7 +58,12 @@
         .server_runs
         .started(permit.run, attempt.content, &server);
     node.metrics.server_requests.inc();
-    let sending = connections.send(node.settings.server_address, attempt.request, reuse);
+    let sending = connections.send_unless_carried(
+        node.settings.server_address,
+        attempt.request,
+        reuse,
+        Some(key),
+    );
     let sent = await_noting_overdue(node, &permit, attempt.tree.is_nested, sending).await;
     permit.end = RunEnd::Failed;
     let (response, lease) = match sent {
@@ -109,7 +116,7 @@
             // Another server instance listens at the address: the intended one has failed no run.
             permit.end = RunEnd::Abandoned;
         }
-        drain_answer(response, lease).await;
+        drain_refusal(response, lease, key).await;
         return AttemptOutcome {
             end,
             response: None,
@@ -205,11 +212,11 @@
     })
 }
 
-async fn drain_answer(response: Response<Incoming>, lease: Lease) {
+async fn drain_refusal(response: Response<Incoming>, lease: Lease, request: RequestKey) {
     if let Ok(ReadBody::Whole(_)) =
         body::read(response.into_body(), MAX_BUFFERED_ANSWER_BYTES).await
     {
-        lease.keep();
+        lease.keep_after_refusal(request);
     }
 }
 
