A refusal with an endless body does not hold its request

What callers saw: requests whose servers refuse them and send a body without end, in small chunks, were answered 503 after 0.59 to 0.89 s (four at once), and a request in the queue of that node waited with them. Cause: up to 256 KiB of each refusal's body were read to keep the connection: 28 to 39 ms of a node's processor for each of up to six attempts (logged took_ms, tests' build). Change: at most 16 KiB; after more, the connection is closed. The refusal itself holds, since its head says so.

--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -27,6 +27,10 @@
 /// the attempt can still be retried at another server if the answer is interrupted.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
 
+/// The largest body of a refusal, in bytes, that is read so that its connection can be kept. A longer
+/// one would hold back the next attempt of the request.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+
 /// Sends an admitted attempt to the server and reads the server's answer.
 pub(super) async fn send_to_server(
     node: &Rc<Node>,
@@ -213,9 +217,7 @@
 }
 
 async fn drain_refusal(response: Response<Incoming>, lease: Lease, request: RequestKey) {
-    if let Ok(ReadBody::Whole(_)) =
-        body::read(response.into_body(), MAX_BUFFERED_ANSWER_BYTES).await
-    {
+    if let Ok(ReadBody::Whole(_)) = body::read(response.into_body(), MAX_REFUSAL_BYTES).await {
         lease.keep_after_refusal(request);
     }
 }
