Interim answers without end no longer hold up a whole node

What callers saw: while one server sends interim answers (102) without end to four requests, every other request at that node waits for 1.6 to 1.7 s, and the four end after 1.6 to 2.5 s with 502 or 504. Cause: hyper bounds the size of one head, but reads any number of interim answers before it, in one go while more bytes are there; a node serves on one thread. Change: http::head_limit bounds what may arrive before a head is complete to 64 KiB, interim answers included, on all connections that a node opens (servers, nodes, store). Then the connection is closed; the request ends as unknown, answer-invalid, as for other bytes that are no answer.

--- a/crates/proxy/src/http/mod.rs
+++ b/crates/proxy/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod caller_stream;
+pub mod head_limit;
 pub mod headers;
 pub mod pipeline;
 pub mod pool;
--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::http::ProxyBody;
+use crate::http::head_limit::{HeadAllowance, HeadLimited};
 use crate::http::headers::keep_alive_seconds;
 use crate::network::Network;
 
@@ -68,6 +69,7 @@
     /// The last request that was sent on the connection; its position is 0 before the first one.
     last_use: ConnectionUse,
     history: ConnectionHistory,
+    head_allowance: HeadAllowance,
 }
 
 struct IdleConnection {
@@ -196,8 +198,10 @@
             let sent = self.clock.now();
             connection.last_use.position += 1;
             let sent_on = connection.last_use;
+            connection.head_allowance.begin();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.head_allowance.end();
                     let lease = self.lease(address, connection, &response);
                     return Ok((response, lease));
                 }
@@ -308,8 +312,12 @@
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(SendError::NotSent)?;
         self.opened.set(self.opened.get() + 1);
+        let head_allowance = HeadAllowance::default();
         let (sender, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(HeadLimited::new(
+                stream,
+                head_allowance.clone(),
+            )))
             .await
             .map_err(|error| SendError::NotSent(io::Error::other(error)))?;
         let driver = tokio::task::spawn_local(async move {
@@ -325,6 +333,7 @@
             driver,
             last_use,
             history: ConnectionHistory::default(),
+            head_allowance,
         })
     }
 }
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -16,6 +16,7 @@
 
 use crate::http::ProxyBody;
 use crate::http::body::{self, ReadBody};
+use crate::http::head_limit;
 use crate::http::headers::remove_single_connection;
 use crate::http::pool::{ConnectionUse, Lease, Reuse, SendError};
 use crate::inbound::admission::Permit;
@@ -188,7 +189,7 @@
 ) -> UnknownReason {
     if crash_detector::has_crashed(node, server).await {
         UnknownReason::ServerCrashed
-    } else if error.is_parse() {
+    } else if error.is_parse() || head_limit::is_exceeded(error) {
         UnknownReason::AnswerInvalid
     } else {
         UnknownReason::AnswerLost
