A request is not repeated once its route forbids repeats

What callers saw: a request was held by a server while a configuration made its route non_idempotent; the server lost the answer, and the request was sent to another server: two runs of what may now run once. Cause: the kind of the route was taken once, when the request arrived. By the users' rules a request that was sent before the change may still be repeated; the operator's word that repeats do harm is kept all the same, as soon as the node has it. Change: before a repeat and before a hedge, the kind in the configuration in force is looked up if its version is another; Call::forbid_repeats. A route that is gone changes nothing, nor does one that allows repeats now: the caller may have relied on the kind of before.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -233,6 +233,11 @@
         self.idempotent
     }
 
+    /// Records that the request's route no longer allows requests to run more than once.
+    pub fn forbid_repeats(&mut self) {
+        self.idempotent = false;
+    }
+
     /// Whether no attempt of the request has ended and no hedge was sent yet.
     pub fn is_new(&self) -> bool {
         self.excluded.is_empty() && self.refused_by.is_empty()
--- a/crates/coordination/tests/mesh_attempts.rs
+++ b/crates/coordination/tests/mesh_attempts.rs
@@ -49,6 +49,18 @@
     assert_eq!(call.candidates().next(), Some(others));
 }
 
+#[test]
+fn request_whose_route_forbids_repeats_meanwhile_is_not_sent_again_if_it_may_have_run() {
+    let mut call = Call::new(at(0), &route("any", "/"), None);
+    call.forbid_repeats();
+    assert!(!call.may_hedge());
+    let refused = not_run(true, NotRunReason::ServerRefused);
+    let next = call.attempt_ended(&id("i-1"), &refused, NO_OTHER, || true);
+    assert_eq!(next, NextStep::Attempt);
+    let next = call.attempt_ended(&id("i-2"), &lost(), NO_OTHER, || true);
+    assert_eq!(next, NextStep::Finish(FinalAnswer::Unknown));
+}
+
 #[test]
 fn refused_request_goes_elsewhere_whatever_its_kind() {
     let mut once = route("once", "/");
--- a/crates/proxy/src/outbound/attempts.rs
+++ b/crates/proxy/src/outbound/attempts.rs
@@ -74,11 +74,13 @@
                 }
                 record_crash(node, request, &server, &outcome.end);
                 log_attempt(node, request, &server, &outcome.end);
+                apply_current_kind(node, request, &mut call);
                 let is_other_in_progress = !pending.is_empty();
                 call.attempt_ended(&server.id, &outcome.end, is_other_in_progress, || may_retry(node, request))
             }
             _ = sleep_until(deadline) => NextStep::Finish(call.timed_out(true)),
             finding = watch.check_progress(node, node.names.request_id_of(&request.head.headers)) => {
+                apply_current_kind(node, request, &mut call);
                 let is_unresponsive = finding != Finding::InProgress;
                 let may_hedge = is_unresponsive
                     && pending.len() == 1
@@ -117,6 +119,22 @@
     }
 }
 
+/// Forbids repeats of the request if the configuration in force does. One in which the request has no
+/// route changes nothing.
+fn apply_current_kind(node: &Rc<Node>, request: &RoutedRequest, call: &mut Call) {
+    let state = node.state.borrow();
+    let Some(routes) = &state.routes else {
+        return;
+    };
+    if routes.version() == request.route.version {
+        return;
+    }
+    let route = routes.find(request.host(), request.head.uri.path());
+    if route.is_some_and(|route| !route.is_idempotent()) {
+        call.forbid_repeats();
+    }
+}
+
 /// Result of the check of an attempt whose answer is late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Finding {
@@ -240,7 +258,7 @@
         terms: AttemptTerms {
             zone: node.settings.zone.clone(),
             has_alternative: choice.has_alternative && call.may_be_refused_by_failing_server(),
-            may_retry: request.route.route.is_idempotent(),
+            may_retry: call.may_retry(),
         },
         limit_known_to_sender: node.state.borrow().servers.limit_of(&server.id),
         reuse,
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -42,6 +42,13 @@
     pub(super) queue_time: QueueTime,
 }
 
+impl RoutedRequest {
+    /// The host that the request is addressed to.
+    pub(super) fn host(&self) -> &str {
+        host(&self.head.headers, &self.head.uri)
+    }
+}
+
 /// The route of a request, with the service chosen for it and the version of the configuration that
 /// defines the route.
 pub(super) struct ChosenRoute {
