Answers reach callers that read nothing for some seconds

Cause: TCP_USER_TIMEOUT of 2 s on accepted connections. The system applies it also while the other side's window is closed, so a caller that is alive, and acknowledges each probe, counts as gone. Change: accepted connections, of callers and of other nodes (large answers that pass through them wait in the same way), get 15 s, the time for which one may stay idle. Those that a node opens keep 2 s: there it is what notices a dead machine. Cost: an accepted connection whose peer is gone is noticed after 15 s in place of 2 to 3 s.

--- a/crates/proxy/src/network.rs
+++ b/crates/proxy/src/network.rs
@@ -57,7 +57,7 @@
     fn connect(&self, address: SocketAddrV4) -> ConnectionFuture<'static> {
         Box::pin(async move {
             let stream = TcpStream::connect(address).await?;
-            socket::prepare(&stream);
+            socket::prepare_opened(&stream);
             Ok(Box::new(stream) as Stream)
         })
     }
@@ -67,7 +67,7 @@
     fn accept(&self) -> ConnectionFuture<'_> {
         Box::pin(async move {
             let (stream, _) = TcpListener::accept(self).await?;
-            socket::prepare(&stream);
+            socket::prepare_accepted(&stream);
             Ok(Box::new(stream) as Stream)
         })
     }
