A planned stop waits for the answers that pass through it to other nodes

Cause: the stop waited for the attempts of other nodes that are in progress; one leaves that count with the head of its answer, and an answer of more than 256 KiB is forwarded after that. Change: the stop waits for the connections of other nodes, as it does for those of callers. Idle ones close as soon as the stop closes connections.

--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -158,7 +158,7 @@
         let _ = close.send(true);
         let stop_deadline = stop_began + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
         let nothing_left = async {
-            while callers.connections() + peers.requests() > 0 {
+            while callers.connections() + peers.connections() > 0 {
                 sleep(STOP_POLL_INTERVAL).await;
             }
         };
