The only server of a service gets nothing after its drain time

Cause: a server whose entry goes without an announcement was used for 2.5 s more if its service has no other, since the entry may have lapsed while the store was away. That time was given also where the store had been there all along, and the removal says that the server leaves. Change: without an outage such a server is used for 1 s, looked at each 0.5 s, of the drain time of 2 s; after an outage until 2.5 s after the store is back, as before. What a restore of the store has lost keeps its time.

--- a/crates/coordination/src/mesh/snapshot_store/departed_servers.rs
+++ b/crates/coordination/src/mesh/snapshot_store/departed_servers.rs
@@ -13,11 +13,14 @@
     InstanceId, KnownServer, Revision, ServerInstance, ServerState, Snapshot,
 };
 
-/// How long a server is remembered whose entry disappeared without an announcement; the time
-/// counts only from when the source became available. The entry may have expired during an outage
-/// of the source, and a running server's entry reappears about two seconds after the source does.
-/// Until then requests go to the server if its service has no other.
+/// How long after the source became available a server is remembered whose entry disappeared without
+/// an announcement. The entry may have expired during an outage of the source, and a running server's
+/// entry reappears about two seconds after the source does. Until then requests go to the server if
+/// its service has no other.
 const VANISHED_GRACE: Duration = Duration::from_millis(2500);
+/// How long such a server is remembered at least. If there was no outage, it has left, and serves for
+/// the drain time of two seconds from its removal, which nodes learn of a little later.
+const REMOVED_GRACE: Duration = Duration::from_millis(1000);
 /// Default time after which an entry expires that its server does not renew.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(4500);
 /// Upper bound of the time between the expiry of an entry and the moment nodes learn of it.
@@ -151,10 +154,16 @@
     /// source has been available since `available_since`.
     pub(super) fn expire(&mut self, now: Timestamp, available_since: Timestamp) -> bool {
         let age = |since: Timestamp| now.saturating_since(available_since.max(since));
+        let is_remembered = |vanished: &Vanished| match vanished.reason {
+            MissingReason::LostByRestore => age(vanished.since) < VANISHED_GRACE,
+            MissingReason::Removed => {
+                now.saturating_since(available_since) < VANISHED_GRACE
+                    || age(vanished.since) < REMOVED_GRACE
+            }
+        };
         let unconfirmed_for = self.entry_lifetime + REMOVAL_DELAY;
         let before = self.vanished.len() + self.unconfirmed.len();
-        self.vanished
-            .retain(|_, vanished| age(vanished.since) < VANISHED_GRACE);
+        self.vanished.retain(|_, vanished| is_remembered(vanished));
         self.unconfirmed
             .retain(|_, since| age(*since) < unconfirmed_for);
         self.vanished.len() + self.unconfirmed.len() < before
