A late copy of an answer no longer changes what a node believes of its server

What callers saw: a server that names no limit any more sends once more an answer of when it named one; requests are refused as rate-limited until the server is asked again (limit 0: 503 for the next request). Cause: limits and the word that a server leaves were taken from an answer before its identifier was looked at, and an answer to another request counted as a success of the run. Change: the identifier comes first; of an answer to another request nothing is believed but that the server is there.

--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -94,24 +94,20 @@
         sent_on,
         ..AttemptOutcome::unknown(UnknownReason::AnswerInvalid)
     };
-    server_notice::apply_notice(node, &server, response.headers());
+    let is_answer_to_this = response.headers().get(&names.request_id) == id.as_ref();
     let is_failure = response.status().is_server_error();
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     node.state.borrow_mut().admission.answered(
         node.now(),
         permit.run,
-        !is_failure && !is_misdirected,
+        is_answer_to_this && !is_failure && !is_misdirected,
     );
-    if response.headers().get(&names.request_id) != id.as_ref() {
-        log_answer_to_other(
-            node,
-            &server,
-            id.as_ref(),
-            &response,
-            lease.connection_use(),
-        );
+    if !is_answer_to_this {
+        let sent_on = lease.connection_use();
+        log_answer_to_other(node, &server, id.as_ref(), &response, sent_on);
         return invalid;
     }
+    server_notice::apply_notice(node, &server, response.headers());
     if let Some(end) = server_refusal(node, response.status(), response.headers()) {
         node.state
             .borrow_mut()
