The bound on heads no longer closes connections after answers of 64 KiB and more

Answers came whole, each with a new connection behind it. Change: a read that finds the bound spent fails 1 ms later, unless the head has been received by then. The receiver is woken before the timer is set, and tasks run in that order.

--- a/crates/proxy/src/http/head_limit.rs
+++ b/crates/proxy/src/http/head_limit.rs
@@ -9,9 +9,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Sleep, sleep};
 
 use crate::network::Stream;
 
@@ -19,6 +21,10 @@
 /// A read that begins below this limit may exceed it.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time from the last byte that may arrive until the connection fails. The head may be complete, and the
+/// task that waits for it is woken already but has not run yet.
+const FAILURE_DELAY: Duration = Duration::from_millis(1);
+
 /// The bytes that a peer may still send before the head of its answer is complete; none while no head
 /// is awaited.
 #[derive(Clone, Debug, Default)]
@@ -63,12 +69,18 @@
 pub struct HeadLimited {
     stream: Stream,
     allowance: HeadAllowance,
+    /// The time until a read fails that found the allowance spent.
+    failure: Option<Pin<Box<Sleep>>>,
 }
 
 impl HeadLimited {
     /// Limits the reads of `stream` to `allowance`.
     pub fn new(stream: Stream, allowance: HeadAllowance) -> Self {
-        HeadLimited { stream, allowance }
+        HeadLimited {
+            stream,
+            allowance,
+            failure: None,
+        }
     }
 }
 
@@ -79,9 +91,13 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.allowance.is_spent() {
+            let failure = &mut self.failure;
+            let failure = failure.get_or_insert_with(|| Box::pin(sleep(FAILURE_DELAY)));
+            std::task::ready!(failure.as_mut().poll(context));
             let error = io::Error::new(io::ErrorKind::InvalidData, HeadTooLong);
             return Poll::Ready(Err(error));
         }
+        self.failure = None;
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         self.allowance.spend(buffer.filled().len() - before);
