Pool: numbers of connections are unique; the two ways to send have plain names

Two connections that were opened at the same time could have the same number in the log: it was read after the handshake. send is for nodes, send_to_server takes the request's key.

--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -176,22 +176,32 @@
         request: Request<ProxyBody>,
         reuse: Reuse,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
-        self.send_unless_carried(address, request, reuse, None)
-            .await
+        self.send_on(address, request, reuse, None).await
+    }
+
+    /// Sends `request`, which has the given key, to a server at `address`, on a pooled connection that
+    /// has not carried it before if `reuse` allows one, and waits for the head of its answer.
+    pub async fn send_to_server(
+        &self,
+        address: SocketAddrV4,
+        request: Request<ProxyBody>,
+        reuse: Reuse,
+        key: RequestKey,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        self.send_on(address, request, reuse, Some(key)).await
     }
 
-    /// Sends `request` to a server at `address`, on a pooled connection if `reuse` allows one and the
-    /// connection has not carried the request with the key `carried` before, and waits for the head
-    /// of its answer.
-    pub async fn send_unless_carried(
+    /// Sends `request` on a pooled or a new connection; not on one that has carried a request with
+    /// this key.
+    async fn send_on(
         &self,
         address: SocketAddrV4,
         mut request: Request<ProxyBody>,
         reuse: Reuse,
-        carried: Option<RequestKey>,
+        key: Option<RequestKey>,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         loop {
-            let (mut connection, idle_time) = match self.take_idle(address, reuse, carried).await {
+            let (mut connection, idle_time) = match self.take_idle(address, reuse, key).await {
                 Some((connection, idle_time)) => (connection, Some(idle_time)),
                 None => (self.open(address).await?, None),
             };
@@ -242,17 +252,16 @@
         }
     }
 
-    /// Takes the most recently used connection that has not carried the request with the key
-    /// `carried` from the pool, with the time for which it was idle. Connections that were idle for
-    /// too long are closed.
+    /// Takes the most recently used connection that has not carried a request with this key from the
+    /// pool, with the time for which it was idle. Connections that were idle for too long are closed.
     async fn take_idle(
         &self,
         address: SocketAddrV4,
         reuse: Reuse,
-        carried: Option<RequestKey>,
+        key: Option<RequestKey>,
     ) -> Option<(Connection, Duration)> {
         loop {
-            let candidate = self.pop_idle(address, reuse, carried)?;
+            let candidate = self.pop_idle(address, reuse, key)?;
             let now = self.clock.now();
             let idle_time = now - candidate.since;
             if candidate.until <= now || idle_time >= self.idle_limit(address) {
@@ -269,13 +278,13 @@
         &self,
         address: SocketAddrV4,
         reuse: Reuse,
-        carried: Option<RequestKey>,
+        key: Option<RequestKey>,
     ) -> Option<IdleConnection> {
         let mut all = self.idle.borrow_mut();
         let connections = all.get_mut(&address)?;
         let index = connections.iter().rposition(|idle| {
             let history = &idle.connection.history;
-            carried.is_none_or(|request| history.may_carry(request))
+            key.is_none_or(|key| history.may_carry(key))
         })?;
         let may_reuse = match reuse {
             Reuse::Any => true,
@@ -311,7 +320,8 @@
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(SendError::NotSent)?;
-        self.opened.set(self.opened.get() + 1);
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
         let head_allowance = HeadAllowance::default();
         let (sender, driver) = http1::Builder::new()
             .handshake(TokioIo::new(HeadLimited::new(
@@ -325,7 +335,7 @@
             let _ = driver.await;
         });
         let last_use = ConnectionUse {
-            connection: self.opened.get(),
+            connection: number,
             position: 0,
         };
         Ok(Connection {
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -63,12 +63,8 @@
         .server_runs
         .started(permit.run, attempt.content, &server);
     node.metrics.server_requests.inc();
-    let sending = connections.send_unless_carried(
-        node.settings.server_address,
-        attempt.request,
-        reuse,
-        Some(key),
-    );
+    let sending =
+        connections.send_to_server(node.settings.server_address, attempt.request, reuse, key);
     let sent = await_noting_overdue(node, &permit, attempt.tree.is_nested, sending).await;
     permit.end = RunEnd::Failed;
     let (response, lease) = match sent {
