--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -184,12 +184,14 @@
     pub store: SocketAddrV4,
     pub memory_mb: u32,
     pub grace: &'a str,
+    /// Further lines of `[bounds]`.
+    pub bounds: &'a str,
 }
 
 impl Node {
     /// Writes the settings of a node and starts it.
     pub fn start(place: &Place, settings: &NodeSettings<'_>) -> Node {
-        let NodeSettings { machine, zone, service, store, memory_mb, grace } = settings;
+        let NodeSettings { machine, zone, service, store, memory_mb, grace, bounds } = settings;
         let ip = place.ip(*machine);
         let name = format!("sidecar-{zone}-{machine}");
         let text = format!(
@@ -245,6 +247,7 @@
 budget_window = "10s"
 retry_slack = 55
 recovery = "15s"
+{bounds}
 [platform]
 address = "{store}"
 form = "read"
