--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -120,7 +120,7 @@
             }
             let (node, answers) = (&nodes[number % 2], &answers);
             let id = new_id();
-            let leaves = trouble && number % LEAVES == 0;
+            let leaves = trouble && number % LEAVES == LEAVES - 1;
             if leaves {
                 left.push(id.clone());
             }
