A task that a process needs is started anew after a panic

Cause: a panic stays within its tokio task, and nobody looked at how the tasks ended. Change: the tasks that follow the store, start waiting attempts, keep house and measure lateness are started anew after a second; logged as "task restarted" and counted in lifthollow_task_restarts_total.

--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -51,6 +51,8 @@
     /// Number of requests that were sent on a second connection because the first had ended before
     /// any byte of them was sent, to the local server and to other nodes.
     pub resent_requests: IntGaugeVec,
+    /// Tasks of the process that panicked and were started anew, by task.
+    pub task_restarts: IntCounterVec,
     /// Log lines left out by the rate limit of the log.
     pub log_lines_left_out: IntCounter,
 }
@@ -186,6 +188,12 @@
                 "Requests sent on a second connection, since the first had ended before any byte of them was sent.",
                 "to",
             )?,
+            task_restarts: counters(
+                &registry,
+                "lifthollow_task_restarts_total",
+                "Tasks of the process that panicked and were started anew.",
+                "task",
+            )?,
             log_lines_left_out: IntCounter::new(
                 "lifthollow_log_lines_left_out_total",
                 "Log lines left out to bound their number.",
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use slog::{info, warn};
+use slog::{error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -37,21 +37,23 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two checks of what is still in progress during a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause before a task is started anew that has panicked.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
 /// Limits of connections to the readiness and metrics ports.
 const ADMIN_CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
     max_header_bytes: 8192,
     idle_timeout: Duration::from_secs(10),
 };
 
-/// Runs `node` until the process receives SIGTERM. `source` runs as a task that keeps the snapshot up
+/// Runs `node` until the process receives SIGTERM. `source` starts the task that keeps the snapshot up
 /// to date; `reload` is called on SIGHUP, when settings may have changed.
 ///
 /// # Errors
 ///
 /// A signal handler can't be installed, or one of the addresses can't be listened on.
-pub async fn run(
+pub async fn run<S: Future<Output = ()> + 'static>(
     node: Rc<Node>,
-    source: impl Future<Output = ()> + 'static,
+    source: impl Fn() -> S + 'static,
     reload: impl Fn(&Rc<Node>) + 'static,
 ) -> Result<()> {
     let mut terminate =
@@ -77,13 +79,16 @@
     close: watch::Sender<bool>,
 }
 
-/// Starts to serve callers and other nodes. `source` runs as a task that keeps the snapshot up to
+/// Starts to serve callers and other nodes. `source` starts the task that keeps the snapshot up to
 /// date.
 ///
 /// # Errors
 ///
 /// One of the addresses in the settings can't be listened on.
-pub fn start(node: &Rc<Node>, source: impl Future<Output = ()> + 'static) -> Result<Running> {
+pub fn start<S: Future<Output = ()> + 'static>(
+    node: &Rc<Node>,
+    source: impl Fn() -> S + 'static,
+) -> Result<Running> {
     let settings = &node.settings;
     let listen = |what: &str, address: SocketAddrV4| {
         let listener = node.network.listen(address);
@@ -123,10 +128,15 @@
             closing.clone(),
         ));
     }
-    spawn_local(source);
-    spawn_local(start_at_rate_limit(node.clone()));
-    spawn_local(run_housekeeping(node.clone()));
-    spawn_local(measure_cpu_delay(node.clone()));
+    keep_running(node, "source", source);
+    let (queue, housekeeping, processor) = (node.clone(), node.clone(), node.clone());
+    keep_running(node, "queue", move || start_at_rate_limit(queue.clone()));
+    keep_running(node, "housekeeping", move || {
+        run_housekeeping(housekeeping.clone())
+    });
+    keep_running(node, "processor", move || {
+        measure_cpu_delay(processor.clone())
+    });
     info!(node.log, "started"; "node" => &settings.node_name, "service" => &settings.service,
         "zone" => &settings.zone, "outbound" => %settings.outbound, "inbound" => %settings.inbound,
         "version" => env!("CARGO_PKG_VERSION"));
@@ -169,6 +179,23 @@
     }
 }
 
+/// Runs a task that the process needs as long as it serves. If the task panics, this is logged and the
+/// task is started anew: the process would go on without it otherwise.
+fn keep_running<T: Future<Output = ()> + 'static>(
+    node: &Rc<Node>,
+    name: &'static str,
+    start: impl Fn() -> T + 'static,
+) {
+    let node = node.clone();
+    spawn_local(async move {
+        while let Err(error) = spawn_local(start()).await {
+            error!(node.log, "task restarted"; "task" => name, "error" => %error);
+            node.metrics.task_restarts.with_label_values(&[name]).inc();
+            sleep(RESTART_PAUSE).await;
+        }
+    });
+}
+
 /// Measures periodically how late this thread is woken, more often while the node is busy.
 async fn measure_cpu_delay(node: Rc<Node>) {
     loop {
