The log of changes holds no former configuration and is bounded in bytes

Cause: the log kept the last 1,024 changes, each configuration whole; it was bounded in number only. A refused one is not noted (it would hide the valid one).

--- a/crates/coordination/src/mesh/snapshot_store/mod.rs
+++ b/crates/coordination/src/mesh/snapshot_store/mod.rs
@@ -66,21 +66,32 @@
         if !revision.continues(self.snapshot.revision) {
             return Applied::Unchanged;
         }
-        self.changes.append(RevisedChange {
-            revision,
-            change: change.clone(),
-        });
         match change {
-            Change::Configuration(configuration) => self.apply_configuration(configuration),
-            Change::Server(instance) => self.apply_server(revision, instance),
-            Change::ServerGone(id) => self.apply_server_gone(now, revision, &id),
-            Change::ServerOverwritten(id) => match self.remove_server(revision, &id) {
-                Some(_) => Applied::Servers,
-                None => Applied::Unchanged,
-            },
+            Change::Configuration(configuration) => {
+                self.apply_configuration(revision, configuration)
+            }
+            Change::Server(instance) => {
+                self.log(revision, Change::Server(instance.clone()));
+                self.apply_server(revision, instance)
+            }
+            Change::ServerGone(id) => {
+                self.log(revision, Change::ServerGone(id.clone()));
+                self.apply_server_gone(now, revision, &id)
+            }
+            Change::ServerOverwritten(id) => {
+                self.log(revision, Change::ServerOverwritten(id.clone()));
+                match self.remove_server(revision, &id) {
+                    Some(_) => Applied::Servers,
+                    None => Applied::Unchanged,
+                }
+            }
         }
     }
 
+    fn log(&mut self, revision: Revision, change: Change) {
+        self.changes.append(RevisedChange { revision, change });
+    }
+
     /// Sets the revision of the snapshot, after all changes up to `revision` were applied.
     pub fn advance(&mut self, revision: Revision) {
         if revision.continues(self.snapshot.revision) {
@@ -133,7 +144,9 @@
             true => Update::Whole((*self.snapshot).clone()),
             false => {
                 let newest = self.snapshot.revision;
-                self.changes.difference_since(theirs.revision, newest)
+                let in_force = self.snapshot.configuration.as_ref();
+                self.changes
+                    .difference_since(theirs.revision, newest, in_force)
             }
         }
     }
@@ -143,8 +156,8 @@
     /// source lost that one.
     pub fn replace(&mut self, now: Timestamp, mut newer: Snapshot) -> Vec<Applied> {
         if newer.revision < self.snapshot.revision {
-            let configuration = newer.configuration.into_iter();
-            let applied = configuration.map(|newest| self.apply_configuration(newest));
+            let (revision, configuration) = (newer.revision, newer.configuration.into_iter());
+            let applied = configuration.map(|newest| self.apply_configuration(revision, newest));
             return applied.filter(|one| *one != Applied::Unchanged).collect();
         }
         self.departed_servers
@@ -152,7 +165,7 @@
         self.changes.append_difference(&self.snapshot, &newer);
         let mut applied = Vec::new();
         if let Some(configuration) = newer.configuration.take() {
-            applied.push(self.apply_configuration(configuration));
+            applied.push(self.apply_configuration(newer.revision, configuration));
         }
         let before = self.snapshot.servers.clone();
         if before != newer.servers {
@@ -274,7 +287,7 @@
         Some(removed)
     }
 
-    fn apply_configuration(&mut self, configuration: Configuration) -> Applied {
+    fn apply_configuration(&mut self, revision: Revision, configuration: Configuration) -> Applied {
         let known = self.snapshot.configuration.as_ref();
         if known.is_some_and(|known| known.version >= configuration.version) {
             return Applied::Unchanged;
@@ -283,6 +296,8 @@
         if !findings.is_empty() {
             return Applied::Rejected(findings);
         }
+        self.changes
+            .note_configuration(revision, configuration.version);
         Arc::make_mut(&mut self.snapshot).configuration = Some(configuration);
         Applied::Configuration
     }
--- a/crates/coordination/tests/mesh_snapshot_updates.rs
+++ b/crates/coordination/tests/mesh_snapshot_updates.rs
@@ -153,6 +153,91 @@
     assert!(!store.snapshot().servers.contains_key(&id("i-2")));
 }
 
+/// Returns the number of routes and servers' texts' bytes that an update carries.
+fn size_of_update(update: &Update) -> (usize, usize) {
+    let Update::Difference { changes, .. } = update else {
+        panic!("the whole snapshot was sent instead of a difference");
+    };
+    let mut size = (0, 0);
+    for change in changes {
+        match &change.change {
+            Change::Configuration(configuration) => size.0 += configuration.routes.len(),
+            Change::Server(instance) => size.1 += instance.service.len() + instance.zone.len(),
+            Change::ServerGone(_) | Change::ServerOverwritten(_) => {}
+        }
+    }
+    size
+}
+
+/// Guards against a log of changes that keeps each of the last configurations whole: nodes exceeded
+/// their memory when a large configuration changed often.
+#[test]
+fn log_of_changes_holds_no_former_configuration() {
+    const ROUTES: usize = 100;
+    let mut store = store_with_servers(3);
+    for revision in 4..=500 {
+        let routes =
+            (0..ROUTES).map(|number| route(&format!("r{number}"), &format!("/r{number}/")));
+        let newest = configuration(revision, routes.collect());
+        let applied = store.apply(
+            at(revision),
+            at_revision(revision),
+            Change::Configuration(newest),
+        );
+        assert_eq!(applied, Applied::Configuration);
+        store.advance(at_revision(revision));
+    }
+    let mut behind = store_with_servers(3);
+    let update = store.update_since(behind.version());
+    assert_eq!(size_of_update(&update).0, ROUTES);
+    behind.update(at(501), update);
+    assert_eq!(behind.snapshot(), store.snapshot());
+}
+
+/// Guards against a configuration that is not valid and takes the place of the one in force in the log
+/// of changes: a node that is behind would get neither.
+#[test]
+fn refused_configuration_hides_no_valid_one_from_nodes_that_are_behind() {
+    let mut store = store_with_servers(3);
+    let mut behind = store.clone();
+    let valid = configuration(1, vec![route("r", "/")]);
+    store.apply(at(4), at_revision(4), Change::Configuration(valid));
+    let mut invalid = configuration(2, vec![route("r", "/")]);
+    invalid.routes[0].max_attempts = 0;
+    let applied = store.apply(at(5), at_revision(5), Change::Configuration(invalid));
+    assert!(matches!(applied, Applied::Rejected(_)));
+    store.advance(at_revision(5));
+    behind.update(at(6), store.update_since(behind.version()));
+    assert_eq!(behind.snapshot(), store.snapshot());
+}
+
+/// Guards against entries with long texts, which another writer may make: the log of changes kept a
+/// thousand of them.
+#[test]
+fn log_of_changes_is_bounded_in_bytes() {
+    const TEXT_BYTES: usize = 100_000;
+    const CHANGES: u64 = 100;
+    let mut store = store_with_servers(3);
+    for revision in 4..4 + CHANGES {
+        let mut changed = server("i-long", &"z".repeat(TEXT_BYTES), 9);
+        changed.slots = revision as u32;
+        store.apply(at(revision), at_revision(revision), Change::Server(changed));
+        store.advance(at_revision(revision));
+    }
+    let logged = (4..4 + CHANGES).filter(|revision| {
+        let update = store.update_since(version_of(*revision));
+        matches!(update, Update::Difference { .. })
+    });
+    let logged = logged.count();
+    assert!(
+        (2..=20).contains(&logged),
+        "{logged} of {CHANGES} changes are in the log"
+    );
+    let mut behind = store_with_servers(3);
+    behind.update(at(1000), store.update_since(behind.version()));
+    assert_eq!(behind.snapshot(), store.snapshot());
+}
+
 /// A fleet with one address per server, whose changes are applied to a store and, for comparison,
 /// to two plain maps of the same size.
 struct ChangingFleet {
