A server that vanished gets nothing beyond its drain time, whenever a node learns of it

Cause: its time of use began when a node learned of the removal (up to 1.3 s late), its end was looked for each 0.5 s, and the node beside it refused nothing for a server that it no longer knew. Change: the time counts from the last confirmation of the view before the removal was learned, is the platform's drain less 0.5 s for the way, and ends by a timer of its own; the server's own node checks it before an attempt runs.

--- a/crates/coordination/src/mesh/snapshot_store/departed_servers.rs
+++ b/crates/coordination/src/mesh/snapshot_store/departed_servers.rs
@@ -18,17 +18,29 @@
 /// entry reappears about two seconds after the source does. Until then requests go to the server if
 /// its service has no other.
 const VANISHED_GRACE: Duration = Duration::from_millis(2500);
-/// How long such a server is remembered at least. If there was no outage, it has left, and serves for
-/// the drain time of two seconds from its removal, which nodes learn of a little later.
-const REMOVED_GRACE: Duration = Duration::from_millis(1000);
-/// Default time after which an entry expires that its server does not renew.
-const ENTRY_LIFETIME: Duration = Duration::from_millis(4500);
+/// Part of the drain time that a request may need from its admission at the server's node until it reaches
+/// the server.
+const DRAIN_RESERVE: Duration = Duration::from_millis(500);
+/// Default times of the source's entries.
+const DEFAULT_TIMES: EntryTimes = EntryTimes {
+    lifetime: Duration::from_millis(4500),
+    drain: Duration::from_millis(2000),
+};
 /// Upper bound of the time between the expiry of an entry and the moment nodes learn of it.
 const REMOVAL_DELAY: Duration = Duration::from_millis(1500);
 /// Maximum number of removed servers that are remembered: more than leave during the seconds that
 /// a backup lacks.
 const MAX_REMOVED_SERVERS: usize = 1024;
 
+/// Times that hold for all entries of servers at the source.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryTimes {
+    /// Time after which an entry expires that its server does not renew.
+    pub lifetime: Duration,
+    /// Time from the removal of a server's entry after which no request may reach the server.
+    pub drain: Duration,
+}
+
 /// Why the source no longer lists the entry of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MissingReason {
@@ -42,10 +54,30 @@
 #[derive(Clone, Debug)]
 struct Vanished {
     instance: ServerInstance,
+    /// When this node learned that the entry is missing.
     since: Timestamp,
+    /// When the source is last known to have listed the entry: it was removed after that, and this node
+    /// may have learned of it late.
+    last_listed: Timestamp,
     reason: MissingReason,
 }
 
+impl Vanished {
+    /// When the server is forgotten, if the source has been available since `available_since`. An entry
+    /// that expired during an outage of the source may return soon after it. If there was no outage, the
+    /// server has left, and gets no requests beyond its drain time.
+    fn forgotten_at(&self, available_since: Timestamp, times: EntryTimes) -> Timestamp {
+        let after_outage = available_since + VANISHED_GRACE;
+        match self.reason {
+            MissingReason::LostByRestore => after_outage.max(self.since + VANISHED_GRACE),
+            MissingReason::Removed => {
+                let in_use_for = times.drain.saturating_sub(DRAIN_RESERVE);
+                after_outage.max(self.last_listed + in_use_for)
+            }
+        }
+    }
+}
+
 /// The last known state of a server's entry before it was removed.
 #[derive(Clone, Copy, Debug)]
 struct LastEntry {
@@ -63,32 +95,33 @@
     /// Servers that were removed without an announcement and that a restored backup lists again,
     /// with the time at which it did.
     unconfirmed: BTreeMap<InstanceId, Timestamp>,
-    entry_lifetime: Duration,
+    times: EntryTimes,
 }
 
 impl Default for DepartedServers {
     fn default() -> Self {
-        DepartedServers::new(ENTRY_LIFETIME)
+        DepartedServers::new(DEFAULT_TIMES)
     }
 }
 
 impl DepartedServers {
-    /// Creates an empty record for a source whose entries expire `entry_lifetime` after their last
-    /// renewal.
-    pub(super) fn new(entry_lifetime: Duration) -> Self {
+    /// Creates an empty record for a source with these times of its entries.
+    pub(super) fn new(times: EntryTimes) -> Self {
         DepartedServers {
             vanished: BTreeMap::new(),
             removed: BTreeMap::new(),
             removal_order: VecDeque::new(),
             unconfirmed: BTreeMap::new(),
-            entry_lifetime,
+            times,
         }
     }
 
-    /// Records that the entry of a server is missing from `now` on.
+    /// Records that this node learns at `now` that the entry of a server is missing, which the source
+    /// still had at `last_listed`.
     pub(super) fn record_missing(
         &mut self,
         now: Timestamp,
+        last_listed: Timestamp,
         known: KnownServer,
         reason: MissingReason,
     ) {
@@ -103,6 +136,7 @@
         let vanished = Vanished {
             instance,
             since: now,
+            last_listed,
             reason,
         };
         self.vanished.insert(vanished.instance.id.clone(), vanished);
@@ -154,21 +188,42 @@
     /// source has been available since `available_since`.
     pub(super) fn expire(&mut self, now: Timestamp, available_since: Timestamp) -> bool {
         let age = |since: Timestamp| now.saturating_since(available_since.max(since));
-        let is_remembered = |vanished: &Vanished| match vanished.reason {
-            MissingReason::LostByRestore => age(vanished.since) < VANISHED_GRACE,
-            MissingReason::Removed => {
-                now.saturating_since(available_since) < VANISHED_GRACE
-                    || age(vanished.since) < REMOVED_GRACE
-            }
-        };
-        let unconfirmed_for = self.entry_lifetime + REMOVAL_DELAY;
+        let unconfirmed_for = self.times.lifetime + REMOVAL_DELAY;
         let before = self.vanished.len() + self.unconfirmed.len();
-        self.vanished.retain(|_, vanished| is_remembered(vanished));
+        let times = self.times;
+        self.vanished
+            .retain(|_, vanished| now < vanished.forgotten_at(available_since, times));
         self.unconfirmed
             .retain(|_, since| age(*since) < unconfirmed_for);
         self.vanished.len() + self.unconfirmed.len() < before
     }
 
+    /// The time at which the next server is forgotten that vanished, if the source has been available
+    /// since `available_since` and stays so.
+    pub(super) fn next_expiry(&self, available_since: Timestamp) -> Option<Timestamp> {
+        let vanished = self.vanished.values();
+        vanished
+            .map(|vanished| vanished.forgotten_at(available_since, self.times))
+            .min()
+    }
+
+    /// Whether the server has left at `now`: its entry was removed, and no outage of the source explains
+    /// that. The source has been available since `available_since`; none during an outage.
+    pub(super) fn has_left(
+        &self,
+        now: Timestamp,
+        available_since: Option<Timestamp>,
+        id: &InstanceId,
+    ) -> bool {
+        let may_return = |vanished: &Vanished| {
+            let is_remembered = |since| now < vanished.forgotten_at(since, self.times);
+            available_since.is_none_or(is_remembered)
+        };
+        let mut same = self.vanished_ready();
+        let is_used = same.any(|one| one.instance.id.is_same_server(id) && may_return(one));
+        !is_used && self.last_entry(id).is_some()
+    }
+
     /// Servers that vanished without announcing that they leave, and that are still remembered.
     pub(super) fn recently_vanished(&self) -> impl Iterator<Item = &ServerInstance> {
         self.vanished_ready().map(|vanished| &vanished.instance)
--- a/crates/coordination/src/mesh/snapshot_store/mod.rs
+++ b/crates/coordination/src/mesh/snapshot_store/mod.rs
@@ -11,7 +11,6 @@
 use std::collections::hash_map::Entry;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Duration;
 
 use lifthollow_state::Timestamp;
 use lifthollow_state::mesh::{
@@ -20,6 +19,7 @@
 };
 
 use change_log::ChangeLog;
+pub use departed_servers::EntryTimes;
 use departed_servers::{DepartedServers, MissingReason};
 
 /// The effect of applying a change to the snapshot.
@@ -40,6 +40,8 @@
 pub struct SnapshotStore {
     snapshot: Arc<Snapshot>,
     departed_servers: DepartedServers,
+    /// When the snapshot was last known to be the source's newest; none if it never was.
+    confirmed_at: Option<Timestamp>,
     /// The revisions of the entries at each address. There are few per address.
     revisions_by_address: HashMap<SocketAddrV4, Vec<Revision>>,
     /// The most recent changes, for nodes that are behind.
@@ -47,11 +49,10 @@
 }
 
 impl SnapshotStore {
-    /// Creates an empty store for a source whose entries expire `entry_lifetime` after their last
-    /// renewal.
-    pub fn new(entry_lifetime: Duration) -> Self {
+    /// Creates an empty store for a source with these times of its entries.
+    pub fn new(times: EntryTimes) -> Self {
         SnapshotStore {
-            departed_servers: DepartedServers::new(entry_lifetime),
+            departed_servers: DepartedServers::new(times),
             ..SnapshotStore::default()
         }
     }
@@ -99,6 +100,11 @@
         }
     }
 
+    /// Records that the snapshot was the source's newest at `at`.
+    pub fn confirm(&mut self, at: Timestamp) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
     /// Applies an update that another node sent.
     pub fn update(&mut self, now: Timestamp, update: Update) -> Vec<Applied> {
         match update {
@@ -175,7 +181,7 @@
             };
             for (id, known) in before {
                 if newer.server(&id).is_none() {
-                    self.departed_servers.record_missing(now, known, reason);
+                    self.record_missing(now, known, reason);
                 }
             }
             Arc::make_mut(&mut self.snapshot).servers = newer.servers;
@@ -196,6 +202,23 @@
         available_since.is_some_and(|since| self.departed_servers.expire(now, since))
     }
 
+    /// Returns the time at which [`expire_vanished`](Self::expire_vanished) has to be called next: no
+    /// request may reach a server later. None if no server has vanished, or during an outage of the source.
+    pub fn next_expiry(&self, available_since: Option<Timestamp>) -> Option<Timestamp> {
+        self.departed_servers.next_expiry(available_since?)
+    }
+
+    /// Whether the server has left at `now`: its entry was removed, and no outage of the source explains
+    /// that. The source has been available since `available_since`; none during an outage.
+    pub fn has_left(
+        &self,
+        now: Timestamp,
+        available_since: Option<Timestamp>,
+        id: &InstanceId,
+    ) -> bool {
+        self.departed_servers.has_left(now, available_since, id)
+    }
+
     /// Returns the servers that vanished without announcing that they leave, and that are still
     /// remembered.
     pub fn recently_vanished(&self) -> Vec<ServerInstance> {
@@ -326,14 +349,19 @@
     ) -> Applied {
         match self.remove_server(revision, id) {
             Some(server) => {
-                self.departed_servers
-                    .record_missing(now, server, MissingReason::Removed);
+                self.record_missing(now, server, MissingReason::Removed);
                 Applied::Servers
             }
             None => Applied::Unchanged,
         }
     }
 
+    fn record_missing(&mut self, now: Timestamp, server: KnownServer, reason: MissingReason) {
+        let last_listed = self.confirmed_at.unwrap_or(now).min(now);
+        self.departed_servers
+            .record_missing(now, last_listed, server, reason);
+    }
+
     fn remove_server(&mut self, revision: Revision, id: &InstanceId) -> Option<KnownServer> {
         let known = self.snapshot.server(id)?;
         if known.revision > revision {
--- a/crates/coordination/tests/mesh_eras.rs
+++ b/crates/coordination/tests/mesh_eras.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use lifthollow_coordination::mesh::snapshot_store::{Applied, SnapshotStore};
+use lifthollow_coordination::mesh::snapshot_store::{Applied, EntryTimes, SnapshotStore};
 use lifthollow_state::mesh::{
     Change, KnownServer, Revision, ServerInstance, ServerState, Snapshot, SnapshotVersion, Update,
 };
@@ -13,7 +13,10 @@
 use quickcheck::quickcheck;
 
 /// Time after which an entry expires that nobody renews.
-const ENTRY_LIFETIME: Duration = Duration::from_millis(3000);
+const ENTRY_TIMES: EntryTimes = EntryTimes {
+    lifetime: Duration::from_millis(3000),
+    drain: Duration::from_millis(2000),
+};
 /// Milliseconds after which an entry that only a backup lists has expired, or is confirmed.
 const UNCONFIRMED_MS: u64 = 5000;
 
@@ -27,7 +30,7 @@
 /// A node at revision 20 of the first era, with configuration version 21 and three servers: one
 /// ready, one draining, and one whose entry was removed without an announcement.
 fn node_before_restore() -> SnapshotStore {
-    let mut node = SnapshotStore::new(ENTRY_LIFETIME);
+    let mut node = SnapshotStore::new(ENTRY_TIMES);
     let changes = [
         (5, Change::Server(server("i-ready", "a", 1))),
         (6, Change::Server(server("i-leaving", "a", 2))),
@@ -143,7 +146,7 @@
 fn a_node_that_knows_only_the_backup_is_sent_the_newer_configuration_of_others() {
     let mut carrying = node_before_restore();
     carrying.replace(at(1000), restored_snapshot(2));
-    let mut started = SnapshotStore::new(ENTRY_LIFETIME);
+    let mut started = SnapshotStore::new(ENTRY_TIMES);
     started.replace(at(1000), restored_snapshot(2));
     assert_eq!(configuration_version(&started), 18);
     assert!(started.version().lacks(carrying.version()));
@@ -155,7 +158,7 @@
 #[test]
 fn a_node_of_an_earlier_era_passes_on_its_newer_configuration() {
     let behind = node_before_restore();
-    let mut started = SnapshotStore::new(ENTRY_LIFETIME);
+    let mut started = SnapshotStore::new(ENTRY_TIMES);
     started.replace(at(1000), restored_snapshot(2));
     started.update(at(1001), behind.update_since(started.version()));
     assert_eq!(configuration_version(&started), 21);
@@ -175,7 +178,7 @@
         assert!(known.is_some_and(|known| !known.instance.is_ready()));
     }
     // Other nodes are told that the server is draining.
-    let mut started = SnapshotStore::new(ENTRY_LIFETIME);
+    let mut started = SnapshotStore::new(ENTRY_TIMES);
     started.update(at(3001), node.update_since(SnapshotVersion::default()));
     assert!(!ready_servers(&started).contains(&"i-leaving".to_owned()));
     // The same entry is read once more.
@@ -385,5 +388,5 @@
 
 #[test]
 fn an_entry_expires_before_it_is_trusted_again() {
-    assert!(ENTRY_LIFETIME < ms(UNCONFIRMED_MS));
+    assert!(ENTRY_TIMES.lifetime < ms(UNCONFIRMED_MS));
 }
--- a/crates/coordination/tests/mesh_routes.rs
+++ b/crates/coordination/tests/mesh_routes.rs
@@ -194,15 +194,48 @@
     );
 }
 
+/// Guards against a drain time that is counted from when a node learns that a server has gone: it had gone
+/// at any time since the view was last confirmed.
 #[test]
 fn only_server_of_a_service_is_not_used_until_the_end_of_its_drain_time_if_the_source_was_there() {
-    let mut store = SnapshotStore::default();
-    apply_entry(&mut store, 0, 5, server("i-1", "a", 1));
-    store.apply(at(10_000), at_revision(6), Change::ServerGone(id("i-1")));
-    assert!(!store.expire_vanished(at(10_500), Some(at(0))));
-    assert_eq!(ids_in_force(&store), ["i-1"]);
-    assert!(store.expire_vanished(at(11_000), Some(at(0))));
-    assert!(ids_in_force(&store).is_empty());
+    const DRAIN_MS: u64 = 2_000;
+    for learned_late_ms in [0, 400, 1_300, 1_900, 5_000] {
+        let mut store = SnapshotStore::default();
+        apply_entry(&mut store, 0, 5, server("i-1", "a", 1));
+        store.confirm(at(10_000));
+        let learned = 10_000 + learned_late_ms;
+        store.apply(at(learned), at_revision(6), Change::ServerGone(id("i-1")));
+        let last = 10_000 + DRAIN_MS - 1;
+        for now in (learned..12_500).step_by(20) {
+            store.expire_vanished(at(now), Some(at(0)));
+            let is_used = !ids_in_force(&store).is_empty();
+            let has_left = store.has_left(at(now), Some(at(0)), &id("i-1"));
+            assert_ne!(is_used, has_left, "at {now}");
+            assert!(
+                !is_used || now <= last,
+                "used at {now}, learned at {learned}"
+            );
+            let is_early = now < 10_000 + DRAIN_MS / 2;
+            assert!(
+                is_used || !is_early,
+                "dropped at {now}, learned at {learned}"
+            );
+        }
+    }
+}
+
+#[test]
+fn next_expiry_is_when_the_first_vanished_server_is_forgotten() {
+    let mut store = store_whose_server_vanished();
+    assert_eq!(store.next_expiry(None), None, "the source is unreachable");
+    let next = store
+        .next_expiry(Some(at(0)))
+        .expect("a server has vanished");
+    assert!(next > at(1_000));
+    let before = at(next.saturating_since(at(0)).as_millis() as u64 - 1);
+    assert!(!store.expire_vanished(before, Some(at(0))));
+    assert!(store.expire_vanished(next, Some(at(0))));
+    assert_eq!(store.next_expiry(Some(at(0))), None);
 }
 
 #[test]
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -169,6 +169,8 @@
     pub encoded_snapshot: RefCell<Option<(SnapshotVersion, Bytes)>>,
     /// Notified when attempts wait for the server's rate limit and the next may start at another time.
     pub next_start_changed: Notify,
+    /// Notified when servers have vanished, which are to be forgotten in time.
+    pub servers_vanished: Notify,
     /// Whether an update is being fetched from another node.
     pub is_catching_up: Cell<bool>,
     /// When a caller or another node last sent a request that needs a fresh view; none if that never
@@ -189,7 +191,7 @@
         let clock = environment.clock;
         let random = environment.random;
         let state = TrafficState {
-            snapshots: SnapshotStore::new(settings.entry_lifetime),
+            snapshots: SnapshotStore::new(settings.entry_times),
             view: ViewFreshness::default(),
             watchers: Vec::new(),
             zone_watchers: Vec::new(),
@@ -226,6 +228,7 @@
             phase: Cell::new(Phase::Serving),
             encoded_snapshot: RefCell::default(),
             next_start_changed: Notify::new(),
+            servers_vanished: Notify::new(),
             is_catching_up: Cell::new(false),
             last_request: Cell::new(None),
             is_server_failing: Cell::new(false),
@@ -314,7 +317,9 @@
     /// Confirms the view: at `at` or later, the source had nothing newer than this node's snapshot.
     pub fn confirm_view(&self, at: Timestamp) {
         let now = self.now();
-        self.state.borrow_mut().view.confirm(now, at);
+        let mut state = self.state.borrow_mut();
+        state.view.confirm(now, at);
+        state.snapshots.confirm(at);
     }
 
     /// The version of the configuration in force; none before the first configuration.
--- a/crates/proxy/src/node/own_server.rs
+++ b/crates/proxy/src/node/own_server.rs
@@ -29,14 +29,20 @@
     }
 
     /// Returns why an attempt for the server instance `id` is refused: `id` is not the instance beside
-    /// this node, or that instance is leaving. Returns none for an instance that this node does not
-    /// know: only the server itself can tell whether it is the one.
+    /// this node, or that instance is leaving or has left. Returns none for an instance that this node
+    /// has never known: only the server itself can tell whether it is the one.
     pub fn refusal_for(&self, id: &InstanceId) -> Option<NotRunReason> {
         let state = self.state.borrow();
         if state.admission.is_leaving(id) {
             return Some(NotRunReason::ServerDraining);
         }
-        let known = state.snapshots.snapshot().server(id)?;
+        let Some(known) = state.snapshots.snapshot().server(id) else {
+            let now = self.now();
+            let available_since = state.view.source_available_since(now);
+            let has_left = state.snapshots.has_left(now, available_since, id);
+            // Only for a while: a node that is ahead of this one may know that the server is back.
+            return has_left.then_some(NotRunReason::WrongInstance);
+        };
         let own = state.own_server.as_ref();
         if own.is_none_or(|own| !own.is_same_server(id)) {
             return Some(NotRunReason::WrongInstance);
--- a/crates/proxy/src/node/refresh.rs
+++ b/crates/proxy/src/node/refresh.rs
@@ -19,6 +19,11 @@
     /// Updates routes, servers and limits to the current snapshot.
     pub fn refresh(&self, state: &mut TrafficState) {
         let now = self.now();
+        let available_since = state.view.source_available_since(now);
+        state.snapshots.expire_vanished(now, available_since);
+        if state.snapshots.next_expiry(available_since).is_some() {
+            self.servers_vanished.notify_one();
+        }
         let snapshot = state.snapshots.snapshot().clone();
         if let Some(configuration) = &snapshot.configuration {
             self.refresh_routes(state, configuration);
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -18,7 +18,7 @@
 use crate::http::ProxyBody;
 use crate::http::server::{self, ConnectionLimits, Handler, InProgress};
 use crate::inbound::{Inbound, start_at_rate_limit};
-use crate::node::{Node, Phase};
+use crate::node::{Node, Phase, TrafficState};
 use crate::outbound::Outbound;
 use crate::suspects;
 use crate::tenants;
@@ -129,8 +129,12 @@
         ));
     }
     keep_running(node, "source", source);
-    let (queue, housekeeping, processor) = (node.clone(), node.clone(), node.clone());
+    let (queue, servers) = (node.clone(), node.clone());
+    let (housekeeping, processor) = (node.clone(), node.clone());
     keep_running(node, "queue", move || start_at_rate_limit(queue.clone()));
+    keep_running(node, "vanished servers", move || {
+        forget_vanished_in_time(servers.clone())
+    });
     keep_running(node, "housekeeping", move || {
         run_housekeeping(housekeeping.clone())
     });
@@ -229,15 +233,40 @@
         suspects::expire_and_update_gauges(&node);
         tenants::expire_and_update_gauges(&node);
         let mut state = node.state.borrow_mut();
-        let now = node.now();
-        state.admission.observe(now);
-        let available_since = state.view.source_available_since(now);
-        if state.snapshots.expire_vanished(now, available_since) {
-            node.refresh(&mut state);
+        state.admission.observe(node.now());
+        forget_vanished_servers(&node, &mut state);
+    }
+}
+
+/// Forgets servers that vanished, as soon as no request may reach them any more. Never returns.
+async fn forget_vanished_in_time(node: Rc<Node>) {
+    loop {
+        let next = {
+            let state = node.state.borrow();
+            let available_since = state.view.source_available_since(node.now());
+            state.snapshots.next_expiry(available_since)
+        };
+        let Some(next) = next else {
+            node.servers_vanished.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = sleep_until(node.clock.instant(next).into()) => {
+                forget_vanished_servers(&node, &mut node.state.borrow_mut());
+            }
+            () = node.servers_vanished.notified() => {}
         }
     }
 }
 
+fn forget_vanished_servers(node: &Rc<Node>, state: &mut TrafficState) {
+    let now = node.now();
+    let available_since = state.view.source_available_since(now);
+    if state.snapshots.expire_vanished(now, available_since) {
+        node.refresh(state);
+    }
+}
+
 /// Logs when the local server begins to fail its requests, and when it serves them again.
 fn log_server_health(node: &Rc<Node>) {
     let state = node.state.borrow();
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lifthollow_coordination::mesh::retry_budget::FleetRetryBound;
+use lifthollow_coordination::mesh::snapshot_store::EntryTimes;
 use lifthollow_coordination::mesh::tenants::authentication::MaxViewAge;
 use lifthollow_coordination::mesh::tenants::fleet_quota::QuotaTolerance;
 
@@ -26,8 +27,8 @@
     pub readiness: SocketAddrV4,
     /// Address at which metrics are served; if none, they are not served.
     pub metrics: Option<SocketAddrV4>,
-    /// How long a server's entry at the source lasts if the server does not renew it.
-    pub entry_lifetime: Duration,
+    /// Times that hold for servers' entries at the source.
+    pub entry_times: EntryTimes,
     /// Bound on the repeated attempts of all nodes together.
     pub retry_bound: FleetRetryBound,
     /// How old the view may be for tenants' keys to be accepted; if none, at any age.
