A peer is gone if it acknowledges nothing, not if it reads nothing

Cause: TCP_USER_TIMEOUT, 15 s and 2 s. The system applies it while the peer's window is closed, and with small windows counts all pauses as one. Change: where the system tells of acknowledgements (TCP_INFO), the option is gone. Connections with bytes under way are looked at each 500 ms; a peer is gone if something is unacknowledged and nothing was acknowledged for 2 s (opened) or 15 s (accepted), the limits of before. No limit was raised. The number of keep-alive probes follows from these limits (by reading, not run). The sockets' options moved from http to network.

--- a/crates/coordination/src/mesh/mod.rs
+++ b/crates/coordination/src/mesh/mod.rs
@@ -15,6 +15,8 @@
 //!
 //! [`connection_history`] decides which connections to its server an attempt may be sent on.
 //!
+//! [`acknowledgements`] tells connections whose peer is gone from those whose peer is slow to read.
+//!
 //! [`rate_limits`] keeps the request rates of servers below the limits that they announce.
 //!
 //! [`processor_admission`] decides which attempts the node's own processor has time for.
@@ -30,6 +32,7 @@
 //! [`watchers`] decides which nodes ask the source on behalf of all, and [`view_freshness`] when
 //! the other nodes must ask it.
 
+pub mod acknowledgements;
 mod admission_level;
 pub mod admission_queue;
 pub mod call;
--- a/crates/proxy/src/http/mod.rs
+++ b/crates/proxy/src/http/mod.rs
@@ -7,6 +7,5 @@
 pub mod pipeline;
 pub mod pool;
 pub mod server;
-pub mod socket;
 
 pub use body::ProxyBody;
--- a/crates/proxy/src/network.rs
+++ b/crates/proxy/src/network/mod.rs
@@ -3,14 +3,26 @@
 //! The deterministic simulation runs the same process on in-memory connections and a virtual clock,
 //! so only this module opens sockets.
 
+mod monitor;
+mod socket;
+
 use std::io;
 use std::net::SocketAddrV4;
 use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
 
+use lifthollow_transport::clock::Clock;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::http::socket;
+use monitor::Monitor;
+
+/// A connection that this process opened is closed when its peer acknowledges nothing for this long.
+const OPENED_SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// An accepted connection is closed when its peer acknowledges nothing for this long: about as long as
+/// it may stay idle.
+const ACCEPTED_SILENCE_LIMIT: Duration = Duration::from_secs(15);
 
 /// A bidirectional byte stream: a socket of the system or a connection of a simulation.
 pub trait Connection: AsyncRead + AsyncWrite + Unpin {}
@@ -47,28 +59,51 @@
 }
 
 /// The network of the operating system, with TCP connections.
-pub struct SystemNetwork;
+pub struct SystemNetwork {
+    monitor: Rc<Monitor>,
+}
+
+impl SystemNetwork {
+    /// Creates the network of a process, whose times are measured with `clock`.
+    pub fn new(clock: Clock) -> Self {
+        SystemNetwork {
+            monitor: Monitor::new(clock),
+        }
+    }
+}
 
 impl Network for SystemNetwork {
     fn listen(&self, address: SocketAddrV4) -> io::Result<Box<dyn Listener>> {
-        Ok(Box::new(socket::listen(address)?))
+        Ok(Box::new(SystemListener {
+            listener: socket::listen(address)?,
+            monitor: self.monitor.clone(),
+        }))
     }
 
     fn connect(&self, address: SocketAddrV4) -> ConnectionFuture<'static> {
+        let monitor = self.monitor.clone();
         Box::pin(async move {
             let stream = TcpStream::connect(address).await?;
-            socket::prepare_opened(&stream);
-            Ok(Box::new(stream) as Stream)
+            Ok(monitored(&monitor, stream, OPENED_SILENCE_LIMIT))
         })
     }
 }
 
-impl Listener for TcpListener {
+struct SystemListener {
+    listener: TcpListener,
+    monitor: Rc<Monitor>,
+}
+
+impl Listener for SystemListener {
     fn accept(&self) -> ConnectionFuture<'_> {
         Box::pin(async move {
-            let (stream, _) = TcpListener::accept(self).await?;
-            socket::prepare_accepted(&stream);
-            Ok(Box::new(stream) as Stream)
+            let (stream, _) = self.listener.accept().await?;
+            Ok(monitored(&self.monitor, stream, ACCEPTED_SILENCE_LIMIT))
         })
     }
 }
+
+fn monitored(monitor: &Rc<Monitor>, stream: TcpStream, limit: Duration) -> Stream {
+    socket::prepare(&stream, limit);
+    Box::new(monitor.watch(stream, limit))
+}
--- a/crates/proxy/src/node/mod.rs
+++ b/crates/proxy/src/node/mod.rs
@@ -110,10 +110,11 @@
 impl Environment {
     /// The system's network and clock, and a randomly seeded random number generator.
     pub fn of_system() -> Self {
+        let clock = Clock::start();
         Environment {
-            network: Rc::new(SystemNetwork),
+            network: Rc::new(SystemNetwork::new(clock)),
             random: SmallRng::from_rng(&mut rand::rng()),
-            clock: Clock::start(),
+            clock,
         }
     }
 }
