Calls of a run are let in until its deadline, also when nobody waits for it any more

Cause: a node forgot a run as soon as nobody waited for its answer; but it is the server that ends a run. A call that may belong to a run from before the node's start gets 503, not run, in place of 401.

--- a/crates/coordination/src/mesh/route_table.rs
+++ b/crates/coordination/src/mesh/route_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use lifthollow_state::mesh::{Configuration, Route};
 
@@ -10,6 +11,7 @@
 pub struct RouteTable {
     version: u64,
     by_host: HashMap<String, HashMap<String, Arc<Route>>>,
+    longest_timeout: Option<Duration>,
 }
 
 impl RouteTable {
@@ -22,12 +24,21 @@
                 .or_default()
                 .insert(route.path_prefix.clone(), Arc::new(route.clone()));
         }
+        let timeouts = configuration.routes.iter().map(|route| route.timeout);
         RouteTable {
             version: configuration.version,
             by_host,
+            longest_timeout: timeouts
+                .collect::<Option<Vec<_>>>()
+                .and_then(|all| all.into_iter().max()),
         }
     }
 
+    /// The longest time for which a request may be processed; `None` if the routes set no limit.
+    pub fn longest_timeout(&self) -> Option<Duration> {
+        self.longest_timeout
+    }
+
     /// The version of the configuration that the routes come from.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/coordination/src/mesh/server_admission.rs
+++ b/crates/coordination/src/mesh/server_admission.rs
@@ -125,6 +125,7 @@
         if before.is_some_and(|before| before != *server) {
             self.notice = ServerNotice::default();
             self.queue.reset_rate_limit();
+            self.running.forget_abandoned();
         }
     }
 
@@ -291,6 +292,13 @@
         self.graph.record_completion(run, success);
     }
 
+    /// Records that nobody waits for a run any more, although the server may work on: it makes calls until
+    /// the deadline of the run.
+    pub fn abandon(&mut self, now: Timestamp, attempt: &ArrivingAttempt, run: InboundId) {
+        self.running.forget_overdue(now);
+        self.running.abandoned(&attempt.request_id, run);
+    }
+
     /// Records that a run ended. `ran_for` is its duration if the server answered. Returns the
     /// tickets of waiting attempts that now run.
     pub fn finish(
@@ -317,13 +325,18 @@
     }
 
     /// The run that makes a call from the local server; `None` for requests of callers.
-    pub fn parent_of(&self, request_id: &str, deadline: Timestamp) -> Option<Parent> {
-        self.running.parent_of(request_id, deadline)
+    pub fn parent_of(
+        &self,
+        now: Timestamp,
+        request_id: &str,
+        deadline: Timestamp,
+    ) -> Option<Parent> {
+        self.running.parent_of(now, request_id, deadline)
     }
 
     /// Whether the request ID shows that a run on this node's local server makes the call.
-    pub fn has_parent(&self, request_id: &str) -> bool {
-        self.running.has_parent(request_id)
+    pub fn has_parent(&self, now: Timestamp, request_id: &str) -> bool {
+        self.running.has_parent(now, request_id)
     }
 
     /// Records that a run calls another service.
@@ -372,6 +385,7 @@
 
     /// Updates the admission level by the current load and the time that has passed.
     pub fn observe(&mut self, now: Timestamp) {
+        self.running.forget_overdue(now);
         let load = self.queue.occupancy_under_rate_limit(now);
         let occupancy = admission_threshold::Occupancy {
             running: load.running as usize,
--- a/crates/coordination/src/mesh/tenants/authentication.rs
+++ b/crates/coordination/src/mesh/tenants/authentication.rs
@@ -28,6 +28,9 @@
     NoKey,
     /// The request's key belongs to no tenant.
     UnknownKey,
+    /// The request has no key. It names a request that the local server may have begun to run before this
+    /// node started, which calls without a key are made for.
+    UnknownRun,
     /// This node's configuration view is too old to accept or reject the key.
     ViewTooOld,
 }
--- a/crates/coordination/tests/mesh_admission.rs
+++ b/crates/coordination/tests/mesh_admission.rs
@@ -272,16 +272,67 @@
     running.started("aa", at(1000), parent(1, false));
     running.started("bb", at(2000), parent(2, true));
     let by_request_id = running
-        .parent_of("bb.cc", at(1000))
+        .parent_of(at(0), "bb.cc", at(1000))
         .expect("no run with the ID prefix found");
     assert!(by_request_id.is_retry);
     let by_deadline = running
-        .parent_of("zz", at(1001))
+        .parent_of(at(0), "zz", at(1001))
         .expect("no run with the deadline found");
     assert_eq!(by_deadline.run, InboundId(1));
-    assert_eq!(running.parent_of("zz", at(1500)), None);
+    assert_eq!(running.parent_of(at(0), "zz", at(1500)), None);
     running.ended("bb", InboundId(2));
-    assert_eq!(running.parent_of("bb.cc", at(2100)), None);
+    assert_eq!(running.parent_of(at(0), "bb.cc", at(2100)), None);
+}
+
+/// Guards against forgetting a run as soon as nobody waits for its answer: its server works on and makes
+/// calls, until the deadline at the latest.
+#[test]
+fn abandoned_run_is_the_parent_of_its_calls_until_its_deadline() {
+    let mut running = RunningRequests::default();
+    running.started("aa", at(1000), parent(1, false));
+    running.abandoned("aa", InboundId(1));
+    running.ended("aa", InboundId(1));
+    running.forget_overdue(at(999));
+    assert!(running.has_parent(at(0), "aa.bb"));
+    let found = running.parent_of(at(0), "aa.bb", at(1000));
+    assert_eq!(found.map(|found| found.run), Some(InboundId(1)));
+    let by_deadline = running.parent_of(at(0), "zz", at(1000));
+    assert_eq!(
+        by_deadline, None,
+        "a caller that has left may come back with the same deadline"
+    );
+    assert!(running.has_parent(at(1000), "aa.bb"));
+    assert!(!running.has_parent(at(1010), "aa.bb"));
+    running.forget_overdue(at(1010));
+    assert_eq!(running.abandoned_count(), 0);
+}
+
+#[test]
+fn abandoned_run_gives_way_to_a_new_run_of_its_request() {
+    let mut running = RunningRequests::default();
+    running.started("aa", at(1000), parent(1, false));
+    running.abandoned("aa", InboundId(1));
+    running.started("aa", at(1200), parent(2, true));
+    assert_eq!(running.abandoned_count(), 0);
+    running.abandoned("aa", InboundId(1));
+    running.ended("aa", InboundId(2));
+    assert!(!running.has_parent(at(0), "aa.bb"));
+}
+
+#[test]
+fn abandoned_runs_are_bounded_and_forgotten_when_their_server_ends() {
+    const RUNS: u64 = 10_000;
+    let mut running = RunningRequests::default();
+    for number in 0..RUNS {
+        let id = format!("r{number}");
+        running.started(&id, at(number), parent(number, false));
+        running.abandoned(&id, InboundId(number));
+    }
+    assert!(running.abandoned_count() < RUNS as usize / 2);
+    assert!(running.has_parent(at(0), &format!("r{}.1", RUNS - 1)));
+    assert!(!running.has_parent(at(0), "r0.1"));
+    running.forget_abandoned();
+    assert!(!running.has_parent(at(0), &format!("r{}.1", RUNS - 1)));
 }
 
 #[test]
@@ -291,7 +342,9 @@
     running.started("aa", at(1000), parent(2, true));
     running.ended("aa", InboundId(1));
     assert_eq!(
-        running.parent_of("aa.bb", at(0)).map(|found| found.run),
+        running
+            .parent_of(at(0), "aa.bb", at(0))
+            .map(|found| found.run),
         Some(InboundId(2))
     );
 }
--- a/crates/proxy/src/inbound/admission.rs
+++ b/crates/proxy/src/inbound/admission.rs
@@ -34,6 +34,8 @@
     pub(super) end: RunEnd,
     /// Whether the whole answer has been received.
     pub(super) is_complete: Rc<Cell<bool>>,
+    /// Whether the server has not run the request: it was not sent, or the server refused it.
+    pub(super) has_not_run: bool,
 }
 
 impl Permit {
@@ -51,8 +53,14 @@
             answered: false,
             end: RunEnd::Abandoned,
             is_complete: Rc::default(),
+            has_not_run: false,
         }
     }
+
+    /// Whether the server may still work on the request.
+    fn may_run_on(&self) -> bool {
+        !self.is_complete.get() && !self.has_not_run
+    }
 }
 
 impl Drop for Permit {
@@ -65,6 +73,9 @@
         if let Some(content) = content.filter(|_| is_served) {
             suspects::record_successful_run(&mut state, now, content);
         }
+        if self.may_run_on() {
+            state.admission.abandon(now, &self.arriving, self.run);
+        }
         let started = state
             .admission
             .finish(now, &self.arriving, self.run, self.end, ran_for);
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -74,6 +74,7 @@
                 .borrow_mut()
                 .server_runs
                 .remove_unstarted(permit.run);
+            permit.has_not_run = true;
             crash_detector::note_refused(node, &server, &error);
             return AttemptOutcome::not_run(NotRunReason::ServerUnreachable);
         }
@@ -109,6 +110,7 @@
             .borrow_mut()
             .server_runs
             .remove_unstarted(permit.run);
+        permit.has_not_run = true;
         if is_misdirected {
             // Another server instance listens at the address: the intended one has failed no run.
             permit.end = RunEnd::Abandoned;
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -37,9 +37,9 @@
 
 /// Time after which callers may retry while this node has no configuration yet.
 const NOT_CONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Time after which callers may retry if this node's view is too old to check their key: nodes
-/// ask for a fresh view several times a second.
-const VIEW_TOO_OLD_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which callers may retry if this node can't tell whether they need a key, or whether theirs is
+/// valid: nodes ask for a fresh view several times a second.
+const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Minimum time after which callers refused for overload are asked to retry. Each caller's time
 /// is drawn at random between once and twice this.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -144,20 +144,21 @@
 }
 
 /// Returns the outcome label and the response for a request that needs a key but carries none that
-/// is known to be valid.
+/// is known to be valid. If this node can't tell, the caller is asked to try again.
 fn deny(node: &Rc<Node>, head: &Parts, denial: Denial) -> (&'static str, Response<ProxyBody>) {
     let word = match denial {
         Denial::NoKey => "no-key",
         Denial::UnknownKey => "unknown-key",
+        Denial::UnknownRun => "unknown-run",
         Denial::ViewTooOld => "view-too-old",
     };
     log_unrouted(node, head, word);
     let response = match denial {
         Denial::NoKey | Denial::UnknownKey => status(StatusCode::UNAUTHORIZED),
-        Denial::ViewTooOld => final_response(
+        Denial::UnknownRun | Denial::ViewTooOld => final_response(
             node,
             FinalAnswer::Refused {
-                retry_after: VIEW_TOO_OLD_RETRY_AFTER,
+                retry_after: UNDECIDED_RETRY_AFTER,
                 reason: RefusalReason::ViewTooOld,
             },
         ),
--- a/crates/proxy/src/outbound/request.rs
+++ b/crates/proxy/src/outbound/request.rs
@@ -118,9 +118,10 @@
 ) -> (CallTreePlace, Option<NestedCall>) {
     let id = node.names.request_id_of(&head.headers);
     let time_left = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
-    let deadline = time_left.map_or(call.deadline(), |time_left| node.now() + time_left);
+    let now = node.now();
+    let deadline = time_left.map_or(call.deadline(), |time_left| now + time_left);
     let mut state = node.state.borrow_mut();
-    match state.admission.parent_of(id, deadline) {
+    match state.admission.parent_of(now, id, deadline) {
         Some(parent) => {
             state.admission.record_call(parent.run, &route.service);
             let place = CallTreePlace {
