An answer whose status is not final is no answer

What callers saw: 600 and 999 of a server in trouble were passed on with its signature; after a 101 their connection answered nothing more. Cause: the HTTP library takes all codes from 100 to 999. Evidence: answer_without_a_final_status_is_no_answer failed before (600 passed on); twelve statuses, reads and orders, at each node. Change: the pool gives out no answer with a status outside 200 to 599: from servers, other nodes or the store. The request's outcome is unknown, as with other bytes that are no answer, and the connection is closed.

--- a/crates/proxy/src/http/pool.rs
+++ b/crates/proxy/src/http/pool.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddrV4;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use lifthollow_coordination::mesh::connection_history::{ConnectionHistory, RequestKey};
 use lifthollow_state::Timestamp;
@@ -52,8 +53,20 @@
         /// The connection that the request was sent on.
         sent_on: ConnectionUse,
     },
+    /// The request was sent, and what came back is no final answer of the protocol.
+    #[error("answer with status {status}, which is no final status")]
+    NoFinalStatus {
+        /// The status of the answer.
+        status: StatusCode,
+        /// The connection that the request was sent on.
+        sent_on: ConnectionUse,
+    },
 }
 
+/// The status codes of final answers (RFC 9110, section 15): a code below is that of an interim answer,
+/// and those above are not valid.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Which connection of a pool carried a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionUse {
@@ -212,6 +225,10 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.head_allowance.end();
+                    let status = response.status();
+                    if !FINAL_STATUSES.contains(&status.as_u16()) {
+                        return Err(SendError::NoFinalStatus { status, sent_on });
+                    }
                     let lease = self.lease(address, connection, &response);
                     return Ok((response, lease));
                 }
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -85,6 +85,16 @@
                 ..AttemptOutcome::unknown(reason)
             };
         }
+        Err(SendError::NoFinalStatus { status, sent_on }) => {
+            let mut state = node.state.borrow_mut();
+            state.admission.answered(node.now(), permit.run, false);
+            drop(state);
+            log_no_final_status(node, &server, id.as_ref(), status, sent_on);
+            return AttemptOutcome {
+                sent_on: Some(sent_on),
+                ..AttemptOutcome::unknown(UnknownReason::AnswerInvalid)
+            };
+        }
     };
     let sent_on = Some(lease.connection_use());
     let invalid = AttemptOutcome {
@@ -135,6 +145,26 @@
     read_answer(node, &server, response, lease, permit).await
 }
 
+/// Logs an answer of the local server whose status is not that of a final answer.
+fn log_no_final_status(
+    node: &Rc<Node>,
+    server: &InstanceId,
+    id: Option<&HeaderValue>,
+    status: StatusCode,
+    sent_on: ConnectionUse,
+) {
+    if !node.may_log() {
+        return;
+    }
+    info!(node.log, "answer without a final status"; "request" => text(id),
+        "status" => status.as_u16(), "server" => server.as_str(),
+        "connection" => sent_on.connection, "position" => sent_on.position);
+}
+
+fn text(value: Option<&HeaderValue>) -> Option<String> {
+    value.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+}
+
 /// Logs an answer of the local server to another request than the one that was sent last on its
 /// connection.
 fn log_answer_to_other(
@@ -147,8 +177,6 @@
     if !node.may_log() {
         return;
     }
-    let text =
-        |id: Option<&HeaderValue>| id.map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned());
     info!(node.log, "answer to another request"; "request" => text(id),
         "answered" => text(response.headers().get(&node.names.request_id)),
         "status" => response.status().as_u16(), "server" => server.as_str(),
--- a/crates/proxy/src/outbound/send.rs
+++ b/crates/proxy/src/outbound/send.rs
@@ -159,6 +159,10 @@
             let outcome = AttemptOutcome::unknown(UnknownReason::AnswerLost);
             return (outcome, ServerReport::default());
         }
+        Err(SendError::NoFinalStatus { .. }) => {
+            let outcome = AttemptOutcome::unknown(UnknownReason::AnswerInvalid);
+            return (outcome, ServerReport::default());
+        }
     };
     has_answer_begun.set(true);
     let (mut head, incoming) = response.into_parts();
