Calls of runs in progress are served during a planned stop

What callers saw: a run that was in progress when its server's node was stopped failed if the server made a call later than 2.6 s into the stop: the node took no connections any more. Evidence: calls_of_a_run_in_progress_are_served_until_the_run_ends failed before; requests_that_come_late_in_a_planned_stop_are_not_passed_on guards what held before. Change: the port for callers stays open until the stop is complete; a late connection serves one request, which is refused as not run unless a run in progress makes it. Late connections that say nothing don't delay the stop.

--- a/crates/coordination/src/mesh/call.rs
+++ b/crates/coordination/src/mesh/call.rs
@@ -135,6 +135,8 @@
     OutOfTime,
     /// The request crashes the servers that run it.
     CrashesServers,
+    /// This node is about to end.
+    NodeLeaving,
     /// This node's view is too old to tell whether the request's API key is valid.
     ViewTooOld,
     /// The request's tenant is at its quota.
--- a/crates/proxy/src/http/server.rs
+++ b/crates/proxy/src/http/server.rs
@@ -33,6 +33,9 @@
     const LOOKS_AHEAD: bool = false;
     /// Whether answers without a `Date` header get one.
     const ADDS_DATE: bool = false;
+    /// Whether connections are still accepted while the process closes, each for one request, which
+    /// has the extension [`SentWhileClosing`].
+    const SERVES_WHILE_CLOSING: bool = false;
 
     /// Answers `request`. Its body is none if the request was answered early, for then it has
     /// no body.
@@ -59,6 +62,10 @@
     fn accept_resumed(&self, refused: u32);
 }
 
+/// Extension of a request whose connection was accepted while the process closes.
+#[derive(Clone, Copy, Debug)]
+pub struct SentWhileClosing;
+
 /// Limits of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
@@ -85,7 +92,7 @@
         CounterGuard::new(&self.requests)
     }
 
-    /// Number of open connections.
+    /// Number of open connections that were accepted before the process began to close.
     pub fn connections(&self) -> usize {
         self.connections.get()
     }
@@ -108,7 +115,8 @@
 }
 
 /// Serves connections of `listener` until `closing` turns true; then each connection is
-/// closed after the requests that are being processed on it.
+/// closed after the requests that are being processed on it. Accepts no connections after that, unless
+/// the handler serves while the process closes.
 pub async fn run<H: Handler>(
     listener: Box<dyn Listener>,
     handler: Rc<H>,
@@ -119,7 +127,7 @@
     let mut refused = 0;
     loop {
         tokio::select! {
-            _ = stop.wait_for(|closing| *closing) => break,
+            _ = stop.wait_for(|closing| *closing), if !H::SERVES_WHILE_CLOSING => break,
             accepted = listener.accept() => match accepted {
                 Ok(stream) => {
                     if refused > 0 {
@@ -146,7 +154,8 @@
     in_progress: InProgress,
     mut closing: watch::Receiver<bool>,
 ) {
-    let _open = CounterGuard::new(&in_progress.connections);
+    let is_late = *closing.borrow();
+    let _open = (!is_late).then(|| CounterGuard::new(&in_progress.connections));
     let limits = handler.connection_limits();
     let active = Rc::new(Cell::new(0));
     let pipeline = Pipeline::default();
@@ -155,7 +164,10 @@
     let service = service_fn({
         let (active, pipeline) = (active.clone(), pipeline.clone());
         let (handler, in_progress) = (handler.clone(), in_progress.clone());
-        move |request: Request<Incoming>| {
+        move |mut request: Request<Incoming>| {
+            if is_late {
+                request.extensions_mut().insert(SentWhileClosing);
+            }
             let early =
                 pipeline.take_early_answer(request.method(), request.uri(), request.headers());
             let handler = handler.clone();
@@ -176,12 +188,14 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .auto_date_header(H::ADDS_DATE)
+        .keep_alive(!is_late)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER))
         .serve_connection(stream, service);
     let mut connection = pin!(connection);
     let mut asked_to_close = pin!(closing.wait_for(|closing| *closing));
     let mut is_asked_to_close = false;
-    let mut is_closing = false;
+    // A late connection closes by itself after its only request.
+    let mut is_closing = is_late;
     poll_fn(|context| {
         loop {
             read_ahead.poll(context, |bytes| {
--- a/crates/proxy/src/outbound/answer.rs
+++ b/crates/proxy/src/outbound/answer.rs
@@ -59,6 +59,7 @@
                 RefusalReason::NotConfigured => "not-configured",
                 RefusalReason::ViewTooOld => "view-too-old",
                 RefusalReason::OverLimit => "over-limit",
+                RefusalReason::NodeLeaving => "node-leaving",
                 RefusalReason::NoLender => "no-lender",
                 RefusalReason::NoServer => "no-server",
                 RefusalReason::Overloaded => "overloaded",
--- a/crates/proxy/src/outbound/mod.rs
+++ b/crates/proxy/src/outbound/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::http::ProxyBody;
 use crate::http::headers::{self, remove_single_connection};
-use crate::http::server::{ConnectionLimits, Handler};
+use crate::http::server::{ConnectionLimits, Handler, SentWhileClosing};
 use crate::node::Node;
 use crate::tenants::identity::identify;
 use crate::tenants::tokens::{self, NoToken};
@@ -40,6 +40,8 @@
 /// Time after which callers may retry if this node can't tell whether they need a key, or whether theirs is
 /// valid: nodes ask for a fresh view several times a second.
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which callers may retry that were refused because this node is about to end.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Minimum time after which callers refused for overload are asked to retry. Each caller's time
 /// is drawn at random between once and twice this.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -50,6 +52,7 @@
 impl Handler for Outbound {
     const LOOKS_AHEAD: bool = true;
     const ADDS_DATE: bool = true;
+    const SERVES_WHILE_CLOSING: bool = true;
 
     async fn handle(self: Rc<Self>, request: Request<Option<Incoming>>) -> Response<ProxyBody> {
         let node = &self.0;
@@ -114,6 +117,15 @@
     let patience = peer_headers::milliseconds(&head.headers, &node.names.deadline_ms);
     let call = Call::new(arrived, &route.route, patience);
     let (tree, mut nested_call) = place_in_tree(node, &head, &route, tenant.as_deref(), &call);
+    let is_late = head.extensions.get::<SentWhileClosing>().is_some();
+    if is_late && nested_call.is_none() {
+        log_unrouted(node, &head, "node-leaving");
+        let refusal = FinalAnswer::Refused {
+            retry_after: LEAVING_RETRY_AFTER,
+            reason: RefusalReason::NodeLeaving,
+        };
+        return ("node-leaving", final_response(node, refusal));
+    }
     let body = match incoming {
         None => ProxyBody::empty(),
         Some(incoming) => match read_body(node, &call, incoming).await {
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -155,7 +155,8 @@
 impl Running {
     /// Stops the process as planned. Until the platform has noticed that the node is not ready,
     /// everything is served as before, so that the local server is not idle. After that,
-    /// attempts for the server are refused, and requests in progress are finished.
+    /// attempts for the server are refused, and requests in progress are finished. The local server
+    /// works on meanwhile, so the calls that it makes for them are still served.
     pub async fn stop(self) {
         let Running {
             node,
@@ -172,7 +173,7 @@
         let _ = close.send(true);
         let stop_deadline = stop_began + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
         let nothing_left = async {
-            while callers.connections() + peers.connections() > 0 {
+            while callers.connections() + callers.requests() + peers.connections() > 0 {
                 sleep(STOP_POLL_INTERVAL).await;
             }
         };
