Changes that are too large to be read at once are read as a whole

Cause: an answer of a watch of more than 8 MiB is refused, and the watch was sent again from the same revision. Change: such an answer means that the node fell behind; it reads all.

--- a/crates/proxy/src/source/mod.rs
+++ b/crates/proxy/src/source/mod.rs
@@ -28,6 +28,9 @@
     /// The source no longer has the changes since the named revision.
     #[error("history is gone")]
     HistoryGone,
+    /// The changes since the named revision are too large to be read at once.
+    #[error("changes too large")]
+    ChangesTooLarge,
     /// The source can't be reached, refuses the query, or sends an invalid answer.
     #[error("{0}")]
     Unavailable(String),
@@ -227,6 +230,10 @@
                 self.handle_missing_changes("source forgot its history");
                 return Ok(false);
             }
+            Err(SourceError::ChangesTooLarge) => {
+                self.handle_missing_changes("changes were too large to be read");
+                return Ok(false);
+            }
             other => other?,
         };
         if answer.revision.era != after.era {
