--- a/crates/proxy/src/network/monitor.rs
+++ b/crates/proxy/src/network/monitor.rs
@@ -49,6 +49,8 @@
 struct Monitored {
     stream: RefCell<TcpStream>,
     watch: RefCell<AcknowledgementWatch>,
+    /// Whether the system reports acknowledgements.
+    has_reports: bool,
     is_watched: Cell<bool>,
     is_peer_gone: Cell<bool>,
 }
@@ -72,13 +74,15 @@
     /// `limit`. A system that doesn't report acknowledgements closes such a connection itself; it may
     /// close one whose peer is slow to read, too.
     pub(super) fn watch(self: &Rc<Self>, stream: TcpStream, limit: Duration) -> MonitoredStream {
-        if report_of(&stream).is_err() {
+        let has_reports = report_of(&stream).is_ok();
+        if !has_reports {
             socket::close_if_unacknowledged(&stream, limit);
         }
         MonitoredStream {
             connection: Rc::new(Monitored {
                 stream: RefCell::new(stream),
                 watch: RefCell::new(AcknowledgementWatch::new(limit)),
+                has_reports,
                 is_watched: Cell::new(false),
                 is_peer_gone: Cell::new(false),
             }),
@@ -88,7 +92,7 @@
 
     fn record_written(self: &Rc<Self>, connection: &Rc<Monitored>) {
         connection.watch.borrow_mut().record_written();
-        if connection.is_watched.replace(true) {
+        if !connection.has_reports || connection.is_watched.replace(true) {
             return;
         }
         let mut watched = self.watched.borrow_mut();
