--- a/crates/proxy/src/inbound/mod.rs
+++ b/crates/proxy/src/inbound/mod.rs
@@ -101,6 +101,15 @@
             sent_on: None,
         }
     }
+
+    /// The outcome of an attempt that was sent to the local server on a connection, and that it may have
+    /// run.
+    fn unknown_on(sent_on: ConnectionUse, reason: UnknownReason) -> Self {
+        AttemptOutcome {
+            sent_on: Some(sent_on),
+            ..AttemptOutcome::unknown(reason)
+        }
+    }
 }
 
 /// Runs an attempt on the local server.
--- a/crates/proxy/src/inbound/server_run.rs
+++ b/crates/proxy/src/inbound/server_run.rs
@@ -80,27 +80,18 @@
         }
         Err(SendError::Lost { error, sent_on }) => {
             let reason = lost_answer_reason(node, &server, &error).await;
-            return AttemptOutcome {
-                sent_on: Some(sent_on),
-                ..AttemptOutcome::unknown(reason)
-            };
+            return AttemptOutcome::unknown_on(sent_on, reason);
         }
         Err(SendError::NoFinalStatus { status, sent_on }) => {
             let mut state = node.state.borrow_mut();
             state.admission.answered(node.now(), permit.run, false);
             drop(state);
             log_no_final_status(node, &server, id.as_ref(), status, sent_on);
-            return AttemptOutcome {
-                sent_on: Some(sent_on),
-                ..AttemptOutcome::unknown(UnknownReason::AnswerInvalid)
-            };
+            return AttemptOutcome::unknown_on(sent_on, UnknownReason::AnswerInvalid);
         }
     };
-    let sent_on = Some(lease.connection_use());
-    let invalid = AttemptOutcome {
-        sent_on,
-        ..AttemptOutcome::unknown(UnknownReason::AnswerInvalid)
-    };
+    let sent_on = lease.connection_use();
+    let invalid = AttemptOutcome::unknown_on(sent_on, UnknownReason::AnswerInvalid);
     let is_answer_to_this = response.headers().get(&names.request_id) == id.as_ref();
     let is_failure = response.status().is_server_error();
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -110,7 +101,6 @@
         is_answer_to_this && !is_failure && !is_misdirected,
     );
     if !is_answer_to_this {
-        let sent_on = lease.connection_use();
         log_answer_to_other(node, &server, id.as_ref(), &response, sent_on);
         return invalid;
     }
@@ -129,7 +119,7 @@
         return AttemptOutcome {
             end,
             response: None,
-            sent_on,
+            sent_on: Some(sent_on),
         };
     }
     let is_signed = response.headers().contains_key(&names.signature);
@@ -254,15 +244,12 @@
 ) -> AttemptOutcome {
     let (mut head, incoming) = response.into_parts();
     remove_single_connection(&mut head.headers);
-    let sent_on = Some(lease.connection_use());
+    let sent_on = lease.connection_use();
     let body = match body::read(incoming, MAX_BUFFERED_ANSWER_BYTES).await {
         Err(error) => {
             permit.end = RunEnd::Failed;
             let reason = lost_answer_reason(node, server, &error).await;
-            return AttemptOutcome {
-                sent_on,
-                ..AttemptOutcome::unknown(reason)
-            };
+            return AttemptOutcome::unknown_on(sent_on, reason);
         }
         Ok(ReadBody::Whole(whole)) => {
             lease.keep();
@@ -279,6 +266,6 @@
     AttemptOutcome {
         end: AttemptEnd::Answered,
         response: Some(Response::from_parts(head, body)),
-        sent_on,
+        sent_on: Some(sent_on),
     }
 }
